Rank servers behind a placement seam, CARP first and default

Pools of other installations will want other rankings, and bounds that reach further than one pool.

The module asks a Placement for a key's best servers and an Admission before it sends to a cold server or spends a retry; by default these are CARP and no further bound, so its decisions stay as they were.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,5 +1,8 @@
 package damsonworks;
 
+import damsonworks.placement.Admission;
+import damsonworks.placement.CarpPlacement;
+import damsonworks.placement.Placement;
 import java.util.*;
 
 /**
@@ -31,9 +34,10 @@
     private final Throttle crowd = new Throttle();
     private final Shares shares;
     private Server[] ranked = new Server[0];
-    private Server[] top = new Server[RANKS];
-    private double[] topScore = new double[RANKS];
-    private int topCount;
+    private final Placement.Factory placements;
+    private final Admission admission;
+    private Placement placement;
+    private int[] top = new int[RANKS];
     private Server origin;
     private double fetchMs;
     private double usualCost;
@@ -50,7 +54,6 @@
         final int id;
         final int hash;
         Member member;
-        float multiplier;
         double share;
         int failures;
         double shunnedUntil;
@@ -93,7 +96,11 @@
             arrivedMs = now;
             kind = cfg.classes().get(request.serviceClass());
             safe = kind.effect() == Effect.SAFE;
-            keyHash = Carp.keyHash(request.key() != 0 ? request.key() : Integer.toUnsignedLong(request.id()));
+            keyHash = Carp.keyHash(key());
+        }
+
+        long key() {
+            return request.key() != 0 ? request.key() : Integer.toUnsignedLong(request.id());
         }
 
         /** The work hinted at, in units of the usual; 1 where there is no hint. */
@@ -223,7 +230,15 @@
 
     /** A fresh instance that knows nothing yet. */
     public Policy(Settings settings, long seed) {
+        this(settings, seed, CarpPlacement::new, Admission.OPEN);
+    }
+
+    /** One that ranks servers by this placement and keeps to these further bounds. */
+    public Policy(Settings settings, long seed, Placement.Factory placements, Admission admission) {
         cfg = settings;
+        this.placements = placements;
+        this.admission = admission;
+        placement = placements.of(List.of());
         random = new SplittableRandom(seed);
         shares = settings.overShareWorth() < 1 && settings.tenants().size() > 1 ? new Shares() : null;
         double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min()
@@ -312,9 +327,8 @@
             weights[i] = ranked[i].member.weight();
             sum += weights[i];
         }
-        float[] x = Carp.multipliers(weights);
+        placement = placements.of(list.stream().map(s -> s.member).toList());
         for (int i = 0; i < ranked.length; i++) {
-            ranked[i].multiplier = x[i];
             ranked[i].share = sum > 0 ? weights[i] / sum : 1.0 / ranked.length;
         }
     }
@@ -358,8 +372,9 @@
      * spread over as many of its top ranks as bring each under that, wherever it is as hot.
      */
     private int spread(int seen) {
-        int n = seen < HotKeys.MIN_COUNT ? 1 : (int) Math.ceil(seen / hot.total * ranked.length);
-        return Math.max(1, Math.min(n, ranked.length));
+        int all = placement.spreadable();
+        int n = seen < HotKeys.MIN_COUNT ? 1 : (int) Math.ceil(seen / hot.total * all);
+        return Math.max(1, Math.min(n, all));
     }
 
     private void advance(double now, Flight f, Actions out) {
@@ -380,6 +395,11 @@
             giveUp(f, out);
             return;
         }
+        // A fetch after a miss is the request's ordinary way. All else is more work for a fleet in trouble.
+        if (f.attempts > 0 && !(s == origin && f.missedAt != null) && !admission.retry(now)) {
+            giveUp(f, out);
+            return;
+        }
         if (s != origin && f.attempts == 0 && f.safe && refused(f, crowd.excess(now))) {
             s.trial = false; // one that is not sent has no end that could clear it, and s would stay out
             giveUp(f, out);
@@ -410,6 +430,9 @@
 
     private void place(double now, Flight f, Server s, Actions out) {
         int a = f.attempts++;
+        if (a == 0) {
+            admission.first(now);
+        }
         f.at[a] = s;
         f.sentAt[a] = now;
         f.out++;
@@ -515,11 +538,15 @@
 
     private Server choose(double now, Flight f, Actions out) {
         int want = Math.min(ranked.length, Math.max(RANKS, f.spread + RANKS));
-        topRanks(f.keyHash, want);
+        int most = placement.most(want);
+        if (top.length < most) {
+            top = new int[most];
+        }
+        int count = want == 0 ? 0 : placement.top(f.key(), f.keyHash, want, top);
         int offset = f.spread > 1 ? random.nextInt(f.spread) : 0;
         Server untried = null;
-        for (int i = 0; i < topCount; i++) {
-            Server s = top[i < f.spread ? (i + offset) % f.spread : i];
+        for (int i = 0; i < count; i++) {
+            Server s = ranked[top[i < f.spread ? (i + offset) % f.spread : i]];
             if (tried(f, s) && s != f.missedAt) {
                 continue;
             }
@@ -569,34 +596,13 @@
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
         boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
-        return fair && Carp.lot(f.keyHash, s.hash) < ramp;
+        return fair && Carp.lot(f.keyHash, s.hash) < ramp && admission.cold(now, s.member);
     }
 
     private boolean cold(double now, Server s) {
         return s.member.bornMs() != 0 && now - s.member.bornMs() < cfg.warmUpMs();
     }
 
-    private void topRanks(int keyHash, int want) {
-        if (top.length < want) {
-            top = new Server[want];
-            topScore = new double[want];
-        }
-        topCount = 0;
-        for (Server s : ranked) {
-            double score = Carp.score(keyHash, s.hash, s.multiplier);
-            if (topCount == want && score <= topScore[want - 1]) {
-                continue;
-            }
-            int i = topCount < want ? topCount++ : want - 1;
-            for (; i > 0 && topScore[i - 1] < score; i--) {
-                top[i] = top[i - 1];
-                topScore[i] = topScore[i - 1];
-            }
-            top[i] = s;
-            topScore[i] = score;
-        }
-    }
-
     // ---- ends of attempts
 
     @Override
--- /dev/null
+++ b/src/main/java/damsonworks/placement/Admission.java
@@ -0,0 +1,26 @@
+package damsonworks.placement;
+
+import damsonworks.RoutingApi.Member;
+
+/**
+ * Bounds that reach further than one pool, asked by the module before it sends: what cold servers are given by
+ * all pools of a process together, and what its pool spends on retries. Calls come at the module's clock, in
+ * milliseconds.
+ */
+public interface Admission {
+    /** No bounds but the module's own. */
+    Admission OPEN = new Admission() { };
+
+    /** Whether a server that is cold may be sent one more request now; if so it counts as sent. */
+    default boolean cold(double now, Member server) {
+        return true;
+    }
+
+    /** A request's first attempt goes out. */
+    default void first(double now) { }
+
+    /** Whether one more attempt may be spent on a request that has had one; if so it counts as spent. */
+    default boolean retry(double now) {
+        return true;
+    }
+}
