--- a/src/main/java/damsonworks/placement/Admission.java
+++ b/src/main/java/damsonworks/placement/Admission.java
@@ -3,9 +3,9 @@
 import damsonworks.RoutingApi.Member;
 
 /**
- * Bounds that reach further than one pool, asked by the module before it sends: what cold servers are given by
- * all pools of a process together, and what its pool spends on retries. Calls come at the module's clock, in
- * milliseconds.
+ * Bounds that reach further than one pool, asked by the module before it sends: what cold servers are given
+ * by all pools of a process together, and what its pool spends on retries. Calls come at the module's clock,
+ * in milliseconds.
  */
 public interface Admission {
     /** No bounds but the module's own. */
--- a/src/main/java/damsonworks/placement/CarpPlacement.java
+++ b/src/main/java/damsonworks/placement/CarpPlacement.java
@@ -7,7 +7,7 @@
 /**
  * CARP's ranking (draft-vinod-carp-v1-03, section 3.4). Every member is scored for every key, so the scan is
  * what counts: hashes first, block by block in a loop without branches that the compiler turns into vector
- * code, then a comparison that in most cases fails. The answers are those of scoring one member after another.
+ * code, then a comparison that in most cases fails. The answers are those of scoring one after another.
  */
 public final class CarpPlacement implements Placement {
     /** Hashes of one block, 1 KiB: they stay in the first-level cache between the two loops. */
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -3,7 +3,6 @@
 import damsonworks.RoutingApi;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.proxy.Exchange.Attempt;
-import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -15,7 +14,6 @@
 
 final class CacheCodec extends ByteToMessageDecoder implements UpstreamConnection.Codec {
     private final UpstreamConnection connection;
-    private final Dispatcher dispatcher;
     /** Bytes of the value and its line's end that are to come; negative: none, a line is next. */
     private int missing = -1;
     private int length;
@@ -28,18 +26,17 @@
 
     CacheCodec(UpstreamConnection connection) {
         this.connection = connection;
-        this.dispatcher = connection.dispatcher();
         connection.use(this);
     }
 
     @Override
     public ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial) {
         if (attempt.exchange == null) {
-            String probe = dispatcher.probesLoad() ? "stats load\r\n" : "mn\r\n";
+            String probe = attempt.owner.probesLoad() ? "stats load\r\n" : "mn\r\n";
             return channel.writeAndFlush(MetaCodec.text(channel.alloc(), probe));
         }
         Command command = attempt.exchange.command;
-        String line = command.head + Math.max(1, Math.round(attempt.untilMs - dispatcher.now())) + command.tail
+        String line = command.head + Math.max(1, Math.round(attempt.untilMs - connection.core().now())) + command.tail
                 + "\r\n";
         ByteBuf head = MetaCodec.text(channel.alloc(), line);
         if (command.value == null) {
@@ -69,7 +66,7 @@
             } else {
                 String line = MetaCodec.line(in);
                 if (line != null) {
-                    answer(ctx, line);
+                    answer(line);
                 } else if (in.isReadable()) {
                     connection.partial();
                 }
@@ -81,17 +78,17 @@
         }
     }
 
-    private void answer(ChannelHandlerContext ctx, String line) throws MetaCodec.SyntaxException {
+    private void answer(String line) throws MetaCodec.SyntaxException {
         Attempt attempt = connection.head();
         if (attempt == null) {
             throw new MetaCodec.SyntaxException("answer to nothing");
         }
         if (attempt.exchange == null) {
-            probed(line);
+            probed(attempt, line);
         } else if (line.startsWith(MetaCodec.BUSY)) {
-            connection.ended(Outcome.FULL, 0, report(line), null);
+            connection.ended(Outcome.FULL, 0, report(attempt, line), null, null);
         } else if (line.startsWith("SERVER_ERROR")) {
-            connection.ended(Outcome.ERROR, 0, report(line), null);
+            connection.ended(Outcome.ERROR, 0, report(attempt, line), null, null);
         } else if (line.startsWith("VA ") && !attempt.exchange.command.write) {
             String word = MetaCodec.wordAt(line, 3);
             length = MetaCodec.length(word);
@@ -99,27 +96,30 @@
             missing = length + 2;
             streamed = length > MetaCodec.WHOLE;
             if (streamed) {
-                String head = MetaCodec.valueHead(length, attempt.exchange.command.id);
-                dropped = !connection.begin(MetaCodec.text(ctx.alloc(), head));
+                dropped = !connection.begin(length);
             }
         } else if (line.startsWith("HD ") && attempt.exchange.command.write) {
             flags(attempt, line, 3);
             String receipt = MetaCodec.flag(line, 3, 'c');
-            if (receipt == null) {
+            if (receipt == null && !attempt.owner.plainNodes()) {
                 throw new MetaCodec.SyntaxException("no receipt");
             }
-            String text = MetaCodec.receipt(attempt.exchange.command.id, receipt);
-            connection.ended(Outcome.OK, note, report, MetaCodec.text(ctx.alloc(), text));
+            connection.ended(Outcome.OK, note, report, null, receipt);
         } else if (line.startsWith("EN")) {
-            flags(attempt, line, 3);
-            connection.ended(Outcome.MISS, note, report, null);
+            if (attempt.owner.plainNodes() && line.equals("EN")) {
+                note = 2; // stock nodes say no more; answers keep their order all the same
+                report = null;
+            } else {
+                flags(attempt, line, 3);
+            }
+            connection.ended(Outcome.MISS, note, report, null, null);
         } else {
             throw new MetaCodec.SyntaxException("unknown line");
         }
     }
 
-    private float[] report(String line) {
-        return dispatcher.report(MetaCodec.flag(line, MetaCodec.BUSY.length() + 1, 'L'));
+    private static float[] report(Attempt attempt, String line) {
+        return attempt.owner.report(MetaCodec.flag(line, MetaCodec.BUSY.length() + 1, 'L'));
     }
 
     /** What the flags tell; the id must be the attempt's, or answers have lost their order. */
@@ -130,7 +130,7 @@
         String hit = MetaCodec.flag(line, from, 'h');
         note = "1".equals(hit) ? 1
                 : !"0".equals(hit) ? 0 : MetaCodec.flag(line, from, 'Z') != null ? RoutingApi.NOTE_FETCH_OUT : 2;
-        report = dispatcher.report(MetaCodec.flag(line, from, 'L'));
+        report = attempt.owner.report(MetaCodec.flag(line, from, 'L'));
     }
 
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
@@ -140,12 +140,10 @@
                 return;
             }
             end(in, in.readerIndex() + length);
-            String head = MetaCodec.valueHead(length, connection.head().exchange.command.id);
-            ByteBuf answer = in.alloc().buffer(head.length() + missing);
-            answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-            answer.writeBytes(in, missing);
+            ByteBuf value = in.readRetainedSlice(length);
+            in.skipBytes(2);
             missing = -1;
-            connection.ended(Outcome.OK, note, report, answer);
+            connection.ended(Outcome.OK, note, report, value, null);
             return;
         }
         // The value's end of line is passed on only when it is seen to be one.
@@ -162,7 +160,7 @@
             end(in, in.readerIndex());
             in.skipBytes(2);
             missing = -1;
-            connection.ended(Outcome.OK, note, report, dropped ? null : MetaCodec.text(in.alloc(), "\r\n"));
+            connection.ended(Outcome.OK, note, report, null, null);
         }
     }
 
@@ -172,15 +170,15 @@
         }
     }
 
-    private void probed(String line) {
+    private void probed(Attempt attempt, String line) {
         if (line.startsWith("STAT ")) {
             String name = MetaCodec.wordAt(line, 5);
             stats += name + "=" + MetaCodec.wordAt(line, 6 + name.length()) + ",";
         } else {
             boolean ok = line.equals("MN") || line.equals("END");
-            float[] figures = MetaCodec.report(stats, dispatcher.reportNames());
+            float[] figures = MetaCodec.report(stats, attempt.owner.reportNames());
             stats = "";
-            connection.ended(ok ? Outcome.OK : Outcome.ERROR, 0, figures, null);
+            connection.ended(ok ? Outcome.OK : Outcome.ERROR, 0, figures, null, null);
         }
     }
 
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,7 +1,7 @@
 package damsonworks.proxy;
 
-import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,6 +11,10 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+/**
+ * A client that speaks the meta commands: reads its requests, hands them in, and writes their answers in the order
+ * of the requests.
+ */
 final class ClientConnection extends ByteToMessageDecoder {
     /** Commands in hand on one connection; guards memory against a client that only writes. */
     private static final int MAX_PIPELINED = 32;
@@ -19,13 +23,18 @@
     /** A client asks as soon as it has connected; one that has not by then is owed a close within 3 s. */
     private static final double SILENT_MS = 2000;
 
-    private final Dispatcher dispatcher;
-    private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
+    private final Core core;
+    private final Front front;
+    private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come; the value is null if there's no room. */
     private Command incoming;
     private int missing;
     private int reserved;
+    /** Whether the value that is being read belongs to no command that could be carried out. */
+    private boolean refused;
+    private String openEcho;
+    private String openFault;
     private boolean closing;
     private boolean finished;
     private boolean readPaused;
@@ -34,20 +43,34 @@
     private double acceptedMs;
     private double activeMs;
 
-    ClientConnection(Dispatcher dispatcher) {
-        this.dispatcher = dispatcher;
+    /** What a connection belongs to. */
+    interface Front {
+        RequestHandler handler();
+
+        /** Whether connections are to end between requests. */
+        boolean draining();
+
+        void left(ClientConnection client);
+
+        /** What plain commands of stock clients are given; null where commands must be the platform's. */
+        OpenMeta open();
+    }
+
+    ClientConnection(Core core, Front front) {
+        this.core = core;
+        this.front = front;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         ctx = context;
-        acceptedMs = dispatcher.now();
+        acceptedMs = core.now();
         activeMs = acceptedMs;
     }
 
     /** Between requests: nothing owed and nothing begun. */
     boolean idle() {
-        return exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
+        return slots.isEmpty() && incoming == null && actualReadableBytes() == 0;
     }
 
     double activeMs() {
@@ -70,12 +93,12 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
-        activeMs = dispatcher.now();
+        activeMs = core.now();
         if (closing) {
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (exchanges.size() >= MAX_PIPELINED || !ctx.channel().isWritable()) {
+        if (slots.size() >= MAX_PIPELINED || !ctx.channel().isWritable()) {
             pauseReading();
             return;
         }
@@ -100,6 +123,10 @@
             say("MN\r\n");
             return;
         }
+        if (front.open() != null) {
+            openCommand(line);
+            return;
+        }
         boolean write = line.startsWith("ms ");
         if (!write && !line.startsWith("mg ")) {
             say("ERROR\r\n");
@@ -124,14 +151,34 @@
         }
         Command command = bad ? null : command(line, key, id, extras, flags, write);
         if (write) {
-            incoming = command != null ? command : new Command(key, null, true, "", "", "");
-            missing = length + 2;
-            if (command != null && dispatcher.reserve(missing)) {
-                reserved = missing;
-                command.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
-            }
+            awaitValue(command, id, length);
         } else {
-            dispatcher.take(asked(command));
+            hand(command, " O" + id, true);
+        }
+    }
+
+    /** A stock client's command: it needs neither id nor list, and gets an answer line whatever it asks. */
+    private void openCommand(String line) throws MetaCodec.SyntaxException {
+        OpenMeta.Parsed parsed = front.open().parse(line);
+        if (parsed.write()) {
+            openEcho = parsed.echo();
+            openFault = parsed.fault();
+            awaitValue(parsed.command(), null, parsed.length());
+        } else if (parsed.fault() != null) {
+            say(parsed.fault() + "\r\n");
+        } else {
+            hand(parsed.command(), parsed.echo(), false);
+        }
+    }
+
+    /** The value of a write comes next; of one that can't be carried out too, it is read and dropped. */
+    private void awaitValue(Command command, String id, int length) {
+        incoming = command != null ? command : new Command("", id, true, "", "", "");
+        refused = command == null;
+        missing = length + 2;
+        if (command != null && core.reserve(missing)) {
+            reserved = missing;
+            command.value(ctx.alloc().buffer(Math.min(missing, 16 << 10), missing), missing);
         }
     }
 
@@ -166,7 +213,8 @@
         incoming = null;
         if (command.value == null) {
             // No room for the value, or no request that could be made of it. Nothing was sent on.
-            say(command.id == null ? "CLIENT_ERROR bad command line format\r\n" : MetaCodec.BUSY + "\r\n");
+            say(!refused ? MetaCodec.BUSY + "\r\n" : openFault != null ? openFault + "\r\n"
+                    : "CLIENT_ERROR bad command line format\r\n");
             return;
         }
         int end = command.value.writerIndex();
@@ -175,20 +223,32 @@
             throw new MetaCodec.SyntaxException("bad data chunk");
         }
         reserved = 0; // given back when the request is over
-        dispatcher.take(asked(command));
+        boolean strict = front.open() == null;
+        hand(command, strict ? " O" + command.id : openEcho, strict);
+    }
+
+    /** Hands a whole command in. */
+    private void hand(Command command, String echo, boolean strict) {
+        Slot slot = slot(echo, strict);
+        RequestHandler.Handle handle = front.handler().take(command, slot);
+        if (!slot.whole) {
+            slot.handle = handle;
+        }
     }
 
-    /** A command has come whole; null for one that the proxy answers by itself. */
-    private Exchange asked(Command command) {
+    private Slot slot(String echo, boolean strict) {
         asked = true;
-        Exchange exchange = new Exchange(this, command);
-        exchanges.add(exchange);
-        return exchange;
+        Slot slot = new Slot(echo, strict);
+        slots.add(slot);
+        return slot;
     }
 
     private void dropValue(Command command) {
-        command.release();
-        dispatcher.giveBack(reserved);
+        if (command.value != null) {
+            command.value.release();
+            command.value = null;
+        }
+        core.giveBack(reserved);
         reserved = 0;
     }
 
@@ -196,45 +256,119 @@
 
     /** Answers a command by the proxy itself. */
     private void say(String text) {
-        answer(asked(null), MetaCodec.text(ctx.alloc(), text));
+        slot("", true).answer(MetaCodec.text(ctx.alloc(), text));
     }
 
-    void answer(Exchange exchange, ByteBuf answer) {
-        exchange.answer = answer;
-        exchange.whole = true;
-        flushAnswers();
-    }
+    /** A command's place in the order of answers. */
+    private final class Slot implements Responder {
+        /** The flags that the client wants back. */
+        private final String echo;
+        /** Whether a write's receipt is told, which stock clients know nothing of. */
+        private final boolean receipts;
+        private RequestHandler.Handle handle;
+        /** What is ready to go to the client, null once it has been handed on. */
+        private ByteBuf answer;
+        /** Whether all of the answer has come. */
+        private boolean whole;
+        /** Holds back the rest of a long answer. */
+        private Flow source;
 
-    void pass(Exchange exchange, ByteBuf part) {
-        if (finished) {
-            part.release();
-        } else if (exchange.answer == null) {
-            exchange.answer = part;
-        } else {
-            CompositeByteBuf parts = exchange.answer instanceof CompositeByteBuf c ? c
-                    : ctx.alloc().compositeBuffer(64).addComponent(true, exchange.answer);
-            exchange.answer = parts.addComponent(true, part);
+        Slot(String echo, boolean receipts) {
+            this.echo = echo;
+            this.receipts = receipts;
         }
-        flushAnswers();
-    }
 
-    /** A long answer has all been passed on. */
-    void passed(Exchange exchange) {
-        exchange.whole = true;
-        exchange.source = null;
-        flushAnswers();
-    }
+        private void answer(ByteBuf buf) {
+            answer = buf;
+            whole = true;
+            handle = null;
+            flushAnswers();
+        }
 
-    /** A long answer breaks off: only the connection's end tells the client that it is not whole. */
-    void breakOff(Exchange exchange) {
-        exchange.source = null;
-        ctx.close();
+        private void say(String line) {
+            answer(MetaCodec.text(ctx.alloc(), line));
+        }
+
+        @Override
+        public void value(ByteBuf value) {
+            int length = value.readableBytes();
+            ByteBuf buf = ctx.alloc().buffer(24 + echo.length() + length);
+            ByteBufUtil.writeAscii(buf, "VA ");
+            MetaCodec.number(buf, length);
+            ByteBufUtil.writeAscii(buf, echo);
+            buf.writeShort(MetaCodec.CRLF).writeBytes(value, value.readerIndex(), length).writeShort(MetaCodec.CRLF);
+            value.release();
+            answer(buf);
+        }
+
+        @Override
+        public void receipt(String receipt) {
+            say("HD" + echo + (receipt == null || !receipts ? "" : " c" + receipt) + "\r\n");
+        }
+
+        @Override
+        public void miss() {
+            say("EN" + (receipts ? echo : "") + "\r\n");
+        }
+
+        @Override
+        public void refused(double retryAfterMs) {
+            say(MetaCodec.BUSY + (retryAfterMs >= 1 ? " " + Math.round(retryAfterMs) : "") + "\r\n");
+        }
+
+        @Override
+        public void failed() {
+            say(MetaCodec.FAILED);
+        }
+
+        @Override
+        public void rejected(String why) {
+            say("CLIENT_ERROR " + why + "\r\n");
+        }
+
+        @Override
+        public void begin(int length, Flow flow) {
+            source = flow;
+            part(MetaCodec.text(ctx.alloc(), "VA " + length + echo + "\r\n"));
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            if (finished) {
+                part.release();
+            } else if (answer == null) {
+                answer = part;
+            } else {
+                CompositeByteBuf parts = answer instanceof CompositeByteBuf c ? c
+                        : ctx.alloc().compositeBuffer(64).addComponent(true, answer);
+                answer = parts.addComponent(true, part);
+            }
+            flushAnswers();
+        }
+
+        @Override
+        public void end() {
+            source = null;
+            if (!finished) {
+                part(MetaCodec.text(ctx.alloc(), "\r\n"));
+            }
+            whole = true;
+            handle = null;
+            flushAnswers();
+        }
+
+        /** Only the connection's end tells the client that the value is not whole. */
+        @Override
+        public void breakOff() {
+            source = null;
+            ctx.close();
+        }
     }
 
     private void flushAnswers() {
         boolean wrote = false;
-        Exchange head;
-        while (!finished && (head = exchanges.peek()) != null) {
+        Slot head;
+        while (!finished && (head = slots.peek()) != null) {
             if (head.answer != null) {
                 ctx.write(head.answer);
                 head.answer = null;
@@ -243,26 +377,26 @@
             if (!head.whole) {
                 break;
             }
-            exchanges.poll();
+            slots.poll();
         }
         if (wrote) {
-            activeMs = dispatcher.now();
+            activeMs = core.now();
             ctx.flush();
         }
         regulate();
-        if (exchanges.isEmpty() && (closing || dispatcher.draining() && idle())) {
+        if (slots.isEmpty() && (closing || front.draining() && idle())) {
             finish();
         }
     }
 
     /** Lets the head's source go on only while the client takes what is written, and holds back all others. */
     private void regulate() {
-        for (Exchange e : exchanges) {
+        for (Slot e : slots) {
             if (e.source != null) {
-                e.source.hold(e != exchanges.peek() || !ctx.channel().isWritable());
+                e.source.hold(e != slots.peek() || !ctx.channel().isWritable());
             }
         }
-        if (readPaused && exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
+        if (readPaused && slots.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
             readPaused = false;
             ctx.channel().config().setAutoRead(true);
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
@@ -292,7 +426,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        activeMs = dispatcher.now();
+        activeMs = core.now();
         regulate();
     }
 
@@ -305,7 +439,7 @@
             dropValue(incoming);
             incoming = null;
         }
-        for (Exchange e; (e = exchanges.poll()) != null;) {
+        for (Slot e; (e = slots.poll()) != null;) {
             if (e.answer != null) {
                 e.answer.release();
                 e.answer = null;
@@ -314,11 +448,11 @@
                 e.source.hold(false);
                 e.source = null;
             }
-            if (e.command != null) {
-                dispatcher.gone(e);
+            if (e.handle != null) {
+                e.handle.gone();
             }
         }
-        dispatcher.left(this);
+        front.left(this);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Clients.java
@@ -0,0 +1,74 @@
+package damsonworks.proxy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The clients of all listeners of one event loop, and the bound on them. */
+final class Clients {
+    private final Core core;
+    private final int max;
+    private final Set<ClientConnection> all = new HashSet<>();
+    private final List<Listener> listeners = new ArrayList<>();
+
+    /** @param max connections of clients; one that has stood idle makes room for a new one */
+    Clients(Core core, int max) {
+        this.core = core;
+        this.max = max;
+    }
+
+    void add(Listener listener) {
+        listeners.add(listener);
+    }
+
+    void remove(Listener listener) {
+        listeners.remove(listener);
+    }
+
+    /**
+     * A connection that the kernel has accepted counts as taken, so where there are too many the one that has
+     * stood idle longest makes room.
+     */
+    void accepted(ClientConnection client) {
+        all.add(client);
+        if (all.size() > max && !makeRoom(client)) {
+            listeners.forEach(l -> l.accept(false));
+        }
+    }
+
+    /** Closes the connection that has stood idle longest, but for this one; false if none is idle. */
+    private boolean makeRoom(ClientConnection but) {
+        ClientConnection oldest = null;
+        for (ClientConnection c : all) {
+            if (c != but && c.idle() && (oldest == null || c.activeMs() < oldest.activeMs())) {
+                oldest = c;
+            }
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    void left(ClientConnection client) {
+        all.remove(client);
+        if (all.size() <= max) {
+            listeners.forEach(l -> l.accept(true));
+        }
+    }
+
+    void sweep() {
+        double now = core.now();
+        for (ClientConnection c : List.copyOf(all)) {
+            if (c.stalled(now)) {
+                c.close();
+            }
+        }
+        if (all.size() > max) {
+            // All were busy when the last one came. Clients keep connections that have become idle since, and those
+            // that wait to be accepted would wait for one to leave.
+            makeRoom(null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Command.java
@@ -0,0 +1,115 @@
+package damsonworks.proxy;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * A request as fronts hand it in: its key, id and list of names and values, and the line in which cache nodes are
+ * to get it, which is the client's own where that was of the same grammar.
+ */
+public final class Command {
+    final String key;
+    final String id;
+    final boolean write;
+    final String extras;
+    /** The line for cache nodes up to the deadline's figure, and from there on. */
+    final String head;
+    final String tail;
+    /** A write's value with its line's end; null for reads. */
+    ByteBuf value;
+    /** What is given back to the bound on clients' values with the value. */
+    private int reserved;
+    private int holders = 1;
+
+    // What the intake has made of the list.
+    int serviceClass;
+    int tenant;
+    long keyNumber;
+    double arrivedMs;
+    double dueMs;
+    double costMs;
+    float bytes;
+    boolean repeat;
+
+    Command(String key, String id, boolean write, String extras, String head, String tail) {
+        this.key = key;
+        this.id = id;
+        this.write = write;
+        this.extras = extras;
+        this.head = head;
+        this.tail = tail;
+    }
+
+    /** A request that no client sent in the nodes' own grammar. */
+    static Command of(String key, String id, boolean write, int valueBytes, String extras) {
+        String head = write ? "ms " + key + " " + valueBytes : "mg " + key + " v";
+        String list = extras.isEmpty() ? "d=" : extras + ",d=";
+        return new Command(key, id, write, extras, head + " O" + id + " P" + list, "");
+    }
+
+    void value(ByteBuf of, int room) {
+        value = of;
+        reserved = room;
+    }
+
+    /** The same request for another key. It shares the value and must be released, too. */
+    Command withKey(String other) {
+        Command c = new Command(other, id, write, extras, head.substring(0, 3) + other
+                + head.substring(3 + key.length()), tail);
+        if (value != null) {
+            c.value = value.retainedDuplicate();
+        }
+        c.serviceClass = serviceClass;
+        c.tenant = tenant;
+        c.keyNumber = Intake.keyNumber(other);
+        c.arrivedMs = arrivedMs;
+        c.dueMs = dueMs;
+        c.costMs = costMs;
+        c.bytes = bytes;
+        c.repeat = repeat;
+        return c;
+    }
+
+    public String key() {
+        return key;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public boolean write() {
+        return write;
+    }
+
+    /** Index among the classes; set once the intake has resolved it, like all figures below. */
+    public int serviceClass() {
+        return serviceClass;
+    }
+
+    public int tenant() {
+        return tenant;
+    }
+
+    public double arrivedMs() {
+        return arrivedMs;
+    }
+
+    /** When the client gives up, on the core's clock. */
+    public double dueMs() {
+        return dueMs;
+    }
+
+    /** One more holder; each releases once. */
+    Command retain() {
+        holders++;
+        return this;
+    }
+
+    void release(Core core) {
+        if (--holders == 0 && value != null) {
+            core.giveBack(reserved);
+            value.release();
+            value = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -0,0 +1,117 @@
+package damsonworks.proxy;
+
+import damsonworks.proxy.Timers.Timer;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * What all pools and fronts of one event loop share: the clock, timers, the servers with their connections, and the
+ * bounds on values, descriptors and log lines. Used on that loop only.
+ */
+public final class Core {
+    private static final int MAX_LOG_LINES = 300;
+    private static final double CLOSES_PER_SECOND = 10;
+    private static final double CLOSES_SAVED = 10;
+
+    final EventLoop loop;
+    final Servers servers;
+    /** The clients' ids of requests that have no answer yet; as many as there are such requests. */
+    final Set<String> openIds = new HashSet<>();
+    private final Timers timers;
+    private final Class<? extends Channel> upstream;
+    private final double epochMs = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
+    private final long maxValueBytes;
+    private final int maxUpstream;
+    private double closes = CLOSES_SAVED;
+    private double closesAtMs;
+    private int upstreamCount;
+    private int logLines;
+    private long valueBytes;
+
+    /**
+     * @param upstream the kind of channel towards servers
+     * @param maxValueBytes what clients' values in hand may take together
+     * @param maxUpstream connections to all servers together
+     */
+    Core(EventLoop loop, Class<? extends Channel> upstream, long maxValueBytes, int maxUpstream) {
+        this.loop = loop;
+        this.upstream = upstream;
+        this.maxValueBytes = maxValueBytes;
+        this.maxUpstream = maxUpstream;
+        timers = new Timers(loop);
+        servers = new Servers(this);
+    }
+
+    /** As the platform's configuration bounds it. */
+    static Core of(EventLoop loop, Config config, Class<? extends Channel> upstream) {
+        return new Core(loop, upstream, (long) config.memoryMb() << 20 >> 3, config.sockets() / 3);
+    }
+
+    /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
+    public double now() {
+        return epochMs + (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    Timer after(double ms, Runnable task) {
+        return timers.after(ms, task);
+    }
+
+    Bootstrap bootstrap(double connectTimeoutMs) {
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(upstream)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeoutMs);
+        if (upstream == Transport.BEST.socket()) {
+            bootstrap.option(ChannelOption.TCP_NODELAY, true);
+        }
+        return bootstrap;
+    }
+
+    /** Room for a client's value of this size; given back when its request is over. */
+    boolean reserve(int bytes) {
+        if (valueBytes + bytes > maxValueBytes) {
+            return false;
+        }
+        valueBytes += bytes;
+        return true;
+    }
+
+    void giveBack(int bytes) {
+        valueBytes -= bytes;
+    }
+
+    /** Whether a connection may be closed for the sake of one attempt; where no second copies are allowed it must. */
+    boolean mayClose(boolean secondCopies) {
+        double now = now();
+        closes = Math.min(CLOSES_SAVED, closes + (now - closesAtMs) / 1000 * CLOSES_PER_SECOND);
+        closesAtMs = now;
+        if (closes < 1 && secondCopies) {
+            return false;
+        }
+        closes--;
+        return true;
+    }
+
+    boolean roomUpstream() {
+        return upstreamCount < maxUpstream;
+    }
+
+    void openedUpstream() {
+        upstreamCount++;
+    }
+
+    void closedUpstream() {
+        upstreamCount--;
+    }
+
+    /** A line on standard error; their number is bounded. */
+    public void log(String line) {
+        if (++logLines <= MAX_LOG_LINES) {
+            System.err.println(line.getBytes(StandardCharsets.UTF_8).length > 500 ? line.substring(0, 500) : line);
+        }
+    }
+}
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -42,21 +42,35 @@
     private static final int AGAIN_MS = 250;
     private static final int MAX_LIST = 4 << 20;
 
+    /** A server of the list. */
     record Host(Member member, SocketAddress dial) { }
 
+    /**
+     * What is followed.
+     *
+     * @param known the list as it was last had, in discovery's form; null for none
+     * @param ask whether the module asks for the list; else it is followed from the start
+     */
+    record Source(InetSocketAddress address, JsonObject known, boolean ask, List<String> zones, List<String> kinds) {
+        static Source of(Config config) {
+            return new Source(config.discovery(), config.known(), config.settings().askForList(), config.zones(),
+                    config.kinds());
+        }
+    }
+
     private final EventLoop loop;
-    private final Config config;
+    private final Source source;
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
     private InetSocketAddress address;
     private long version;
 
-    DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher) {
+    DiscoveryClient(EventLoop loop, Source source, Dispatcher dispatcher) {
         this.loop = loop;
-        this.config = config;
+        this.source = source;
         this.dispatcher = dispatcher;
-        address = config.discovery();
+        address = source.address();
     }
 
     /**
@@ -77,16 +91,16 @@
     /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
     void start() {
         List<Host> known = List.of();
-        if (config.known() != null) {
+        if (source.known() != null) {
             try {
-                known = hosts(config.known());
-                version = seq(config.known());
+                known = hosts(source.known());
+                version = seq(source.known());
             } catch (RuntimeException e) {
                 dispatcher.log("the list in the configuration is of no use: " + e.getMessage());
             }
         }
         dispatcher.listed(ListKind.CACHED, known);
-        if (!config.settings().askForList()) {
+        if (!source.ask()) {
             watch(true);
         }
     }
@@ -121,7 +135,7 @@
             }
             apply(json);
         } catch (RuntimeException e) {
-            if (config.settings().askForList()) {
+            if (source.ask()) {
                 failed(e);
             } else {
                 loop.schedule(() -> watch(true), AGAIN_MS, TimeUnit.MILLISECONDS);
@@ -174,8 +188,8 @@
             case "removed" -> State.GONE;
             default -> throw new IllegalArgumentException("host " + name + ": unknown health");
         };
-        int zone = config.zones().indexOf(Config.word(h.get("site").getAsString()));
-        int kind = config.kinds().indexOf(Config.word(h.get("class").getAsString()));
+        int zone = source.zones().indexOf(Config.word(h.get("site").getAsString()));
+        int kind = source.kinds().indexOf(Config.word(h.get("class").getAsString()));
         float weight = h.has("share") ? h.get("share").getAsFloat() : 1;
         if (zone < 0 || kind < 0 || !(weight >= 0) || Float.isInfinite(weight)) {
             throw new IllegalArgumentException("host " + name + ": unknown site or class, or bad share");
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -7,123 +7,109 @@
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Reports;
 import damsonworks.RoutingApi.Request;
-import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.placement.Admission;
+import damsonworks.placement.CarpPlacement;
+import damsonworks.placement.Placement;
 import damsonworks.proxy.Exchange.Attempt;
-import damsonworks.proxy.Exchange.Command;
 import damsonworks.proxy.Timers.Timer;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.util.collection.IntObjectHashMap;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The one caller of the decision module and the one that carries its orders out. Keeps what requests and
+ * The one caller of a pool's decision module and the one that carries its orders out. Keeps what requests and
  * attempts are in: an attempt ends once, a request is answered once. All of it runs on the event loop; the
  * module is never called from within one of its own orders, what happens meanwhile waits in line.
  */
-final class Dispatcher implements Actions {
-    private static final int MAX_LOG_LINES = 300;
+public final class Dispatcher implements Actions {
     /** What a request that the module left unanswered at its due time may still wait for it. */
     private static final double OVERDUE_MS = 10;
     private static final double PROBE_TIMEOUT_MS = 250;
     private static final double RETIRE_AT = 0.7;
     private static final long SWEEP_MS = 1000;
-    private static final double CLOSES_PER_SECOND = 10;
-    private static final double CLOSES_SAVED = 10;
 
-    private final EventLoop loop;
-    private final Timers timers;
-    private final Config config;
+    private final Core core;
+    private final Pool pool;
     private final Settings settings;
-    private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
-    /** The clients' ids of requests that have no answer yet. */
-    private final Set<String> openIds = new HashSet<>();
     private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-    private final Bootstrap bootstrap;
-    private final double epochMs = System.currentTimeMillis();
-    private final long startNanos = System.nanoTime();
-    private final long maxValueBytes;
-    private final int maxUpstream;
     private Policy module;
     private ListSource discovery;
     private PeerSocket peers;
-    private ClientListener listener;
     private Future<?> sweeper;
     private boolean busy;
     private boolean stopped;
-    private boolean draining;
-    private double closes = CLOSES_SAVED;
-    private double closesAtMs;
     private int nextId;
-    private int logLines;
-    private int upstreamCount;
-    private long valueBytes;
 
     /** Where the module's calls for the list go. */
     interface ListSource {
         void watch(boolean on);
 
         void fetch();
-    }
 
-    /** What wants to know of clients that have left. */
-    interface ClientListener {
-        void left(ClientConnection client);
+        /** For lists that come from elsewhere. */
+        ListSource NONE = new ListSource() {
+            @Override
+            public void watch(boolean on) { }
+
+            @Override
+            public void fetch() { }
+        };
     }
 
-    Dispatcher(EventLoop loop, Config config, Class<? extends Channel> upstream) {
-        this.loop = loop;
-        timers = new Timers(loop);
-        this.config = config;
-        settings = config.settings();
-        for (ServiceClass c : settings.classes()) {
-            classes.put(c.name(), classes.size());
-        }
-        settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
-        maxValueBytes = (long) config.memoryMb() << 20 >> 3;
-        maxUpstream = config.sockets() / 3;
-        bootstrap = new Bootstrap().group(loop).channel(upstream)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeoutMs());
-        if (upstream == Transport.BEST.socket()) {
-            bootstrap.option(ChannelOption.TCP_NODELAY, true);
+    /**
+     * A pool's fixed figures.
+     *
+     * @param cacheConnections connections to one cache node, from all pools of this process together
+     * @param originConnections the same for the origin
+     * @param streamsPerConnection attempts on one connection of a cache node
+     * @param plainNodes whether nodes are stock ones, which give no receipts and no ids with a miss
+     */
+    record Pool(Settings settings, long seed, double idleCloseMs, int cacheConnections, int originConnections,
+            int streamsPerConnection, boolean plainNodes, Placement.Factory placements, Admission admission) {
+
+        /** The platform's one pool. Servers accept some forty connections each, for all proxies together. */
+        static Pool of(Config config) {
+            int proxies = Math.max(1, config.settings().instances());
+            return new Pool(config.settings(), config.seed(), config.idleCloseMs(),
+                    Math.max(1, Math.min(4, 28 / proxies)), Math.max(4, Math.min(48, 240 / proxies)),
+                    config.streamsPerConnection(), false, CarpPlacement::new, Admission.OPEN);
         }
     }
 
-    /** Starts the module on the list as it was last had; discovery and peers come to be used from here on. */
-    void start(ListSource source, PeerSocket socket, ClientListener clients) {
+    Dispatcher(Core core, Pool pool) {
+        this.core = core;
+        this.pool = pool;
+        settings = pool.settings();
+    }
+
+    /** Starts the module; discovery and peers come to be used from here on. */
+    void start(ListSource source, PeerSocket socket) {
         discovery = source;
         peers = socket;
-        listener = clients;
-        module = new Policy(settings, config.seed());
-        sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        module = new Policy(settings, pool.seed(), pool.placements(), pool.admission());
+        sweeper = core.loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Ends at once. Connections to servers that no other pool holds are closed. */
     void stop() {
         stopped = true;
         sweeper.cancel(false);
-        upstreams.values().forEach(Upstream::close);
-    }
-
-    /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
-    double now() {
-        return epochMs + (System.nanoTime() - startNanos) / 1e6;
+        for (Integer id : List.copyOf(upstreams.keySet())) {
+            Upstream u = upstreams.remove(id);
+            if (u.holders == 1) {
+                u.close();
+            }
+            core.servers.release(u);
+        }
     }
 
     List<String> reportNames() {
@@ -138,67 +124,26 @@
         return settings.reports() == Reports.BY_PROBE;
     }
 
-    // ---- bounds
-
-    /** Room for a client's value of this size; given back when its request is over. */
-    boolean reserve(int bytes) {
-        if (valueBytes + bytes > maxValueBytes) {
-            return false;
-        }
-        valueBytes += bytes;
-        return true;
-    }
-
-    void giveBack(int bytes) {
-        valueBytes -= bytes;
-    }
-
-    boolean mayClose() {
-        double now = now();
-        closes = Math.min(CLOSES_SAVED, closes + (now - closesAtMs) / 1000 * CLOSES_PER_SECOND);
-        closesAtMs = now;
-        if (closes < 1 && settings.secondCopies()) {
-            return false;
-        }
-        closes--;
-        return true;
-    }
-
-    boolean roomUpstream() {
-        return upstreamCount < maxUpstream;
+    boolean secondCopies() {
+        return settings.secondCopies();
     }
 
-    void openedUpstream() {
-        upstreamCount++;
+    boolean plainNodes() {
+        return pool.plainNodes();
     }
 
-    void closedUpstream() {
-        upstreamCount--;
+    Settings settings() {
+        return settings;
     }
 
-    /** Requests in hand; for tests. */
+    /** Requests in hand. */
     int inHand() {
         return exchanges.size();
     }
 
-    boolean draining() {
-        return draining;
-    }
-
-    void drain() {
-        draining = true;
-    }
-
-    void left(ClientConnection client) {
-        listener.left(client);
-    }
-
     private void sweep() {
-        double now = now();
-        for (Upstream u : upstreams.values()) {
-            u.closeIdle(now - config.idleCloseMs() * RETIRE_AT);
-            u.sweep(now);
-        }
+        double now = core.now();
+        core.servers.sweep(upstreams.values(), now, now - pool.idleCloseMs() * RETIRE_AT);
     }
 
     // ---- calls of the module
@@ -236,7 +181,7 @@
             call.run();
         } catch (RuntimeException e) {
             fault(e);
-            finish(x, MetaCodec.FAILED);
+            finish(x, Double.NaN);
         }
     }
 
@@ -248,16 +193,18 @@
                 forget(id);
                 continue;
             }
+            boolean origin = settings.aside() && h.member().kind() == settings.originKind();
+            if (u != null && !u.dial.equals(h.dial())) {
+                forget(id);
+                u = null;
+            }
             if (u == null) {
-                boolean origin = settings.aside() && h.member().kind() == settings.originKind();
-                u = new Upstream(id, origin, this, bootstrap, origin ? originConnections() : cacheConnections(),
-                        origin ? 1 : config.streamsPerConnection());
+                u = core.servers.hold(id, origin, h.dial(), pool);
                 upstreams.put(id, u);
             }
-            if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
+            if (u.bornMs != h.member().bornMs()) {
                 u.retire();
             }
-            u.dial = h.dial();
             u.bornMs = h.member().bornMs();
         }
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
@@ -269,101 +216,41 @@
                 }
             }
         }
-        tell(() -> module.onList(now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this));
+        tell(() -> module.onList(core.now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this));
     }
 
     private void forget(int id) {
         Upstream u = upstreams.remove(id);
         if (u != null) {
-            u.retire();
+            core.servers.release(u);
         }
     }
 
-    /** Servers accept some forty connections each, for all proxies together. */
-    private int cacheConnections() {
-        return Math.max(1, Math.min(4, 28 / Math.max(1, settings.instances())));
-    }
-
-    private int originConnections() {
-        return Math.max(4, Math.min(48, 240 / Math.max(1, settings.instances())));
-    }
-
     void heard(int peer, byte[] message) {
-        tell(() -> module.onPeer(now(), peer, message, this));
+        tell(() -> module.onPeer(core.now(), peer, message, this));
     }
 
-    /** Takes a request whose last byte has come; it will be answered once. */
+    /** Takes a request; it will be answered once. */
     void take(Exchange x) {
         Command c = x.command;
-        double now = now();
-        Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
-        String owner = MetaCodec.named(c.extras, "t");
-        Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
-        double wait = kind == null ? 0 : deadline(c, settings.classes().get(kind).deadlineMs());
-        if (kind == null || tenant == null || !(wait > 0 && wait <= Integer.MAX_VALUE)) {
-            x.over = true;
-            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT,
-                    "CLIENT_ERROR unknown class, tenant or deadline\r\n"));
-            free(x);
-            return;
-        }
-        if (!openIds.add(c.id)) {
-            // Ids are new with every request. Servers tell answers apart by them, so a second request under the id of
-            // one that is open could be served with the other's value.
-            x.over = true;
-            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, "CLIENT_ERROR id is in use\r\n"));
-            free(x);
-            return;
-        }
-        x.id = ++nextId; // 0 is that of a command refused here, which is in no table
-        x.dueMs = now + wait;
+        x.id = ++nextId;
         exchanges.put(x.id, x);
-        double hint = figure(c, "h", Double.NaN);
-        Request request = new Request(x.id, kind, tenant, key(c.key), x.dueMs, hint / 1000,
-                (float) figure(c, "size", 0), c.write, "1".equals(MetaCodec.named(c.extras, "r")));
+        double now = core.now();
+        Request request = new Request(x.id, c.serviceClass, c.tenant, c.keyNumber, x.dueMs, c.costMs, c.bytes, c.write,
+                c.repeat);
         // Before the module's own timer for the same time: a silent server's attempt ends as a time-out then.
-        x.timer = after(wait, () -> due(x));
+        x.timer = core.after(x.dueMs - now, () -> due(x));
         tell(() -> guard(x, () -> module.onRequest(now, request, this)));
     }
 
-    /** A deadline that is there and is no number is 0: it must not pass for one that is absent. */
-    private static double deadline(Command c, double absent) {
-        String text = MetaCodec.named(c.extras, "d");
-        boolean number = text == null || text.chars().allMatch(d -> d >= '0' && d <= '9' || d == '.');
-        return number ? figure(c, "d", text == null ? absent : 0) : 0;
-    }
-
-    private static double figure(Command c, String name, double absent) {
-        String text = MetaCodec.named(c.extras, name);
-        try {
-            return text == null ? absent : Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return absent;
-        }
-    }
-
-    /** The module's key: what the text's hexadecimal digits say, else a hash of it that is alike everywhere. */
-    private static long key(String text) {
-        long hash = 0xcbf29ce484222325L;
-        long value = 0;
-        boolean hex = text.length() <= 16;
-        for (int i = 0; i < text.length(); i++) {
-            int digit = Character.digit(text.charAt(i), 16);
-            hex &= digit >= 0;
-            value = value << 4 | digit & 15;
-            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return hex && value != 0 ? value : hash;
-    }
-
     private void due(Exchange x) {
         for (int i = 0; i < x.attempts.size() && !x.streaming; i++) {
             expire(x.attempts.get(i));
         }
-        x.timer = after(OVERDUE_MS, () -> {
+        x.timer = core.after(OVERDUE_MS, () -> {
             if (!x.over && !x.streaming) {
                 log("request left unanswered by the module");
-                finish(x, MetaCodec.FAILED);
+                finish(x, Double.NaN);
             }
         });
     }
@@ -372,9 +259,9 @@
         if (!a.ended) {
             if (a.connection != null) {
                 boolean unsent = a.connection.giveUp(a);
-                end(a, unsent ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, 0, null, null);
+                end(a, unsent ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, 0, null, null, null);
             } else {
-                end(a, Outcome.NOT_SENT, 0, null, null);
+                end(a, Outcome.NOT_SENT, 0, null, null, null);
             }
         }
     }
@@ -382,11 +269,11 @@
     void gone(Exchange x) {
         if (!x.over) {
             over(x);
-            tell(() -> module.onGone(now(), x.id, this));
+            tell(() -> module.onGone(core.now(), x.id, this));
             for (Attempt a : x.attempts) {
                 if (a.firstByteMs != 0 && !a.ended) { // the rest of a long value is of no use to anyone
                     a.connection.giveUp(a);
-                    end(a, Outcome.CANCELLED, 0, null, null);
+                    end(a, Outcome.CANCELLED, 0, null, null, null);
                 }
             }
             free(x);
@@ -395,57 +282,60 @@
 
     // ---- ends of attempts
 
-    /** The one end of an attempt. An answer, where there is one, is the client's if none has come before. */
-    void end(Attempt a, Outcome outcome, int note, float[] report, ByteBuf answer) {
+    /** The one end of an attempt. A value or receipt, where there is one, is the client's if none has come before. */
+    void end(Attempt a, Outcome outcome, int note, float[] report, ByteBuf value, String receipt) {
         if (a.ended) {
-            if (answer != null) {
-                answer.release();
+            if (value != null) {
+                value.release();
             }
             return;
         }
         a.ended = true;
         stop(a.timer);
-        double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : now()) - a.sentMs;
+        double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : core.now()) - a.sentMs;
         Exchange x = a.exchange;
         if (x == null) {
-            tell(() -> module.onProbed(now(), a.server, outcome, elapsed, report, this));
+            tell(() -> module.onProbed(core.now(), a.server, outcome, elapsed, report, this));
             return;
         }
         x.out--;
-        if (answer != null && x.over) {
-            answer.release();
-        } else if (a.firstByteMs != 0) {
+        if (a.firstByteMs != 0) {
             over(x);
-            if (answer != null) {
-                x.client.pass(x, answer);
-                x.client.passed(x);
+            if (outcome == Outcome.OK) {
+                x.responder.end();
             } else {
-                x.client.breakOff(x);
+                x.responder.breakOff();
             }
-        } else if (answer != null) {
+        } else if (outcome == Outcome.OK && !x.over && !x.streaming) {
             over(x);
-            x.client.answer(x, answer);
+            if (value != null) {
+                x.responder.value(value);
+            } else {
+                x.responder.receipt(receipt);
+            }
+        } else if (value != null) {
+            value.release();
         }
+        x.missed |= outcome == Outcome.MISS;
+        x.mayHaveRun |= outcome.mayHaveRun();
         boolean over = x.over;
-        tell(() -> guard(x, () -> module.onAttemptEnd(now(), new AttemptEnd(x.id, a.index, a.server, outcome,
+        tell(() -> guard(x, () -> module.onAttemptEnd(core.now(), new AttemptEnd(x.id, a.index, a.server, outcome,
                 elapsed, over, note, report), this)));
         free(x);
     }
 
     /** A long answer begins; false if the request is over or another answer has begun. */
-    boolean begin(Attempt a, ByteBuf head) {
+    boolean begin(Attempt a, int length) {
         Exchange x = a.exchange;
         if (a.ended || x.over || x.streaming) {
-            head.release();
             return false;
         }
         x.streaming = true;
-        x.source = a.connection;
-        a.firstByteMs = now();
+        a.firstByteMs = core.now();
         stop(x.timer);
         stop(a.timer);
-        x.client.pass(x, head);
-        tell(() -> module.onFirstByte(now(), x.id, a.index, a.server, this));
+        x.responder.begin(length, a.connection);
+        tell(() -> module.onFirstByte(core.now(), x.id, a.index, a.server, this));
         for (Attempt other : x.attempts) {
             if (other != a) {
                 cancel(x.id, other.index);
@@ -458,23 +348,31 @@
         if (a.ended || a.exchange.over) {
             part.release();
         } else {
-            a.exchange.client.pass(a.exchange, part);
+            a.exchange.responder.part(part);
         }
     }
 
     private void over(Exchange x) {
         x.over = true;
-        openIds.remove(x.command.id);
+        if (x.holdsId) {
+            core.openIds.remove(x.command.id);
+        }
         stop(x.timer);
     }
 
-    /** The final answer where no server gave it. */
-    private void finish(Exchange x, String text) {
+    /** The final answer where no server gave it: a refusal with its advice, or NaN for a failure. */
+    private void finish(Exchange x, double retryAfterMs) {
         if (x.over || x.streaming) {
             return;
         }
         over(x);
-        x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text));
+        if (Double.isNaN(retryAfterMs)) {
+            x.responder.failed();
+        } else if (x.missed && !settings.aside()) {
+            x.responder.miss();
+        } else {
+            x.responder.refused(retryAfterMs >= 1 && settings.retryAdvice() ? retryAfterMs : 0);
+        }
         free(x);
     }
 
@@ -483,10 +381,8 @@
         if (!x.over || x.out > 0) {
             return;
         }
-        exchanges.remove(x.id); // ids are ever new: what stayed here would stay for good
-        if (x.command.value != null) {
-            giveBack(x.command.value.maxCapacity());
-            x.command.release();
+        if (exchanges.remove(x.id) != null) { // ids are ever new: what stayed here would stay for good
+            x.command.release(core);
         }
     }
 
@@ -499,22 +395,22 @@
             log("order for a request that is over");
             return;
         }
-        double now = now();
+        double now = core.now();
         double left = x.dueMs - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
-        Attempt a = new Attempt(x, x.attempts.size(), server, now, now + wait);
+        Attempt a = new Attempt(this, x, x.attempts.size(), server, now, now + wait);
         x.attempts.add(a);
         x.out++;
         Upstream u = upstreams.get(server);
         if (u == null || wait <= 0 || a.index >= settings.maxAttempts()) {
-            tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
+            tell(() -> end(a, Outcome.NOT_SENT, 0, null, null, null));
             return;
         }
         if (wait < left) {
-            a.timer = after(wait, () -> expire(a));
+            a.timer = core.after(wait, () -> expire(a));
         }
         if (!u.send(a)) {
-            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null));
+            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null, null));
         }
     }
 
@@ -522,8 +418,7 @@
     public void deny(int request, double retryAfterMs) {
         Exchange x = exchanges.get(request);
         if (x != null) {
-            boolean advice = retryAfterMs >= 1 && settings.retryAdvice();
-            finish(x, advice ? MetaCodec.BUSY + " " + Math.round(retryAfterMs) + "\r\n" : MetaCodec.BUSY + "\r\n");
+            finish(x, retryAfterMs);
         }
     }
 
@@ -531,7 +426,7 @@
     public void fail(int request) {
         Exchange x = exchanges.get(request);
         if (x != null) {
-            finish(x, MetaCodec.FAILED);
+            finish(x, Double.NaN);
         }
     }
 
@@ -545,23 +440,23 @@
         if (a.connection != null) {
             a.connection.giveUp(a);
         }
-        tell(() -> end(a, Outcome.CANCELLED, 0, null, null));
+        tell(() -> end(a, Outcome.CANCELLED, 0, null, null, null));
     }
 
     @Override
     public void setTimer(double afterMs, int token) {
-        after(afterMs, () -> tell(() -> module.onTimer(now(), token, this)));
+        core.after(afterMs, () -> tell(() -> module.onTimer(core.now(), token, this)));
     }
 
     @Override
     public void probe(int server) {
         Upstream u = upstreams.get(server);
-        double now = now();
-        Attempt a = new Attempt(null, 0, server, now, now + PROBE_TIMEOUT_MS);
+        double now = core.now();
+        Attempt a = new Attempt(this, null, 0, server, now, now + PROBE_TIMEOUT_MS);
         if (u == null || !u.send(a)) {
-            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null));
+            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null, null));
         } else {
-            a.timer = after(PROBE_TIMEOUT_MS, () -> expire(a));
+            a.timer = core.after(PROBE_TIMEOUT_MS, () -> expire(a));
         }
     }
 
@@ -588,18 +483,9 @@
         discovery.fetch();
     }
 
-    /** A line on standard error; their number is bounded. */
     @Override
     public void log(String line) {
-        if (++logLines <= MAX_LOG_LINES) {
-            System.err.println(line.getBytes(StandardCharsets.UTF_8).length > 500 ? line.substring(0, 500) : line);
-        }
-    }
-
-    // ---- timers
-
-    Timer after(double ms, Runnable task) {
-        return timers.after(ms, task);
+        core.log(line);
     }
 
     private static void stop(Timer timer) {
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -1,63 +1,44 @@
 package damsonworks.proxy;
 
 import damsonworks.proxy.Timers.Timer;
-import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
 
-final class Exchange {
-    final ClientConnection client;
+/** A request in a pool's hands, with its attempts. */
+final class Exchange implements RequestHandler.Handle {
+    final Dispatcher dispatcher;
     final Command command;
-
-    /** What is ready to go to the client, null once it has been handed on. */
-    ByteBuf answer;
-    /** Whether all of the answer has come. */
-    boolean whole;
-    /** The upstream connection that a long answer is read from. */
-    UpstreamConnection source;
-
+    final Responder responder;
+    /** Whether the request's id is open for as long as this is: not where another holds the request, too. */
+    final boolean holdsId;
     int id;
     double dueMs;
     boolean over;
     boolean streaming;
     int out;
+    /** Whether a server has answered that it lacks the key. */
+    boolean missed;
+    /** Whether an attempt that has ended may have run. */
+    boolean mayHaveRun;
     Timer timer;
     final List<Attempt> attempts = new ArrayList<>(3);
 
-    Exchange(ClientConnection client, Command command) {
-        this.client = client;
+    Exchange(Dispatcher dispatcher, Command command, Responder responder, boolean holdsId) {
+        this.dispatcher = dispatcher;
         this.command = command;
+        this.responder = responder;
+        this.holdsId = holdsId;
     }
 
-    /** A command as the client gave it. */
-    static final class Command {
-        final String key;
-        final String id;
-        final boolean write;
-        final String extras;
-        final String head;
-        final String tail;
-        ByteBuf value;
-
-        Command(String key, String id, boolean write, String extras, String head, String tail) {
-            this.key = key;
-            this.id = id;
-            this.write = write;
-            this.extras = extras;
-            this.head = head;
-            this.tail = tail;
-        }
-
-        void release() {
-            if (value != null) {
-                value.release();
-                value = null;
-            }
-        }
+    @Override
+    public void gone() {
+        dispatcher.gone(this);
     }
 
     static final class Attempt {
+        /** Null for a probe. */
         final Exchange exchange;
+        final Dispatcher owner;
         final int index;
         final int server;
         final double sentMs;
@@ -74,7 +55,8 @@
         double firstByteMs;
         Timer timer;
 
-        Attempt(Exchange exchange, int index, int server, double sentMs, double untilMs) {
+        Attempt(Dispatcher owner, Exchange exchange, int index, int server, double sentMs, double untilMs) {
+            this.owner = owner;
             this.exchange = exchange;
             this.index = index;
             this.server = server;
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Intake.java
@@ -0,0 +1,79 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Tenant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads what a request's list of names and values says, and turns away what can't be a request. */
+public final class Intake {
+    private final Core core;
+    private final List<ServiceClass> kinds;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+
+    Intake(Core core, List<ServiceClass> kinds, List<Tenant> owners) {
+        this.core = core;
+        this.kinds = kinds;
+        for (ServiceClass c : kinds) {
+            classes.put(c.name(), classes.size());
+        }
+        owners.forEach(t -> tenants.put(t.name(), tenants.size()));
+    }
+
+    /** Fills in the request's figures; what is wrong with it, or null. */
+    String resolve(Command c) {
+        Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
+        String owner = MetaCodec.named(c.extras, "t");
+        Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
+        double wait = kind == null ? 0 : deadline(c, kinds.get(kind).deadlineMs());
+        if (kind == null || tenant == null || !(wait > 0 && wait <= Integer.MAX_VALUE)) {
+            return "unknown class, tenant or deadline";
+        }
+        if (!core.openIds.add(c.id)) {
+            // Ids are new with every request. Servers tell answers apart by them, so a second request under the id of
+            // one that is open could be served with the other's value.
+            return "id is in use";
+        }
+        c.arrivedMs = core.now();
+        c.dueMs = c.arrivedMs + wait;
+        c.serviceClass = kind;
+        c.tenant = tenant;
+        c.keyNumber = keyNumber(c.key);
+        c.costMs = figure(c, "h", Double.NaN) / 1000;
+        c.bytes = (float) figure(c, "size", 0);
+        c.repeat = "1".equals(MetaCodec.named(c.extras, "r"));
+        return null;
+    }
+
+    /** A deadline that is there and is no number is 0: it must not pass for one that is absent. */
+    private static double deadline(Command c, double absent) {
+        String text = MetaCodec.named(c.extras, "d");
+        boolean number = text == null || text.chars().allMatch(d -> d >= '0' && d <= '9' || d == '.');
+        return number ? figure(c, "d", text == null ? absent : 0) : 0;
+    }
+
+    private static double figure(Command c, String name, double absent) {
+        String text = MetaCodec.named(c.extras, name);
+        try {
+            return text == null ? absent : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+
+    /** The module's key: what the text's hexadecimal digits say, else a hash of it that is alike everywhere. */
+    public static long keyNumber(String text) {
+        long hash = 0xcbf29ce484222325L;
+        long value = 0;
+        boolean hex = text.length() <= 16;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = Character.digit(text.charAt(i), 16);
+            hex &= digit >= 0;
+            value = value << 4 | digit & 15;
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return hex && value != 0 ? value : hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -0,0 +1,109 @@
+package damsonworks.proxy;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+
+/** An address where clients connect, and the clients that came there. */
+final class Listener implements ClientConnection.Front {
+    private static final int BACKLOG = 512;
+
+    private final Core core;
+    private final Clients clients;
+    private final Set<ClientConnection> own = new HashSet<>();
+    private RequestHandler handler;
+    private OpenMeta open;
+    private Channel channel;
+    private boolean draining;
+
+    /** @param open what stock clients' commands are given; null for the platform's clients */
+    Listener(Core core, Clients clients, RequestHandler handler, OpenMeta open) {
+        this.core = core;
+        this.clients = clients;
+        this.handler = handler;
+        this.open = open;
+    }
+
+    /** Binds; connections are taken from then on. Its future's channel has the address. */
+    ChannelFuture bind(SocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(core.loop).channel(Transport.BEST.server())
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel connection) {
+                        ClientConnection client = new ClientConnection(core, Listener.this);
+                        connection.pipeline().addLast(client);
+                        own.add(client);
+                        clients.accepted(client);
+                    }
+                }).bind(address);
+        channel = bound.channel();
+        core.loop.execute(() -> clients.add(this));
+        return bound;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    void accept(boolean on) {
+        if (channel.config().isAutoRead() != on) {
+            channel.config().setAutoRead(on);
+        }
+    }
+
+    /** Requests go there from now on, and get these defaults. */
+    void use(RequestHandler to, OpenMeta defaults) {
+        handler = to;
+        open = defaults;
+    }
+
+    /** Takes no new connections; those that are there end between requests. To be called until it is empty. */
+    void drain() {
+        if (!draining) {
+            draining = true;
+            channel.close();
+            clients.remove(this);
+        }
+        for (ClientConnection c : new ArrayList<>(own)) {
+            if (c.idle()) {
+                c.finish();
+            }
+        }
+    }
+
+    boolean empty() {
+        return own.isEmpty();
+    }
+
+    @Override
+    public RequestHandler handler() {
+        return handler;
+    }
+
+    @Override
+    public OpenMeta open() {
+        return open;
+    }
+
+    @Override
+    public boolean draining() {
+        return draining;
+    }
+
+    @Override
+    public void left(ClientConnection client) {
+        own.remove(client);
+        clients.left(client);
+    }
+}
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/damsonworks/proxy/MetaCodec.java
@@ -13,6 +13,8 @@
     /** Answers up to this size are passed on whole, longer ones as they come. */
     static final int WHOLE = 64 << 10;
     static final int MAX_LINE = 4096;
+    /** A line's end, as a big-endian short. */
+    static final int CRLF = '\r' << 8 | '\n';
     static final String FAILED = "SERVER_ERROR failed\r\n";
     static final String BUSY = "SERVER_ERROR busy";
 
@@ -123,13 +125,15 @@
         return report;
     }
 
-    /** The first line of a served read. */
-    static String valueHead(int length, String id) {
-        return "VA " + length + " O" + id + "\r\n";
-    }
-
-    static String receipt(String id, String receipt) {
-        return "HD O" + id + " c" + receipt + "\r\n";
+    /** Writes a figure of 0 or more without a string in between. */
+    static void number(ByteBuf out, int n) {
+        int power = 1;
+        while (n / power >= 10) {
+            power *= 10;
+        }
+        for (; power > 0; power /= 10) {
+            out.writeByte('0' + n / power % 10);
+        }
     }
 
     static ByteBuf text(ByteBufAllocator alloc, String text) {
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/OpenMeta.java
@@ -0,0 +1,115 @@
+package damsonworks.proxy;
+
+import java.util.function.Supplier;
+
+/**
+ * The meta commands as stock clients send them, without id and list (memcached's protocol.txt, "Meta Commands"):
+ * {@code mg KEY v} and {@code ms KEY LENGTH}, with the flags {@code O} (opaque), {@code k} (the key comes back) and
+ * {@code P} (our list, which may name class, tenant and deadline). What is not understood is told in a line.
+ */
+final class OpenMeta {
+    private static final String READ_FLAGS = "vOkP";
+    private static final String WRITE_FLAGS = "OkP";
+
+    private final String readDefaults;
+    private final String writeDefaults;
+    private final Supplier<String> ids;
+
+    /**
+     * @param readDefaults the list that a read without one gets, such as {@code c=page,t=acme,d=400}; names that the
+     *            request's own list has are left out
+     * @param ids new ids for requests
+     */
+    OpenMeta(String readDefaults, String writeDefaults, Supplier<String> ids) {
+        this.readDefaults = readDefaults;
+        this.writeDefaults = writeDefaults;
+        this.ids = ids;
+    }
+
+    /**
+     * A line as understood: a command, or the error line that answers it. A write's value follows in either case, as
+     * long as its length could be read.
+     */
+    record Parsed(Command command, String fault, boolean write, int length, String echo) { }
+
+    Parsed parse(String line) throws MetaCodec.SyntaxException {
+        boolean write = line.startsWith("ms ");
+        if (!write && !line.startsWith("mg ")) {
+            String word = MetaCodec.wordAt(line, 0);
+            return fault("ERROR this listener takes mg, ms and mn" + (word.length() == 2 && word.startsWith("m")
+                    ? ", not " + printable(word) : ""), false, 0);
+        }
+        String key = MetaCodec.wordAt(line, 3);
+        int at = 3 + key.length() + 1;
+        int length = 0;
+        if (write) {
+            String word = MetaCodec.wordAt(line, at);
+            length = MetaCodec.length(word);
+            at += word.length() + 1;
+        }
+        if (key.isEmpty() || key.length() > 250 || line.chars().anyMatch(c -> c < ' ' || c > '~')) {
+            return fault("CLIENT_ERROR a key has 1 to 250 printing ASCII characters, and so has the line", write, length);
+        }
+        String opaque = null;
+        String list = "";
+        boolean echoKey = false;
+        boolean value = false;
+        for (int end; at < line.length(); at = end + 1) {
+            end = line.indexOf(' ', at);
+            end = end < 0 ? line.length() : end;
+            if (end == at) {
+                continue;
+            }
+            char flag = line.charAt(at);
+            if ((write ? WRITE_FLAGS : READ_FLAGS).indexOf(flag) < 0 || end - at > 1 && flag != 'O' && flag != 'P') {
+                return fault("CLIENT_ERROR flag " + flag + " is not offered; " + (write ? "ms takes O, k and P"
+                        : "mg takes v, O, k and P"), write, length);
+            }
+            switch (flag) {
+                case 'O' -> opaque = line.substring(at + 1, end);
+                case 'P' -> list = line.substring(at + 1, end);
+                case 'k' -> echoKey = true;
+                default -> value = true;
+            }
+        }
+        if (!write && !value) {
+            return fault("CLIENT_ERROR mg needs the flag v", false, 0);
+        }
+        if (opaque != null && opaque.length() > 32) {
+            return fault("CLIENT_ERROR an opaque has 32 characters at most", write, length);
+        }
+        String extras = extras(list, write ? writeDefaults : readDefaults);
+        String echo = (opaque != null ? " O" + opaque : "") + (echoKey ? " k" + key : "");
+        return new Parsed(command(key, write, length, extras), null, write, length, echo);
+    }
+
+    /** The deadline is not left in the list: it is told to each node anew. */
+    private Command command(String key, boolean write, int length, String extras) {
+        int d = MetaCodec.valueAt(extras, "d");
+        if (d < 0) {
+            return Command.of(key, ids.get(), write, length, extras);
+        }
+        int end = extras.indexOf(',', d);
+        String id = ids.get();
+        String head = (write ? "ms " + key + " " + length : "mg " + key + " v") + " O" + id + " P";
+        return new Command(key, id, write, extras, head + extras.substring(0, d), end < 0 ? "" : extras.substring(end));
+    }
+
+    private static String extras(String own, String defaults) {
+        StringBuilder list = new StringBuilder(own);
+        for (String pair : defaults.split(",")) {
+            if (!pair.isEmpty() && MetaCodec.valueAt(own, pair.substring(0, pair.indexOf('='))) < 0) {
+                list.append(list.isEmpty() ? "" : ",").append(pair);
+            }
+        }
+        return list.toString();
+    }
+
+    private static String printable(String word) {
+        return word.chars().allMatch(c -> c > ' ' && c <= '~') ? word : "that";
+    }
+
+    private static Parsed fault(String line, boolean write, int length) {
+        return new Parsed(null, line, write, length, "");
+    }
+}
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -2,7 +2,6 @@
 
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.proxy.Exchange.Attempt;
-import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
@@ -29,7 +28,6 @@
 /** HTTP/1.1 towards the origin. */
 final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements UpstreamConnection.Codec {
     private final UpstreamConnection connection;
-    private final Dispatcher dispatcher;
     private HttpResponse response;
     /** A short answer's body so far, or one whose length was not told; null where it is dropped or streamed. */
     private CompositeByteBuf body;
@@ -39,7 +37,6 @@
 
     private OriginCodec(UpstreamConnection connection) {
         this.connection = connection;
-        this.dispatcher = connection.dispatcher();
         connection.use(this);
     }
 
@@ -52,7 +49,7 @@
     public ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial) {
         FullHttpRequest request;
         if (attempt.exchange == null) {
-            String path = dispatcher.probesLoad() ? "/metrics/load" : "/alive";
+            String path = attempt.owner.probesLoad() ? "/metrics/load" : "/alive";
             request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
         } else {
             Command command = attempt.exchange.command;
@@ -126,8 +123,7 @@
         if (!streamed) {
             body = ctx.alloc().compositeBuffer(64);
             connection.partial();
-        } else if (connection.begin(MetaCodec.text(ctx.alloc(),
-                MetaCodec.valueHead((int) missing, attempt.exchange.command.id)))) {
+        } else if (connection.begin((int) missing)) {
             return;
         } else {
             streamed = false; // nobody waits: what comes is read and dropped
@@ -159,32 +155,30 @@
             connection.retire();
         }
         Attempt attempt = connection.head();
-        float[] report = dispatcher.report(r.headers().get("Srv-Load"));
+        float[] report = attempt.owner.report(r.headers().get("Srv-Load"));
         int code = r.status().code();
         if (attempt.exchange == null) {
             release(whole);
-            connection.ended(code == 200 ? Outcome.OK : Outcome.ERROR, 0, report, null);
+            connection.ended(code == 200 ? Outcome.OK : Outcome.ERROR, 0, report, null, null);
         } else if (code == 200) {
-            connection.ended(Outcome.OK, 0, report, answer(ctx, attempt.exchange.command, whole));
+            answered(attempt.exchange.command, report, whole);
         } else {
             release(whole);
             boolean declined = (code == 503 || code == 504) && "1".equals(r.headers().get("Srv-Declined"));
-            connection.ended(declined ? Outcome.FULL : Outcome.ERROR, 0, report, null);
+            connection.ended(declined ? Outcome.FULL : Outcome.ERROR, 0, report, null, null);
         }
     }
 
-    private ByteBuf answer(ChannelHandlerContext ctx, Command command, ByteBuf whole) {
-        if (streamed || whole == null) {
-            return MetaCodec.text(ctx.alloc(), "\r\n");
-        }
-        if (command.write) {
+    private void answered(Command command, float[] report, ByteBuf whole) {
+        if (whole == null) { // passed on as it came, or dropped
+            connection.ended(Outcome.OK, 0, report, null, null);
+        } else if (command.write) {
             String receipt = whole.toString(StandardCharsets.ISO_8859_1).trim();
             whole.release();
-            return MetaCodec.text(ctx.alloc(), MetaCodec.receipt(command.id, receipt));
+            connection.ended(Outcome.OK, 0, report, null, receipt);
+        } else {
+            connection.ended(Outcome.OK, 0, report, whole, null);
         }
-        ByteBuf head = MetaCodec.text(ctx.alloc(), MetaCodec.valueHead(whole.readableBytes(), command.id));
-        return ctx.alloc().compositeBuffer(3).addComponent(true, head).addComponent(true, whole)
-                .addComponent(true, MetaCodec.text(ctx.alloc(), "\r\n"));
     }
 
     private static void release(ByteBuf buf) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,18 +1,9 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.ServiceClass;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -22,19 +13,18 @@
     private static final double LISTEN_ON_MS = 500;
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
-    private static final int BACKLOG = 512;
     private static final long SWEEP_MS = 250;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
     private final Config config;
+    private final Core core;
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
     private final DiscoveryClient discovery;
-    private final Set<ClientConnection> clients = new HashSet<>();
-    private final int maxClients;
+    private final Clients clients;
+    private final Listener listener;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final Channel server;
     private double drainEndsMs;
     private double listenEndsMs;
 
@@ -43,25 +33,18 @@
         if (warm) {
             WarmUp.run(loop, config);
         }
-        dispatcher = new Dispatcher(loop, config, Transport.BEST.socket());
+        core = Core.of(loop, config, Transport.BEST.socket());
+        dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
         peers = new PeerSocket(loop, config, dispatcher::heard);
-        maxClients = Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS);
-        discovery = new DiscoveryClient(loop, config, dispatcher);
+        clients = new Clients(core, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
+        discovery = new DiscoveryClient(loop, DiscoveryClient.Source.of(config), dispatcher);
         loop.submit(() -> {
-            dispatcher.start(discovery, peers, this::left);
+            dispatcher.start(discovery, peers);
             discovery.start();
-            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(clients::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).syncUninterruptibly();
-        server = new ServerBootstrap().group(group).channel(Transport.BEST.server())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
-                .childHandler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accepted(channel);
-                    }
-                }).bind(config.listen()).sync().channel();
+        listener = new Listener(core, clients, new SinglePool(core, dispatcher), null);
+        listener.bind(config.listen()).sync();
     }
 
     /** Runs a proxy by the configuration that the environment names, until SIGTERM. */
@@ -129,7 +112,7 @@
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) server.localAddress();
+        return listener.address();
     }
 
     InetSocketAddress peerAddress() {
@@ -140,56 +123,6 @@
         return loop.submit(dispatcher::inHand).syncUninterruptibly().getNow();
     }
 
-    // ---- clients
-
-    /**
-     * A connection that the kernel has accepted counts as taken, so where there are too many the one that has
-     * stood idle longest makes room.
-     */
-    private void accepted(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher);
-        channel.pipeline().addLast(client);
-        clients.add(client);
-        if (clients.size() > maxClients && !makeRoom(client)) {
-            server.config().setAutoRead(false);
-        }
-    }
-
-    /** Closes the connection that has stood idle longest, but for this one; false if none is idle. */
-    private boolean makeRoom(ClientConnection but) {
-        ClientConnection oldest = null;
-        for (ClientConnection c : clients) {
-            if (c != but && c.idle() && (oldest == null || c.activeMs() < oldest.activeMs())) {
-                oldest = c;
-            }
-        }
-        if (oldest != null) {
-            oldest.close();
-        }
-        return oldest != null;
-    }
-
-    private void left(ClientConnection client) {
-        clients.remove(client);
-        if (clients.size() <= maxClients && !server.config().isAutoRead()) {
-            server.config().setAutoRead(true);
-        }
-    }
-
-    private void sweep() {
-        double now = dispatcher.now();
-        for (ClientConnection c : List.copyOf(clients)) {
-            if (c.stalled(now)) {
-                c.close();
-            }
-        }
-        if (clients.size() > maxClients) {
-            // All were busy when the last one came. Clients keep connections that have become idle since, and those
-            // that wait to be accepted would wait for one to leave.
-            makeRoom(null);
-        }
-    }
-
     // ---- the end
 
     void drain() {
@@ -199,8 +132,8 @@
         }
         double wait = longest;
         loop.execute(() -> {
-            listenEndsMs = dispatcher.now() + LISTEN_ON_MS;
-            drainEndsMs = dispatcher.now() + LISTEN_ON_MS + wait + 150;
+            listenEndsMs = core.now() + LISTEN_ON_MS;
+            drainEndsMs = core.now() + LISTEN_ON_MS + wait + 150;
             drainOn();
         });
         try {
@@ -211,16 +144,10 @@
     }
 
     private void drainOn() {
-        double now = dispatcher.now();
+        double now = core.now();
         if (now >= listenEndsMs) {
-            dispatcher.drain();
-            server.close();
-            for (ClientConnection c : new ArrayList<>(clients)) {
-                if (c.idle()) {
-                    c.finish();
-                }
-            }
-            if (clients.isEmpty() || now >= drainEndsMs) {
+            listener.drain();
+            if (listener.empty() || now >= drainEndsMs) {
                 ended.countDown();
                 return;
             }
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -0,0 +1,67 @@
+package damsonworks.proxy;
+
+import io.netty.util.collection.IntObjectHashMap;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The servers of all pools. One that stands in several pools under the same id and address is one: its connections
+ * are shared and their bound holds for all pools together.
+ */
+final class Servers {
+    private final Core core;
+    /** By id; more than one where pools hold different addresses for an id. */
+    private final IntObjectHashMap<List<Upstream>> byId = new IntObjectHashMap<>();
+    /** Those that no pool holds any more and that still have connections with attempts. */
+    private final List<Upstream> leaving = new ArrayList<>();
+
+    Servers(Core core) {
+        this.core = core;
+    }
+
+    /** The server of this id at this address, shared if it is there already; to be released once. */
+    Upstream hold(int id, boolean origin, SocketAddress dial, Dispatcher.Pool pool) {
+        List<Upstream> same = byId.get(id);
+        if (same == null) {
+            byId.put(id, same = new ArrayList<>(1));
+        }
+        for (Upstream u : same) {
+            if (u.dial.equals(dial) && u.origin == origin) {
+                u.holders++;
+                return u;
+            }
+        }
+        Upstream u = new Upstream(id, origin, core, pool);
+        u.dial = dial;
+        u.holders = 1;
+        same.add(u);
+        return u;
+    }
+
+    void release(Upstream u) {
+        if (--u.holders == 0) {
+            List<Upstream> same = byId.get(u.id);
+            same.remove(u);
+            if (same.isEmpty()) {
+                byId.remove(u.id);
+            }
+            u.retire();
+            if (!u.idle()) {
+                leaving.add(u);
+            }
+        }
+    }
+
+    /** Once a second, for the servers of one pool; and those that no pool holds go with their last attempt. */
+    void sweep(Iterable<Upstream> of, double now, double idleSinceMs) {
+        for (Upstream u : of) {
+            u.closeIdle(idleSinceMs);
+            u.sweep(now);
+        }
+        leaving.removeIf(u -> {
+            u.sweep(now);
+            return u.idle();
+        });
+    }
+}
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -18,31 +18,32 @@
     final boolean origin;
     SocketAddress dial;
     double bornMs;
-    private final Dispatcher dispatcher;
+    /** How many pools have this server on their lists. */
+    int holders;
+    private final Core core;
     private final Bootstrap bootstrap;
     private final int maxConnections;
     private final int maxDepth;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
-    Upstream(int id, boolean origin, Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections,
-            int maxDepth) {
+    Upstream(int id, boolean origin, Core core, Dispatcher.Pool pool) {
         this.id = id;
         this.origin = origin;
-        this.dispatcher = dispatcher;
-        this.bootstrap = bootstrap;
-        this.maxConnections = maxConnections;
-        this.maxDepth = maxDepth;
+        this.core = core;
+        bootstrap = core.bootstrap(pool.settings().connectTimeoutMs());
+        maxConnections = origin ? pool.originConnections() : pool.cacheConnections();
+        maxDepth = origin ? 1 : pool.streamsPerConnection();
     }
 
-    Dispatcher dispatcher() {
-        return dispatcher;
+    Core core() {
+        return core;
     }
 
     /** Sends the attempt; false if no connection has room for it. */
     boolean send(Attempt attempt) {
         UpstreamConnection best = pick(false);
         if ((best == null || best.depth() > 0)
-                && connections.size() < maxConnections && dispatcher.roomUpstream()) {
+                && connections.size() < maxConnections && core.roomUpstream()) {
             best = open();
         }
         if (best == null || !best.usable(maxDepth)) { // a new one may have failed at once, for want of a descriptor
@@ -83,7 +84,7 @@
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this);
         connections.add(connection);
-        dispatcher.openedUpstream();
+        core.openedUpstream();
         ChannelHandler[] handlers = origin ? OriginCodec.handlers(connection)
                 : new ChannelHandler[] {new CacheCodec(connection)};
         ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers)).connect(dial);
@@ -93,7 +94,7 @@
 
     void closed(UpstreamConnection connection) {
         if (connections.remove(connection)) {
-            dispatcher.closedUpstream();
+            core.closedUpstream();
         }
     }
 
@@ -114,6 +115,10 @@
         closeIdle(Double.MAX_VALUE);
     }
 
+    boolean idle() {
+        return connections.isEmpty();
+    }
+
     void close() {
         List.copyOf(connections).forEach(UpstreamConnection::close);
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -12,7 +12,7 @@
  * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
  * ends when the connection does hangs on whether its last byte was written: only then may it have run.
  */
-final class UpstreamConnection {
+final class UpstreamConnection implements Responder.Flow {
     /** Turns an attempt into the server's protocol and its answers into calls of the methods below. */
     interface Codec {
         ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial);
@@ -43,11 +43,11 @@
 
     UpstreamConnection(Upstream upstream) {
         this.upstream = upstream;
-        idleSinceMs = upstream.dispatcher().now();
+        idleSinceMs = upstream.core().now();
     }
 
-    Dispatcher dispatcher() {
-        return upstream.dispatcher();
+    Core core() {
+        return upstream.core();
     }
 
     void use(Codec by) {
@@ -66,7 +66,7 @@
             }
             connected = true;
             if (attempts.isEmpty()) {
-                idleSinceMs = upstream.dispatcher().now();
+                idleSinceMs = upstream.core().now();
             }
             attempts.forEach(this::write);
         });
@@ -111,7 +111,7 @@
             return attempts.remove(attempt);
         }
         if (attempts.contains(attempt) && ++givenUp == attempts.size()
-                && (retired || upstream.dispatcher().mayClose())) {
+                && (retired || upstream.core().mayClose(attempt.owner.secondCopies()))) {
             close(); // a retired one takes no more attempts, so that keeping it would save none a new connection
         }
         return false;
@@ -121,10 +121,11 @@
         retired = true;
     }
 
-    void hold(boolean on) {
+    @Override
+    public void hold(boolean on) {
         if (held != on) {
             held = on;
-            progressMs = upstream.dispatcher().now();
+            progressMs = upstream.core().now();
             channel.config().setAutoRead(!on);
         }
     }
@@ -168,7 +169,7 @@
     }
 
     /** A short answer or a long one's end has come whole. */
-    void ended(Outcome outcome, int note, float[] report, ByteBuf answer) {
+    void ended(Outcome outcome, int note, float[] report, ByteBuf value, String receipt) {
         Attempt attempt = attempts.poll();
         begun = false;
         partial = false;
@@ -176,10 +177,10 @@
             givenUp--;
         }
         if (attempts.isEmpty()) {
-            idleSinceMs = upstream.dispatcher().now();
+            idleSinceMs = upstream.core().now();
         }
         hold(false);
-        upstream.dispatcher().end(attempt, outcome, note, report, answer);
+        attempt.owner.end(attempt, outcome, note, report, value, receipt);
         if (attempts.isEmpty() && retired) {
             close();
         }
@@ -187,7 +188,7 @@
 
     void partial() {
         partial = true;
-        progressMs = upstream.dispatcher().now();
+        progressMs = upstream.core().now();
         if (!watched) {
             watched = true;
             watch(CUT_MS);
@@ -195,8 +196,8 @@
     }
 
     private void watch(double ms) {
-        upstream.dispatcher().after(ms, () -> {
-            double left = CUT_MS - (upstream.dispatcher().now() - progressMs);
+        upstream.core().after(ms, () -> {
+            double left = CUT_MS - (upstream.core().now() - progressMs);
             watched = partial && !closed && left > 0;
             if (watched) {
                 watch(left);
@@ -207,19 +208,21 @@
     }
 
     /** A long answer begins; false if nobody waits for it, so that it is to be dropped. */
-    boolean begin(ByteBuf head) {
+    boolean begin(int length) {
         begun = true;
-        progressMs = upstream.dispatcher().now();
-        return upstream.dispatcher().begin(attempts.peek(), head);
+        progressMs = upstream.core().now();
+        Attempt attempt = attempts.peek();
+        return attempt.owner.begin(attempt, length);
     }
 
     void part(ByteBuf part) {
-        progressMs = upstream.dispatcher().now();
-        upstream.dispatcher().part(attempts.peek(), part);
+        progressMs = upstream.core().now();
+        Attempt attempt = attempts.peek();
+        attempt.owner.part(attempt, part);
     }
 
     void garbage(String what) {
-        upstream.dispatcher().log("bad answer of " + dial + ": " + what);
+        upstream.core().log("bad answer of " + dial + ": " + what);
         close();
     }
 
@@ -235,7 +238,7 @@
                 continue;
             }
             Outcome outcome = a.written ? Outcome.RESET : Outcome.CONNECT_FAILED;
-            upstream.dispatcher().end(a, outcome, 0, null, null);
+            a.owner.end(a, outcome, 0, null, null, null);
         }
     }
 }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -55,21 +55,17 @@
     }
 
     private void run() throws InterruptedException, IOException {
-        Dispatcher dispatcher = new Dispatcher(loop, config, Transport.BEST.localSocket());
+        Core core = Core.of(loop, config, Transport.BEST.localSocket());
+        Dispatcher dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
+        Listener front = new Listener(core, new Clients(core, 16), new SinglePool(core, dispatcher), null);
         SocketAddress node = listen("n", Node::new);
         SocketAddress origin = listen("o", Origin::new);
-        SocketAddress proxy = listen("p", () -> new ClientConnection(dispatcher));
+        SocketAddress proxy = listen("p", () -> new ClientConnection(core, front));
         int originKind = config.settings().originKind();
         List<DiscoveryClient.Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
                 host(2, Math.max(0, originKind), origin));
         loop.submit(() -> {
-            dispatcher.start(new Dispatcher.ListSource() {
-                @Override
-                public void watch(boolean on) { }
-
-                @Override
-                public void fetch() { }
-            }, null, c -> { });
+            dispatcher.start(Dispatcher.ListSource.NONE, null);
             dispatcher.listed(ListKind.CACHED, hosts);
         }).sync();
         channels.add(new Bootstrap().group(loop).channel(Transport.BEST.localSocket())
