--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -1,11 +1,13 @@
 package damsonworks;
 
+import damsonworks.cli.Cli;
 import damsonworks.proxy.Proxy;
 import damsonworks.wire.Drill;
 
 /**
- * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on
- * standard input and output, {@code train} starts and ends a proxy so that the build can archive its classes.
+ * Command line. The platform's commands come first and load nothing of the others: {@code serve} is one real proxy
+ * on sockets, {@code drill} speaks the simulator's wire on standard input and output, {@code train} starts and ends
+ * a proxy so that the build can archive its classes. All else is {@link Cli}'s.
  */
 public final class Main {
     private Main() { }
@@ -16,10 +18,7 @@
             case "serve" -> Proxy.main();
             case "train" -> System.exit(Proxy.train());
             case "drill" -> System.exit(Drill.main());
-            default -> {
-                System.err.println("usage: java -jar damsonworks.jar serve | drill | train");
-                System.exit(2);
-            }
+            default -> System.exit(Cli.run(args));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/damsonworks/cli/RunCommand.java
@@ -0,0 +1,61 @@
+package damsonworks.cli;
+
+import damsonworks.config.ConfigException;
+import damsonworks.config.DaemonFile;
+import damsonworks.daemon.Daemon;
+import damsonworks.proxy.Hangup;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "run", mixinStandardHelpOptions = true,
+        description = "Runs the daemon. SIGHUP: reads the file again; SIGTERM: answers what it has and ends.")
+final class RunCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "The daemon's file.")
+    private Path file;
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter err = spec.commandLine().getErr();
+        DaemonFile f = Files.read(file, err);
+        if (f == null) {
+            return Cli.UNUSABLE;
+        }
+        Daemon daemon;
+        try {
+            daemon = Daemon.start(f, new SecureRandom().nextLong());
+        } catch (ConfigException e) {
+            e.errors().forEach(err::println);
+            return Cli.UNUSABLE;
+        }
+        Hangup.run(() -> reload(daemon, err));
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain));
+        daemon.addresses().forEach((name, address) -> err.println("listening on " + address.getAddress().getHostAddress()
+                + ":" + address.getPort() + " (" + name + ")"));
+        err.flush();
+        new CountDownLatch(1).await(); // the shutdown hook ends the process
+        return 0;
+    }
+
+    private void reload(Daemon daemon, PrintWriter err) {
+        try {
+            daemon.reload(file);
+            err.println("goes by " + file + " as it is now");
+        } catch (ConfigException e) {
+            e.errors().forEach(err::println);
+            err.println("nothing has changed");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        err.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -0,0 +1,103 @@
+package damsonworks.config;
+
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Tenant;
+import damsonworks.routes.RouteTable;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The daemon's file, checked: what {@code run} serves. All times in milliseconds.
+ *
+ * @param pools by name, in the file's order
+ */
+public record DaemonFile(String path, Site site, Limits limits, List<ServiceClass> classes, List<Tenant> tenants,
+        List<Listen> listeners, Map<String, Pool> pools, RouteTable routes) {
+
+    /**
+     * What is true of the whole installation.
+     *
+     * @param me this proxy's number among those of the tier, from 0
+     * @param instances how many proxies share the servers
+     * @param zones names of zones, ours first
+     */
+    public record Site(String name, int me, int instances, List<String> zones, double drainGraceMs,
+            double startCapacity, double warmUpMs, double tipMultiple, double fallMs) { }
+
+    /**
+     * Bounds of the process.
+     *
+     * @param memoryMb what the process may take; an eighth of it holds clients' values
+     * @param sockets descriptors of the process
+     * @param unknownCapacity requests a second of a warm server that has no {@code capacity}
+     */
+    public record Limits(int memoryMb, int sockets, double connectTimeoutMs, double idleCloseMs, int maxAttempts,
+            double maxRetryAfterMs, boolean secondCopies, double unknownCapacity) { }
+
+    /**
+     * Where clients connect.
+     *
+     * @param open whether stock clients' plain commands are taken
+     * @param readClass class of a read that names none; null: must be named
+     */
+    public record Listen(String name, InetSocketAddress address, boolean open, String readClass, String writeClass,
+            String tenant, double deadlineMs) { }
+
+    /**
+     * Servers that share a placement and bounds.
+     *
+     * @param origin where misses and writes go; null: nodes are all there is
+     * @param discovery where the list comes from instead of {@code servers}; null: from the file
+     * @param perSecond requests a second; 0: no bound
+     * @param dedupGroup pools of the same name drop repeats of keyed requests together; null: none does
+     * @param fallback the pool that takes what this one gives up, where the route names none; null: none
+     */
+    public record Pool(String name, List<Server> servers, Server origin, Discovery discovery, String placement,
+            int connections, int originConnections, int streams, int inHand, double perSecond, double retryShare,
+            double retriesAlways, boolean plainNodes, String dedupGroup, String fallback) { }
+
+    /**
+     * A server of a pool.
+     *
+     * @param id from its name, alike at every proxy
+     * @param capacity requests a second when warm; 0: not told
+     */
+    public record Server(String name, int id, InetSocketAddress dial, String zone, String kind, double weight,
+            boolean backup, boolean down, boolean drain, double capacity) { }
+
+    /** A list of servers that is followed. */
+    public record Discovery(InetSocketAddress address, List<String> zones, List<String> kinds, String originKind) { }
+
+    /** A pool and those that follow it by its own {@code fallback}. */
+    public List<String> chain(List<String> named) {
+        List<String> chain = new ArrayList<>(named);
+        String next = pools.get(named.get(named.size() - 1)).fallback();
+        while (next != null && !chain.contains(next)) {
+            chain.add(next);
+            next = pools.get(next).fallback();
+        }
+        return chain;
+    }
+
+    /** A class's index. */
+    public int classIndex(String name) {
+        for (int i = 0; i < classes.size(); i++) {
+            if (classes.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** A tenant's index; 0 where there are none. */
+    public int tenantIndex(String name) {
+        for (int i = 0; i < tenants.size(); i++) {
+            if (tenants.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return tenants.isEmpty() ? 0 : -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -0,0 +1,510 @@
+package damsonworks.config;
+
+import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Group;
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Tenant;
+import damsonworks.config.DaemonFile.Discovery;
+import damsonworks.config.DaemonFile.Limits;
+import damsonworks.config.DaemonFile.Listen;
+import damsonworks.config.DaemonFile.Pool;
+import damsonworks.config.DaemonFile.Server;
+import damsonworks.config.DaemonFile.Site;
+import damsonworks.routes.KeyPattern;
+import damsonworks.routes.KeyRewrite;
+import damsonworks.routes.KeyShare;
+import damsonworks.routes.Route;
+import damsonworks.routes.RouteTable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+
+/** Reads the daemon's file and finds everything that is wrong with it, not only the first. */
+public final class DaemonFileReader {
+    /** A file of 10,000 routes has some 2 MB; bounds what a wrong path can make us read. */
+    static final long MAX_BYTES = 32L << 20;
+    private static final double HOUR_MS = 3_600_000;
+
+    private final Section.Errors errors;
+    private final List<ServiceClass> classes = new ArrayList<>();
+    private final List<Tenant> tenants = new ArrayList<>();
+    private final Map<String, Pool> pools = new LinkedHashMap<>();
+    private final Map<String, Section> poolSections = new HashMap<>();
+    private final List<Listen> listeners = new ArrayList<>();
+    private final Set<String> zones = new java.util.LinkedHashSet<>();
+    /** Servers of all pools, by name and by address: one server has one of each. */
+    private final Map<String, Server> serversByName = new HashMap<>();
+    private final Map<InetSocketAddress, String> namesByAddress = new HashMap<>();
+    private final Map<Integer, String> namesById = new HashMap<>();
+
+    private DaemonFileReader(String path) {
+        errors = new Section.Errors(path);
+    }
+
+    /** Reads and checks; the exception has one line for each error. */
+    public static DaemonFile read(Path path) throws ConfigException {
+        String text;
+        try {
+            if (Files.size(path) > MAX_BYTES) {
+                throw new ConfigException(List.of(path + ":1:1: the file has more than " + MAX_BYTES + " bytes"));
+            }
+            text = Files.readString(path);
+        } catch (NoSuchFileException e) {
+            throw new ConfigException(List.of(path + ":1:1: there is no such file"));
+        } catch (CharacterCodingException e) {
+            throw new ConfigException(List.of(path + ":1:1: the file is not UTF-8 text"));
+        } catch (IOException e) {
+            throw new ConfigException(List.of(path + ":1:1: can't be read: " + e.getMessage()));
+        }
+        return parse(path.toString(), text);
+    }
+
+    /** The same for a text; {@code name} stands for the file in errors. */
+    public static DaemonFile parse(String name, String text) throws ConfigException {
+        DaemonFileReader reader = new DaemonFileReader(name);
+        TomlParseResult toml = Toml.parse(text);
+        if (toml.hasErrors()) {
+            toml.errors().forEach(e -> reader.errors.add(e.position(), oneLine(e.getMessage())));
+            throw new ConfigException(reader.errors.lines());
+        }
+        DaemonFile file = reader.file(name, new Section(toml, "", null, reader.errors));
+        if (!reader.errors.none()) {
+            throw new ConfigException(reader.errors.lines());
+        }
+        return file;
+    }
+
+    private static String oneLine(String message) {
+        return String.valueOf(message).replaceAll("\\s+", " ");
+    }
+
+    private DaemonFile file(String path, Section root) {
+        Site site = site(root.section("site"));
+        Limits limits = limits(root.section("limits"));
+        root.sections("class").forEach(this::serviceClass);
+        root.sections("tenant").forEach(this::tenant);
+        root.sections("listen").forEach(this::listen);
+        root.sections("pool").forEach(this::pool);
+        List<Section> routes = root.sections("route");
+        if (classes.isEmpty()) {
+            errors.add(null, "no class; write [[class]] with a name, an effect and times");
+        }
+        if (listeners.isEmpty()) {
+            errors.add(null, "no listener; write [[listen]] with a name and an address");
+        }
+        if (pools.isEmpty()) {
+            errors.add(null, "no pool; write [[pool]] with a name and servers");
+        }
+        fallbacks();
+        RouteTable table = routes(routes);
+        root.end();
+        List<String> allZones = new ArrayList<>();
+        allZones.add(site.zones().get(0));
+        zones.stream().filter(z -> !allZones.contains(z)).forEach(allZones::add);
+        Site whole = new Site(site.name(), site.me(), site.instances(), allZones, site.drainGraceMs(),
+                site.startCapacity(), site.warmUpMs(), site.tipMultiple(), site.fallMs());
+        return new DaemonFile(path, whole, limits, classes, tenants, listeners, pools, table);
+    }
+
+    private Site site(Section s) {
+        if (s == null) {
+            return new Site("coralbay", 0, 1, List.of("here"), 2000, 0.3, 9000, 3, 1500);
+        }
+        int instances = s.integer("instances", 1, 1, 10_000);
+        Site site = new Site(s.text("name", "coralbay"), s.integer("me", 0, 0, instances - 1), instances,
+                List.of(s.text("zone", "here")), s.number("drain_grace_ms", 2000, 100, HOUR_MS),
+                s.number("start_capacity", 0.3, 0.01, 1), s.number("warm_up_ms", 9000, 0, HOUR_MS),
+                s.number("tip_multiple", 3, 1.5, 100), s.number("fall_ms", 1500, 100, HOUR_MS));
+        s.end();
+        return site;
+    }
+
+    private Limits limits(Section s) {
+        if (s == null) {
+            return new Limits(512, 4096, 250, 15_000, 3, 1000, true, 100);
+        }
+        Limits limits = new Limits(s.integer("memory_mb", 512, 32, 1 << 20), s.integer("sockets", 4096, 256, 1 << 24),
+                s.number("connect_timeout_ms", 250, 10, 60_000), s.number("idle_close_ms", 15_000, 1000, HOUR_MS),
+                s.integer("max_attempts", 3, 1, 8), s.number("max_retry_after_ms", 1000, 0, HOUR_MS),
+                s.flag("second_copies", true), s.number("unknown_capacity", 100, 1, 1e6));
+        s.end();
+        return limits;
+    }
+
+    private static boolean word(String text) {
+        return !text.isEmpty() && text.length() <= 64 && text.chars().allMatch(c -> c > ' ' && c <= '~' && c != ','
+                && c != '=');
+    }
+
+    /** The name of a table; it ends up in lists of names and values, so it may not break them. */
+    private String name(Section s, Set<String> taken, String kind) {
+        String name = s.text("name");
+        if (!name.isEmpty() && !word(name)) {
+            s.error("name", kind + " name '" + name + "' is no word; 1 to 64 printing characters without space, comma and =");
+        }
+        if (!name.isEmpty() && !taken.add(name)) {
+            s.error("name", kind + " '" + name + "' is there already; names are used once");
+        }
+        return name;
+    }
+
+    private final Set<String> classNames = new HashSet<>();
+
+    private void serviceClass(Section s) {
+        String name = name(s, classNames, "class");
+        String effect = s.oneOf("effect", "unsafe", "safe", "keyed", "unsafe");
+        if (!s.has("effect")) {
+            s.error("name", "class " + name + " has no effect; allowed: safe (may be repeated), keyed (servers drop "
+                    + "repeats), unsafe (must never run twice)");
+        }
+        double deadline = s.number("deadline_ms", 1000, 1, HOUR_MS);
+        double aim = s.number("aim_ms", deadline / 2, 1, HOUR_MS);
+        if (aim > deadline) {
+            s.error("aim_ms", "aim_ms is " + (long) aim + ", more than the deadline; at most " + (long) deadline);
+        }
+        boolean keyed = effect.equals("keyed");
+        double window = s.number("window_ms", 0, 1, HOUR_MS);
+        if (keyed && window == 0) {
+            s.error("effect", "a keyed class needs window_ms, for which servers drop repeats");
+        }
+        Effect e = keyed ? Effect.KEYED : effect.equals("safe") ? Effect.SAFE : Effect.UNSAFE;
+        classes.add(new ServiceClass(name, e, Group.ALL, keyed ? window : 0, aim, deadline,
+                s.number("worth", 1, 0, 1e6), s.number("late_share", 0.3, 0, 1), s.flag("stream", false)));
+        s.end();
+    }
+
+    private final Set<String> tenantNames = new HashSet<>();
+
+    private void tenant(Section s) {
+        tenants.add(new Tenant(name(s, tenantNames, "tenant"), s.number("share", 1, 0, 1e9),
+                s.number("per_second", 1, 0.001, 1e9)));
+        s.end();
+    }
+
+    private InetSocketAddress address(Section s, String key, boolean any) {
+        String text = s.text(key);
+        if (text.isEmpty()) {
+            return new InetSocketAddress(0);
+        }
+        try {
+            InetSocketAddress a = Addresses.of(text);
+            if (!any && a.getPort() == 0) {
+                s.error(key, key + " '" + text + "' has port 0; a server's port is 1 to 65535");
+            }
+            return a;
+        } catch (IllegalArgumentException e) {
+            s.error(key, e.getMessage() + "; write it as 127.0.0.1:11211 or [::1]:11211, names are not looked up");
+            return new InetSocketAddress(0);
+        }
+    }
+
+    private final Set<String> listenerNames = new HashSet<>();
+
+    private void listen(Section s) {
+        String name = name(s, listenerNames, "listener");
+        InetSocketAddress address = address(s, "address", true);
+        for (Listen l : listeners) {
+            if (address.getPort() != 0 && address.equals(l.address())) {
+                s.error("address", "listener " + l.name() + " has the same address; one each");
+            }
+        }
+        s.oneOf("protocol", "meta", "meta");
+        boolean open = s.flag("open", false);
+        String readClass = known(s, "class", classNames, "class");
+        String writeClass = known(s, "write_class", classNames, "class");
+        String tenant = known(s, "tenant", tenantNames, "tenant");
+        double deadline = s.number("deadline_ms", 0, 1, HOUR_MS);
+        if (open && readClass == null) {
+            s.error("open", "an open listener needs class, for plain reads");
+        }
+        if (!open) {
+            for (String key : new String[] {"class", "write_class", "tenant", "deadline_ms"}) {
+                if (s.has(key)) {
+                    s.error(key, key + " is for open listeners; on others each request names its own. Set open = true");
+                }
+            }
+        }
+        listeners.add(new Listen(name, address, open, readClass, writeClass, tenant, deadline));
+        s.end();
+    }
+
+    /** A name that must be one of those; null where it is absent. */
+    private String known(Section s, String key, Set<String> names, String kind) {
+        String value = s.text(key, null);
+        if (value != null && !names.contains(value)) {
+            s.error(key, "there is no " + kind + " '" + value + "'; there are: " + String.join(", ", sorted(names)));
+        }
+        return value;
+    }
+
+    private static List<String> sorted(Set<String> names) {
+        return names.stream().sorted().toList();
+    }
+
+    private void pool(Section s) {
+        String name = name(s, new HashSet<>(pools.keySet()), "pool");
+        List<Server> servers = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Section server : s.sections("server")) {
+            servers.add(server(server, names, "cache"));
+        }
+        Section o = s.section("origin");
+        Server origin = o == null ? null : server(o, names, "origin");
+        if (origin != null && (origin.backup() || origin.down() || origin.drain())) {
+            o.error("dial", "an origin can't be backup, down or drain; leave the key out");
+        }
+        Discovery discovery = discovery(s.section("discovery"));
+        if (discovery == null && servers.isEmpty()) {
+            s.error("name", "pool " + name + " has no server; write [[pool.server]] or discovery");
+        } else if (discovery == null && servers.stream().allMatch(v -> v.down() || v.drain())) {
+            s.error("name", "every server of pool " + name + " is down or drains; at least one must be up");
+        } else if (discovery == null && servers.stream().allMatch(Server::backup)) {
+            s.error("name", "every server of pool " + name + " is a backup; at least one must not be");
+        }
+        if (discovery != null && !(servers.isEmpty() && origin == null)) {
+            s.error("discovery", "pool " + name + " has both discovery and servers; the list comes from one of them");
+        }
+        pools.put(name, new Pool(name, servers, origin, discovery, s.oneOf("placement", "carp", "carp"),
+                s.integer("connections", 4, 1, 1000), s.integer("origin_connections", 16, 1, 1000),
+                s.integer("streams", 64, 1, 10_000), s.integer("in_hand", 10_000, 1, 1_000_000),
+                s.number("per_second", 0, 0.1, 1e9), s.number("retry_share", 0.2, 0, 10),
+                s.number("retries_always", 5, 0, 1e6), s.oneOf("nodes", "platform", "platform", "plain").equals("plain"),
+                s.text("dedup_group", null), s.text("fallback", null)));
+        poolSections.put(name, s);
+        s.end();
+    }
+
+    private Server server(Section s, Set<String> inPool, String kind) {
+        String name = name(s, inPool, "server");
+        InetSocketAddress dial = address(s, "dial", false);
+        int id = ServerId.of(name);
+        String other = namesById.putIfAbsent(id, name);
+        if (other != null && !other.equals(name)) {
+            s.error("name", "server '" + name + "' has the number of '" + other + "', " + Integer.toHexString(id)
+                    + "; rename one");
+        }
+        String zone = s.text("zone", "here");
+        zones.add(zone);
+        Server server = new Server(name, id, dial, zone, s.text("kind", kind), s.number("weight", 1, 0, 1e6),
+                s.flag("backup", false), s.flag("down", false), s.flag("drain", false),
+                s.number("capacity", 0, 0.1, 1e9));
+        String sameAddress = namesByAddress.putIfAbsent(dial, name);
+        if (sameAddress != null && !sameAddress.equals(name) && dial.getPort() != 0) {
+            s.error("dial", Addresses.text(dial) + " is server '" + sameAddress
+                    + "' already; a server has one name, also in several pools");
+        }
+        Server same = serversByName.putIfAbsent(name, server);
+        if (same != null && !same.dial().equals(dial)) {
+            s.error("dial", "server '" + name + "' stands at " + Addresses.text(same.dial())
+                    + " in another pool; a name has one address");
+        }
+        s.end();
+        return server;
+    }
+
+    private Discovery discovery(Section s) {
+        if (s == null) {
+            return null;
+        }
+        List<String> kinds = s.texts("kinds");
+        String originKind = s.text("origin_kind", null);
+        if (kinds.isEmpty()) {
+            s.error("kinds", "discovery needs kinds, the classes of machine that its list names");
+        }
+        if (originKind != null && !kinds.contains(originKind)) {
+            s.error("origin_kind", "origin_kind '" + originKind + "' is none of kinds: " + String.join(", ", kinds));
+        }
+        List<String> sites = s.texts("zones");
+        if (sites.isEmpty()) {
+            s.error("zones", "discovery needs zones, the sites that its list names");
+        }
+        zones.addAll(sites);
+        Discovery d = new Discovery(address(s, "address", false), sites, kinds, originKind);
+        s.end();
+        return d;
+    }
+
+    private void fallbacks() {
+        for (Pool p : pools.values()) {
+            if (p.fallback() == null) {
+                continue;
+            }
+            Section s = poolSections.get(p.name());
+            if (!pools.containsKey(p.fallback())) {
+                s.error("fallback", "there is no pool '" + p.fallback() + "'; there are: "
+                        + String.join(", ", sorted(pools.keySet())));
+                continue;
+            }
+            List<String> way = new ArrayList<>(List.of(p.name()));
+            for (Pool next = p; next != null && next.fallback() != null;) {
+                boolean loop = way.contains(next.fallback());
+                way.add(next.fallback());
+                if (loop) {
+                    if (next.fallback().equals(p.name())) { // told once by each pool of the loop, at its own line
+                        s.error("fallback", "fallbacks go round: " + String.join(" -> ", way) + "; leave one out");
+                    }
+                    break;
+                }
+                next = pools.get(next.fallback());
+            }
+        }
+    }
+
+    // ---- routes
+
+    private RouteTable routes(List<Section> sections) {
+        List<Route> list = new ArrayList<>();
+        Map<String, Section> byName = new HashMap<>();
+        Set<String> names = new HashSet<>();
+        int before = errors.lines().size();
+        for (Section s : sections) {
+            Route r = route(s, names, list.size());
+            if (r != null) {
+                list.add(r);
+                byName.put(r.name(), s);
+            }
+        }
+        if (sections.isEmpty()) {
+            errors.add(null, "no route; write [[route]] with a name and pools");
+        }
+        RouteTable table = new RouteTable(list);
+        if (errors.lines().size() == before) {
+            for (RouteTable.Shadowed dead : table.shadowed()) {
+                byName.get(dead.route().name()).error("name", "route '" + dead.route().name()
+                        + "' is never reached: '" + dead.by().name() + "' takes all of its requests before; give it a "
+                        + "lower order, or leave it out");
+            }
+        }
+        return table;
+    }
+
+    private Route route(Section s, Set<String> names, int position) {
+        String name = name(s, names, "route");
+        String exact = s.text("key", null);
+        String prefix = s.text("prefix", null);
+        String regex = s.text("regex", null);
+        if ((exact != null ? 1 : 0) + (prefix != null ? 1 : 0) + (regex != null ? 1 : 0) > 1) {
+            s.error("name", "route '" + name + "' has more than one of key, prefix and regex; one at most");
+        }
+        if (exact != null && !KeyRewrite.legal(exact)) {
+            s.error("key", "no request has this key; keys have 1 to 250 printing characters without space");
+        }
+        if (prefix != null && !prefix.isEmpty() && !KeyRewrite.legal(prefix)) {
+            s.error("prefix", "no key begins with this; keys have 1 to 250 printing characters without space");
+        }
+        KeyPattern pattern = null;
+        if (regex != null) {
+            try {
+                pattern = new KeyPattern(regex);
+            } catch (IllegalArgumentException e) {
+                s.error("regex", "regex can't be used: " + oneLine(e.getMessage()));
+            }
+        }
+        Set<String> from = Set.copyOf(allKnown(s, "listener", listenerNames, "listener"));
+        Set<Integer> kinds = indexes(allKnown(s, "class", classNames, "class"), classes.stream()
+                .map(ServiceClass::name).toList());
+        Set<Integer> owners = indexes(allKnown(s, "tenant", tenantNames, "tenant"), tenants.stream()
+                .map(Tenant::name).toList());
+        Boolean write = s.flagOrNull("write");
+        KeyShare share = share(s.section("share"));
+        KeyRewrite rewrite = rewrite(s, pattern);
+        Route.Action action = action(s, name);
+        int order = s.integer("order", 0, -1_000_000, 1_000_000);
+        s.end();
+        return action == null ? null : new Route(name, order, position, from, exact,
+                prefix != null && prefix.isEmpty() ? null : prefix, pattern, kinds, owners, write, share, rewrite, action);
+    }
+
+    private List<String> allKnown(Section s, String key, Set<String> names, String kind) {
+        List<String> list = s.texts(key);
+        for (String n : list) {
+            if (!names.contains(n)) {
+                s.error(key, "there is no " + kind + " '" + n + "'; there are: " + String.join(", ", sorted(names)));
+            }
+        }
+        return list.stream().distinct().toList();
+    }
+
+    private static Set<Integer> indexes(List<String> names, List<String> all) {
+        Set<Integer> set = new HashSet<>();
+        names.forEach(n -> set.add(all.indexOf(n)));
+        return Set.copyOf(set);
+    }
+
+    private KeyShare share(Section s) {
+        if (s == null) {
+            return null;
+        }
+        double from = s.number("from_percent", 0, 0, 100);
+        double to = s.number("to_percent", 100, 0, 100);
+        String salt = s.text("salt", "");
+        s.end();
+        if (Math.round(from * 100) >= Math.round(to * 100)) {
+            s.error("to_percent", "the share is empty; from_percent must be under to_percent");
+            return null;
+        }
+        return new KeyShare(salt, (int) Math.round(from * 100), (int) Math.round(to * 100));
+    }
+
+    private KeyRewrite rewrite(Section s, KeyPattern pattern) {
+        String strip = s.text("strip", null);
+        String add = s.text("add", null);
+        String replace = s.text("replace", null);
+        if (add != null && !KeyRewrite.legal(add)) {
+            s.error("add", "add puts something into keys that servers don't take; printing characters without space");
+            return KeyRewrite.NONE;
+        }
+        if (replace != null && strip != null) {
+            s.error("replace", "replace makes the whole key anew, so strip does nothing; one of them");
+        }
+        if (strip == null && add == null && replace == null) {
+            return KeyRewrite.NONE;
+        }
+        try {
+            return new KeyRewrite(strip, pattern, replace, add);
+        } catch (IllegalArgumentException e) {
+            s.error("replace", e.getMessage());
+            return KeyRewrite.NONE;
+        }
+    }
+
+    private Route.Action action(Section s, String name) {
+        List<String> to = s.texts("pools");
+        boolean refuse = s.has("refuse_ms");
+        boolean fail = s.flag("fail", false);
+        if ((to.isEmpty() ? 0 : 1) + (refuse ? 1 : 0) + (fail ? 1 : 0) != 1) {
+            s.error("name", "route '" + name + "' needs one of pools, refuse_ms and fail = true");
+            return null;
+        }
+        if (refuse) {
+            return new Route.Refuse(s.number("refuse_ms", 1, 1, HOUR_MS));
+        }
+        if (fail) {
+            return new Route.Fail();
+        }
+        Set<String> seen = new HashSet<>();
+        boolean good = true;
+        for (String pool : to) {
+            if (!pools.containsKey(pool)) {
+                s.error("pools", "there is no pool '" + pool + "'; there are: " + String.join(", ", sorted(pools.keySet())));
+                good = false;
+            } else if (!seen.add(pool)) {
+                s.error("pools", "pool '" + pool + "' falls back to itself; name each pool once");
+                good = false;
+            }
+        }
+        return good ? new Route.ToPools(List.copyOf(to)) : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/config/Section.java
@@ -0,0 +1,212 @@
+package damsonworks.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of the file while it is read. Each key that is asked for is known from then on; {@link #end} tells of all
+ * others. What is wrong is noted with its place and a stand-in value goes on, so that one pass finds every error.
+ */
+final class Section {
+    private final TomlTable table;
+    private final String name;
+    private final TomlPosition at;
+    private final Errors errors;
+    private final Set<String> known = new LinkedHashSet<>();
+
+    /** All that was found to be wrong. */
+    static final class Errors {
+        private final String file;
+        private final List<Entry> entries = new ArrayList<>();
+
+        private record Entry(int line, int column, String text) { }
+
+        Errors(String file) {
+            this.file = file;
+        }
+
+        void add(TomlPosition at, String text) {
+            entries.add(new Entry(at == null ? 1 : at.line(), at == null ? 1 : at.column(), text));
+        }
+
+        boolean none() {
+            return entries.isEmpty();
+        }
+
+        /** In the file's order. */
+        List<String> lines() {
+            return entries.stream().sorted((a, b) -> a.line != b.line ? Integer.compare(a.line, b.line)
+                    : Integer.compare(a.column, b.column))
+                    .map(e -> file + ":" + e.line + ":" + e.column + ": " + e.text).toList();
+        }
+    }
+
+    Section(TomlTable table, String name, TomlPosition at, Errors errors) {
+        this.table = table;
+        this.name = name;
+        this.at = at;
+        this.errors = errors;
+    }
+
+    /** Where a key stands, or the table if it is not there. */
+    TomlPosition at(String key) {
+        TomlPosition p = table.inputPositionOf(List.of(key));
+        return p == null ? at : p;
+    }
+
+    void error(String key, String text) {
+        errors.add(at(key), text);
+    }
+
+    boolean has(String key) {
+        known.add(key);
+        return table.contains(List.of(key));
+    }
+
+    private Object value(String key) {
+        known.add(key);
+        return table.get(List.of(key));
+    }
+
+    String text(String key) {
+        String value = text(key, null);
+        if (value == null) {
+            if (!table.contains(List.of(key))) {
+                errors.add(at, name + " has no " + key + "; it must have one, a text");
+            }
+            return "";
+        }
+        if (value.isEmpty()) {
+            error(key, key + " is empty; a text is wanted");
+        }
+        return value;
+    }
+
+    String text(String key, String absent) {
+        Object value = value(key);
+        if (value == null || value instanceof String) {
+            return value == null ? absent : (String) value;
+        }
+        error(key, key + " is no text; put it in quotes");
+        return absent;
+    }
+
+    double number(String key, double absent, double least, double most) {
+        Object value = value(key);
+        if (value == null) {
+            return absent;
+        }
+        double n = value instanceof Number number ? number.doubleValue() : Double.NaN;
+        if (!(n >= least && n <= most)) {
+            error(key, key + " is " + (value instanceof Number ? figure(n) : "no number") + "; a number from "
+                    + figure(least) + " to " + figure(most) + " is wanted");
+            return absent;
+        }
+        return n;
+    }
+
+    int integer(String key, int absent, int least, int most) {
+        Object value = value(key);
+        if (value != null && !(value instanceof Long)) {
+            error(key, key + " is no whole number; one from " + least + " to " + most + " is wanted");
+            return absent;
+        }
+        return (int) number(key, absent, least, most);
+    }
+
+    private static String figure(double n) {
+        return n == Math.rint(n) && Math.abs(n) < 1e15 ? Long.toString((long) n) : Double.toString(n);
+    }
+
+    boolean flag(String key, boolean absent) {
+        Object value = value(key);
+        if (value == null || value instanceof Boolean) {
+            return value == null ? absent : (Boolean) value;
+        }
+        error(key, key + " is neither true nor false");
+        return absent;
+    }
+
+    /** Null where the key is absent. */
+    Boolean flagOrNull(String key) {
+        return has(key) ? Boolean.valueOf(flag(key, false)) : null;
+    }
+
+    String oneOf(String key, String absent, String... allowed) {
+        String value = text(key, absent);
+        if (value != absent && !List.of(allowed).contains(value)) {
+            error(key, key + " is '" + value + "'; allowed: " + String.join(", ", allowed));
+            return absent;
+        }
+        return value;
+    }
+
+    /** A text or a list of texts; empty where the key is absent. */
+    List<String> texts(String key) {
+        Object value = value(key);
+        if (value instanceof String s) {
+            return List.of(s);
+        }
+        List<String> list = new ArrayList<>();
+        if (value instanceof TomlArray array) {
+            for (int i = 0; i < array.size(); i++) {
+                if (array.get(i) instanceof String s) {
+                    list.add(s);
+                } else {
+                    errors.add(array.inputPositionOf(i), key + " holds something that is no text");
+                }
+            }
+        } else if (value != null) {
+            error(key, key + " is neither a text nor a list of texts");
+        }
+        return list;
+    }
+
+    /** The table under a key; null where it is absent. */
+    Section section(String key) {
+        Object value = value(key);
+        if (value instanceof TomlTable t) {
+            return new Section(t, name.isEmpty() ? key : name + "." + key, at(key), errors);
+        }
+        if (value != null) {
+            error(key, key + " is no table; write " + key + " = { ... } or [" + key + "]");
+        }
+        return null;
+    }
+
+    /** The tables under a key. */
+    List<Section> sections(String key) {
+        Object value = value(key);
+        List<Section> list = new ArrayList<>();
+        if (value instanceof TomlArray array) {
+            for (int i = 0; i < array.size(); i++) {
+                if (array.get(i) instanceof TomlTable t) {
+                    Object named = t.get(List.of("name"));
+                    list.add(new Section(t, key + (named instanceof String s ? " " + s : ""),
+                            array.inputPositionOf(i), errors));
+                } else {
+                    errors.add(array.inputPositionOf(i), key + " holds something that is no table");
+                }
+            }
+        } else if (value != null) {
+            error(key, key + " is no list of tables; write [[" + key + "]]");
+        }
+        return list;
+    }
+
+    /** Tells of the keys that nothing has asked for. */
+    void end() {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                error(key, "unknown key '" + key + "'" + (name.isEmpty() ? "" : " in " + name) + "; allowed: "
+                        + String.join(", ", new TreeSet<>(known)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -0,0 +1,362 @@
+package damsonworks.daemon;
+
+import damsonworks.config.Addresses;
+import damsonworks.config.ConfigException;
+import damsonworks.config.DaemonFile;
+import damsonworks.config.DaemonFileReader;
+import damsonworks.limits.Births;
+import damsonworks.limits.ColdBudget;
+import damsonworks.proxy.Clients;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.Intake;
+import damsonworks.proxy.Listener;
+import damsonworks.proxy.OpenMeta;
+import damsonworks.proxy.Servers;
+import damsonworks.proxy.Transport;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The daemon: listeners, routes and pools by one file, which may be replaced under load. A new file is read and its
+ * new listeners are bound before anything changes; a file that can't be used changes nothing.
+ */
+public final class Daemon implements AutoCloseable {
+    /** Connections still come so long after SIGTERM, with some room for a slow machine. */
+    private static final double LISTEN_ON_MS = 500;
+    private static final int OWN_DESCRIPTORS = 64;
+    private static final long SWEEP_MS = 250;
+    private static final long LEAVE_MS = 20;
+    /** Connections are taken once every pool has its list, or after so long without it. */
+    private static final double LIST_WAIT_MS = 3000;
+    /** Requests in hand may be sent to servers that a new file lacks for this part of the drain grace. */
+    private static final double GRACE_PART = 0.5;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+    private final EventLoop loop = group.next();
+    private final Core core;
+    private final Clients clients;
+    private final Router router;
+    private final Births births = new Births();
+    private final SplittableRandom seeds;
+    private final String idPrefix;
+    private final AtomicLong ids = new AtomicLong();
+    /** By name, with the addresses that the file gives them. */
+    private final Map<String, Listener> listeners = new LinkedHashMap<>();
+    private final Map<Listener, InetSocketAddress> asked = new HashMap<>();
+    private final List<Listener> leavingListeners = new ArrayList<>();
+    private final List<Leaving> leavingPools = new ArrayList<>();
+    private final List<Generation> older = new ArrayList<>();
+    private final CountDownLatch ready = new CountDownLatch(1);
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private ColdBudget cold;
+    private double listenEndsMs;
+    private double drainEndsMs;
+
+    /** A pool that no new request comes to. */
+    private static final class Leaving {
+        final PoolRunner pool;
+        final double graceEndsMs;
+        boolean cut;
+
+        Leaving(PoolRunner pool, double graceEndsMs) {
+            this.pool = pool;
+            this.graceEndsMs = graceEndsMs;
+        }
+    }
+
+    private Daemon(DaemonFile file, long seed) {
+        seeds = new SplittableRandom(seed);
+        idPrefix = Long.toHexString(seeds.nextLong() & 0xFFFFFFFFFFL | 0x10000000000L);
+        int sockets = file.limits().sockets();
+        core = new Core(loop, Transport.BEST.socket(), (long) file.limits().memoryMb() << 20 >> 3, sockets / 3);
+        clients = new Clients(core, Math.max(16, sockets - sockets / 3 - OWN_DESCRIPTORS));
+        router = new Router(core);
+    }
+
+    /** Starts; the exception says which listener could not be bound. */
+    public static Daemon start(DaemonFile file, long seed) throws ConfigException, InterruptedException {
+        Daemon daemon = new Daemon(file, seed);
+        try {
+            daemon.load(file);
+        } catch (ConfigException e) {
+            daemon.close();
+            throw e;
+        }
+        daemon.ready.await();
+        daemon.loop.submit(() -> {
+            daemon.core.observe(daemon.new Restarts());
+            daemon.loop.scheduleWithFixedDelay(daemon.clients::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            daemon.loop.scheduleWithFixedDelay(daemon::leave, LEAVE_MS, LEAVE_MS, TimeUnit.MILLISECONDS);
+        }).sync();
+        return daemon;
+    }
+
+    /** The address of a listener; null if there is none of this name. */
+    public InetSocketAddress address(String listener) {
+        Listener l = loop.submit(() -> listeners.get(listener)).syncUninterruptibly().getNow();
+        return l == null ? null : l.address();
+    }
+
+    /** Listeners with their addresses. */
+    public Map<String, InetSocketAddress> addresses() {
+        return loop.submit(() -> {
+            Map<String, InetSocketAddress> map = new LinkedHashMap<>();
+            listeners.forEach((name, l) -> map.put(name, l.address()));
+            return map;
+        }).syncUninterruptibly().getNow();
+    }
+
+    /** Requests in hand, those under older files among them. */
+    public int inHand() {
+        return loop.submit(() -> router.generation().inHand + older.stream().mapToInt(g -> g.inHand).sum())
+                .syncUninterruptibly().getNow();
+    }
+
+    /** Pools at work, those that are leaving among them; for tests. */
+    int poolsAtWork() {
+        return loop.submit(() -> router.generation().pools.size() + leavingPools.size()).syncUninterruptibly().getNow();
+    }
+
+    // ---- files
+
+    /** Reads the file again and goes by it; the exception says what is wrong with it, and all stays as it is. */
+    public void reload(Path path) throws ConfigException, InterruptedException {
+        load(DaemonFileReader.read(path));
+    }
+
+    /** Not on the event loop: binding waits. */
+    synchronized void load(DaemonFile file) throws ConfigException, InterruptedException {
+        Map<String, Listener> fresh = new HashMap<>();
+        List<String> faults = new ArrayList<>();
+        for (DaemonFile.Listen l : file.listeners()) {
+            Listener standing = loop.submit(() -> listeners.get(l.name())).sync().getNow();
+            if (standing != null && l.address().equals(asked.get(standing))) {
+                continue;
+            }
+            Listener listener = new Listener(core, clients, router.from(l.name()), open(file, l));
+            ChannelFuture bound = listener.reserve(l.address()).await();
+            fresh.put(l.name(), listener);
+            if (!bound.isSuccess()) {
+                faults.add(file.path() + ":1:1: listener " + l.name() + " can't be bound to "
+                        + Addresses.text(l.address()) + ": " + reason(bound.cause()));
+            }
+        }
+        if (!faults.isEmpty()) {
+            fresh.values().forEach(Listener::close);
+            throw ConfigException.of(faults);
+        }
+        loop.submit(() -> commit(file, fresh)).sync();
+    }
+
+    private static String reason(Throwable cause) {
+        return String.valueOf(cause.getMessage()).lines().findFirst().orElse("");
+    }
+
+    private OpenMeta open(DaemonFile file, DaemonFile.Listen l) {
+        if (!l.open()) {
+            return null;
+        }
+        String common = (l.tenant() == null ? "" : ",t=" + l.tenant())
+                + (l.deadlineMs() == 0 ? "" : ",d=" + Math.round(l.deadlineMs()));
+        Set<String> keyed = new HashSet<>();
+        file.classes().stream().filter(c -> c.effect() == damsonworks.RoutingApi.Effect.KEYED)
+                .forEach(c -> keyed.add(c.name()));
+        return new OpenMeta("c=" + l.readClass() + common, (l.writeClass() == null ? "" : "c=" + l.writeClass()) + common,
+                keyed, () -> idPrefix + Long.toHexString(ids.incrementAndGet()));
+    }
+
+    private void commit(DaemonFile file, Map<String, Listener> fresh) {
+        double now = core.now();
+        Generation before = router.generation();
+        figures(file);
+        births(file, before, now);
+        Map<String, PoolRunner> pools = new LinkedHashMap<>();
+        for (DaemonFile.Pool p : file.pools().values()) {
+            PoolRunner standing = before == null ? null : before.pools.get(p.name());
+            if (standing != null && standing.fits(file, p)) {
+                standing.apply(file);
+                pools.put(p.name(), standing);
+            } else {
+                pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births));
+            }
+        }
+        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants())));
+        if (before != null) {
+            older.add(before);
+            for (PoolRunner p : before.pools.values()) {
+                if (pools.get(p.name) != p) {
+                    leavingPools.add(new Leaving(p, now + file.site().drainGraceMs() * GRACE_PART));
+                }
+            }
+        }
+        listeners(file, fresh);
+    }
+
+    private void figures(DaemonFile file) {
+        ColdBudget.Figures figures = new ColdBudget.Figures(file.site().startCapacity(), file.site().warmUpMs(),
+                file.site().fallMs(), file.site().instances(), file.limits().unknownCapacity());
+        if (cold == null) {
+            cold = new ColdBudget(figures);
+        } else {
+            cold.figures(figures);
+        }
+        for (DaemonFile.Pool p : file.pools().values()) {
+            PoolSettings.all(p).forEach(s -> cold.rate(s.id(), s.capacity()));
+        }
+    }
+
+    /** Servers that this file names and the one before did not have just come. */
+    private void births(DaemonFile file, Generation before, double now) {
+        Set<Integer> present = new HashSet<>();
+        for (DaemonFile.Pool p : file.pools().values()) {
+            PoolSettings.all(p).stream().filter(s -> !s.down()).forEach(s -> present.add(s.id()));
+        }
+        if (before != null) {
+            Set<Integer> known = new HashSet<>();
+            for (DaemonFile.Pool p : before.file.pools().values()) {
+                PoolSettings.all(p).stream().filter(s -> !s.down()).forEach(s -> known.add(s.id()));
+            }
+            present.stream().filter(s -> !known.contains(s)).forEach(s -> births.added(s, now));
+        }
+        births.keep(present);
+    }
+
+    private void listeners(DaemonFile file, Map<String, Listener> fresh) {
+        Set<String> named = new HashSet<>();
+        for (DaemonFile.Listen l : file.listeners()) {
+            named.add(l.name());
+            Listener listener = fresh.get(l.name());
+            if (listener == null) {
+                listeners.get(l.name()).use(router.from(l.name()), open(file, l));
+                continue;
+            }
+            leave(listeners.put(l.name(), listener));
+            asked.put(listener, l.address());
+        }
+        openOnceListed(new ArrayList<>(fresh.values()), core.now() + LIST_WAIT_MS);
+        for (String name : List.copyOf(listeners.keySet())) {
+            if (!named.contains(name)) {
+                leave(listeners.remove(name));
+            }
+        }
+    }
+
+    /** A proxy that does not know its servers yet could only turn clients away. */
+    private void openOnceListed(List<Listener> fresh, double latestMs) {
+        if (core.now() < latestMs && !router.generation().pools.values().stream().allMatch(p -> p.dispatcher.listed())) {
+            core.after(5, () -> openOnceListed(fresh, latestMs));
+            return;
+        }
+        fresh.forEach(Listener::bound);
+        ready.countDown();
+    }
+
+    private void leave(Listener listener) {
+        if (listener != null) {
+            asked.remove(listener);
+            leavingListeners.add(listener);
+            listener.drain();
+        }
+    }
+
+    /** Lets go of what leaves once nothing needs it. */
+    private void leave() {
+        double now = core.now();
+        leavingListeners.removeIf(l -> {
+            l.drain();
+            return l.empty();
+        });
+        older.removeIf(g -> g.inHand == 0);
+        if (leavingPools.isEmpty()) {
+            return;
+        }
+        Set<Integer> ready = new HashSet<>();
+        for (DaemonFile.Pool p : router.generation().file.pools().values()) {
+            PoolSettings.all(p).stream().filter(s -> !s.down() && !s.drain()).forEach(s -> ready.add(s.id()));
+        }
+        leavingPools.removeIf(l -> {
+            if (l.pool.dispatcher.inHand() == 0 && older.stream().noneMatch(g -> g.uses(l.pool))) {
+                l.pool.dispatcher.stop();
+                return true;
+            }
+            if (!l.cut && now >= l.graceEndsMs) {
+                l.cut = true;
+                l.pool.listOnly(ready::contains);
+            }
+            return false;
+        });
+    }
+
+    /** Servers that the file lists and that restart: told by no list, seen on their sockets. */
+    private final class Restarts implements Servers.Observer {
+        @Override
+        public void refused(int server) {
+            births.refused(server);
+        }
+
+        @Override
+        public void connected(int server) {
+            if (births.connected(server, core.now())) {
+                // Not from within the connection's own event: a list retires connections to what has restarted.
+                loop.execute(() -> router.generation().pools.values().stream()
+                        .filter(p -> p.spec().discovery() == null && p.has(server)).forEach(PoolRunner::list));
+            }
+        }
+    }
+
+    // ---- the end
+
+    /** Answers what it has, takes nothing new and returns once that is done, or at the longest deadline. */
+    public void drain() {
+        loop.execute(() -> {
+            double longest = router.generation().file.classes().stream().mapToDouble(c -> c.deadlineMs()).max()
+                    .orElse(0);
+            listenEndsMs = core.now() + LISTEN_ON_MS;
+            drainEndsMs = listenEndsMs + longest + 150;
+            drainOn();
+        });
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void drainOn() {
+        double now = core.now();
+        if (now >= listenEndsMs) {
+            List.copyOf(listeners.keySet()).forEach(name -> leave(listeners.remove(name)));
+            leave();
+            if (leavingListeners.isEmpty() || now >= drainEndsMs) {
+                ended.countDown();
+                return;
+            }
+        }
+        loop.schedule(this::drainOn, 20, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends at once. */
+    @Override
+    public void close() {
+        loop.submit(() -> {
+            if (router.generation() != null) {
+                router.generation().pools.values().forEach(p -> p.dispatcher.stop());
+            }
+        }).syncUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -0,0 +1,133 @@
+package damsonworks.daemon;
+
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.config.DaemonFile;
+import damsonworks.limits.Births;
+import damsonworks.limits.ColdBudget;
+import damsonworks.limits.PoolAdmission;
+import damsonworks.limits.PoolGate;
+import damsonworks.limits.RetryBudget;
+import damsonworks.placement.BackupPlacement;
+import damsonworks.placement.CarpPlacement;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.DiscoveryClient;
+import damsonworks.proxy.Dispatcher;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/** A pool at work: its module with what carries its orders out, and its bounds. On the event loop only. */
+final class PoolRunner {
+    final String name;
+    final Dispatcher dispatcher;
+    private final Settings settings;
+    private final Births births;
+    private final PoolAdmission admission;
+    private final Set<Integer> backups = new HashSet<>();
+    private DaemonFile file;
+    private DaemonFile.Pool spec;
+    private PoolGate gate;
+
+    PoolRunner(Core core, DaemonFile file, DaemonFile.Pool spec, long seed, ColdBudget cold, Births births) {
+        name = spec.name();
+        this.file = file;
+        this.spec = spec;
+        this.births = births;
+        settings = PoolSettings.of(file, spec);
+        admission = new PoolAdmission(cold, retries(spec));
+        gate = new PoolGate(spec.inHand(), spec.perSecond());
+        dispatcher = new Dispatcher(core, new Dispatcher.Pool(settings, seed, file.limits().idleCloseMs(),
+                spec.connections(), spec.originConnections(), spec.streams(), spec.plainNodes(),
+                BackupPlacement.over(CarpPlacement::new, backups::contains), admission));
+        if (spec.discovery() == null) {
+            dispatcher.start(Dispatcher.ListSource.NONE);
+            list();
+        } else {
+            DaemonFile.Discovery d = spec.discovery();
+            DiscoveryClient client = new DiscoveryClient(core.loop(),
+                    new DiscoveryClient.Source(d.address(), null, true, d.zones(), d.kinds()), dispatcher);
+            dispatcher.start(client);
+            client.start();
+        }
+    }
+
+    private static RetryBudget retries(DaemonFile.Pool spec) {
+        return new RetryBudget(spec.retryShare(), spec.retriesAlways());
+    }
+
+    /** Whether this pool can go on under another file; else a new one must take its place. */
+    boolean fits(DaemonFile other, DaemonFile.Pool next) {
+        return settings.equals(PoolSettings.of(other, next)) && spec.connections() == next.connections()
+                && spec.originConnections() == next.originConnections() && spec.streams() == next.streams()
+                && spec.plainNodes() == next.plainNodes() && spec.placement().equals(next.placement())
+                && java.util.Objects.equals(spec.discovery(), next.discovery())
+                && file.limits().idleCloseMs() == other.limits().idleCloseMs();
+    }
+
+    /** Takes over what a new file says of servers and bounds. */
+    void apply(DaemonFile next) {
+        DaemonFile.Pool pool = next.pools().get(name);
+        boolean sameGate = pool.inHand() == spec.inHand() && pool.perSecond() == spec.perSecond();
+        boolean sameRetries = pool.retryShare() == spec.retryShare() && pool.retriesAlways() == spec.retriesAlways();
+        file = next;
+        spec = pool;
+        if (!sameGate) {
+            gate = new PoolGate(spec.inHand(), spec.perSecond());
+        }
+        if (!sameRetries) {
+            admission.retries(retries(spec));
+        }
+        if (spec.discovery() == null) {
+            list();
+        }
+    }
+
+    /** Hands the module the file's servers. */
+    void list() {
+        backups.clear();
+        spec.servers().stream().filter(DaemonFile.Server::backup).forEach(s -> backups.add(s.id()));
+        dispatcher.listed(ListKind.FULL, hosts(s -> true));
+    }
+
+    /** From now on only these servers are sent to, by requests that are in hand. */
+    void listOnly(IntPredicate server) {
+        if (spec.discovery() == null) {
+            dispatcher.listed(ListKind.FULL, hosts(server));
+        }
+    }
+
+    boolean has(int server) {
+        return spec.servers().stream().anyMatch(s -> s.id() == server)
+                || spec.origin() != null && spec.origin().id() == server;
+    }
+
+    private List<DiscoveryClient.Host> hosts(IntPredicate wanted) {
+        List<DiscoveryClient.Host> hosts = new ArrayList<>();
+        for (DaemonFile.Server s : PoolSettings.all(spec)) {
+            if (!s.down() && wanted.test(s.id())) {
+                Member m = PoolSettings.member(file, spec, s, births.of(s.id()));
+                hosts.add(new DiscoveryClient.Host(m, s.dial()));
+            }
+        }
+        return hosts;
+    }
+
+    /** 0 if one more request may come in, which then counts; else the milliseconds after which to come again. */
+    double admit(double now) {
+        return gate.admit(now, dispatcher.inHand());
+    }
+
+    /** What drops repeats of keyed requests; null: nothing does. */
+    String dedupGroup() {
+        return spec.dedupGroup();
+    }
+
+    DaemonFile.Pool spec() {
+        return spec;
+    }
+
+}
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -0,0 +1,93 @@
+package damsonworks.daemon;
+
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Reports;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import damsonworks.config.DaemonFile;
+import damsonworks.placement.BackupPlacement;
+import damsonworks.placement.CarpPlacement;
+import damsonworks.routes.Explain;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A pool of the file in the terms of the decision module. */
+final class PoolSettings {
+    /** A proxy that has not asked discovery for so long asks. */
+    private static final double ASK_WITHIN_MS = 10_000;
+
+    private PoolSettings() { }
+
+    /** All servers of a pool, its origin last. */
+    static List<DaemonFile.Server> all(DaemonFile.Pool pool) {
+        List<DaemonFile.Server> all = new ArrayList<>(pool.servers());
+        if (pool.origin() != null) {
+            all.add(pool.origin());
+        }
+        return all;
+    }
+
+    private static List<String> kinds(DaemonFile.Pool pool) {
+        if (pool.discovery() != null) {
+            return pool.discovery().kinds();
+        }
+        List<String> kinds = new ArrayList<>(pool.servers().stream().map(DaemonFile.Server::kind).distinct().toList());
+        if (pool.origin() != null) {
+            kinds.add("\0origin"); // a kind of its own, whatever the file calls its servers
+        }
+        return kinds;
+    }
+
+    static Settings of(DaemonFile file, DaemonFile.Pool pool) {
+        DaemonFile.Site site = file.site();
+        DaemonFile.Limits limits = file.limits();
+        boolean listed = pool.discovery() == null;
+        List<String> kinds = kinds(pool);
+        List<String> zones = listed ? site.zones() : pool.discovery().zones();
+        boolean aside = listed ? pool.origin() != null : pool.discovery().originKind() != null;
+        int originKind = !aside ? -1 : listed ? kinds.size() - 1 : kinds.indexOf(pool.discovery().originKind());
+        return new Settings(site.me(), site.instances(), Math.max(0, zones.indexOf(site.zones().get(0))), zones.size(),
+                kinds.size(), !listed, aside, originKind, Reports.NONE, List.of(), false,
+                file.tenants().size() > 1 ? 0.1 : 1, true, false, false, limits.secondCopies(), true,
+                limits.maxAttempts(), limits.maxRetryAfterMs(), limits.connectTimeoutMs(), site.drainGraceMs(), 20,
+                site.startCapacity(), site.warmUpMs(), site.tipMultiple(), site.fallMs(), ASK_WITHIN_MS, 0, 0,
+                file.classes(), file.tenants());
+    }
+
+    static Member member(DaemonFile file, DaemonFile.Pool pool, DaemonFile.Server s, double bornMs) {
+        boolean origin = s == pool.origin();
+        List<String> kinds = kinds(pool);
+        return new Member(s.id(), file.site().zones().indexOf(s.zone()), origin ? kinds.size() - 1
+                : kinds.indexOf(s.kind()), 0, s.drain() ? State.DRAINING : State.READY, (float) s.weight(), bornMs);
+    }
+
+    /** The file's pools for {@code explain}. */
+    static Explain explain(DaemonFile file) {
+        Map<String, Explain.PoolView> views = new LinkedHashMap<>();
+        for (DaemonFile.Pool p : file.pools().values()) {
+            List<Member> ready = new ArrayList<>();
+            Map<Integer, String> names = new HashMap<>();
+            Set<Integer> backups = new HashSet<>();
+            for (DaemonFile.Server s : p.servers()) {
+                names.put(s.id(), s.name());
+                if (s.backup()) {
+                    backups.add(s.id());
+                }
+                if (!s.down() && !s.drain()) {
+                    ready.add(member(file, p, s, 0));
+                }
+            }
+            ready.sort((a, b) -> Integer.compareUnsigned(a.id(), b.id()));
+            views.put(p.name(), new Explain.PoolView(ready, names,
+                    BackupPlacement.over(CarpPlacement::new, backups::contains).of(ready),
+                    p.origin() == null ? null : p.origin().name(), p.discovery() == null,
+                    file.chain(List.of(p.name()))));
+        }
+        return new Explain(file.routes(), views);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/RoutedRequest.java
@@ -0,0 +1,176 @@
+package damsonworks.daemon;
+
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.proxy.Command;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.Exchange;
+import damsonworks.proxy.RequestHandler;
+import damsonworks.proxy.Responder;
+import damsonworks.routes.Fallback;
+import io.netty.buffer.ByteBuf;
+import java.util.List;
+
+/**
+ * A request on its way through the pools of its route: each pool's module has it until it serves it or gives it up,
+ * and the client gets one answer. It is the responder of whichever pool has it.
+ */
+final class RoutedRequest implements Responder, RequestHandler.Handle {
+    private final Core core;
+    private final Generation generation;
+    private final List<PoolRunner> chain;
+    private final ServiceClass kind;
+    /** As pools get it. */
+    private final Command command;
+    /** As the client sent it, where a route has changed the key; else null. */
+    private final Command original;
+    private final Responder client;
+    private int at = -1;
+    private Exchange current;
+    private boolean over;
+    private boolean mayHaveRun;
+    /** What drops repeats in all pools in which it may have run; null where that is nothing, or more than one. */
+    private String ranGroup;
+    private boolean failed;
+    private boolean allMissed = true;
+    private double advice;
+
+    /** Takes the commands over; {@code original} is null unless the key was changed. */
+    RoutedRequest(Core core, Generation generation, List<PoolRunner> chain, Command command, Command original,
+            Responder client) {
+        this.core = core;
+        this.generation = generation;
+        this.chain = chain;
+        this.command = command;
+        this.original = original;
+        this.client = client;
+        kind = generation.file.classes().get(command.serviceClass());
+        generation.inHand++;
+    }
+
+    /** Goes to the next pool that takes it, or ends. */
+    void next() {
+        while (++at < chain.size()) {
+            PoolRunner pool = chain.get(at);
+            double now = core.now();
+            if (!Fallback.mayGoOn(kind, mayHaveRun, ranGroup, pool.dedupGroup(), now, command.arrivedMs())) {
+                break;
+            }
+            double due = Fallback.dueMs(kind, mayHaveRun, at == chain.size() - 1, now, command.arrivedMs(),
+                    command.dueMs());
+            if (due <= now) {
+                break;
+            }
+            double wait = pool.admit(now);
+            if (wait > 0) {
+                advice = wait;
+                failed = false;
+                allMissed = false;
+                continue;
+            }
+            Exchange x = Exchange.of(pool.dispatcher, command, this, due);
+            current = x;
+            pool.dispatcher.take(x);
+            return;
+        }
+        if (failed || !Fallback.mayRefuse(kind, mayHaveRun)) {
+            over();
+            client.failed();
+        } else if (allMissed && at > 0) {
+            over();
+            client.miss();
+        } else {
+            over();
+            client.refused(advice);
+        }
+    }
+
+    private void givenUp(boolean missed, boolean hasFailed, double retryAfterMs) {
+        if (over) {
+            return;
+        }
+        if (current.mayHaveRun()) {
+            String group = chain.get(at).dedupGroup();
+            ranGroup = mayHaveRun && (ranGroup == null || !ranGroup.equals(group)) ? null : group;
+            mayHaveRun = true;
+        }
+        failed = hasFailed;
+        allMissed &= missed;
+        advice = retryAfterMs;
+        next();
+    }
+
+    private void over() {
+        over = true;
+        generation.inHand--;
+        core.closeId(command);
+        command.release(core);
+        if (original != null) {
+            original.release(core);
+        }
+    }
+
+    @Override
+    public void miss() {
+        givenUp(true, false, 0);
+    }
+
+    @Override
+    public void refused(double retryAfterMs) {
+        givenUp(false, false, retryAfterMs);
+    }
+
+    @Override
+    public void failed() {
+        givenUp(false, true, 0);
+    }
+
+    @Override
+    public void value(ByteBuf value) {
+        over();
+        client.value(value);
+    }
+
+    @Override
+    public void receipt(String receipt) {
+        over();
+        client.receipt(receipt);
+    }
+
+    @Override
+    public void rejected(String why) {
+        over();
+        client.rejected(why);
+    }
+
+    @Override
+    public void begin(int length, Flow source) {
+        client.begin(length, source);
+    }
+
+    @Override
+    public void part(ByteBuf part) {
+        client.part(part);
+    }
+
+    @Override
+    public void end() {
+        over();
+        client.end();
+    }
+
+    @Override
+    public void breakOff() {
+        if (!over) {
+            over();
+        }
+        client.breakOff();
+    }
+
+    @Override
+    public void gone() {
+        if (!over) {
+            over();
+            current.gone();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/Router.java
@@ -0,0 +1,72 @@
+package damsonworks.daemon;
+
+import damsonworks.proxy.Command;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.RequestHandler;
+import damsonworks.proxy.Responder;
+import damsonworks.routes.Route;
+import damsonworks.routes.Subject;
+
+/** Takes the requests of all listeners and sends each on its route. */
+final class Router {
+    private final Core core;
+    private Generation generation;
+
+    Router(Core core) {
+        this.core = core;
+    }
+
+    /** Requests that come from now on go by this. */
+    void use(Generation next) {
+        generation = next;
+    }
+
+    Generation generation() {
+        return generation;
+    }
+
+    /** What a listener of this name hands its requests to. */
+    RequestHandler from(String listener) {
+        return (command, responder) -> take(listener, command, responder);
+    }
+
+    private RequestHandler.Handle take(String listener, Command command, Responder responder) {
+        Generation g = generation;
+        String fault = g.intake.resolve(command);
+        if (fault != null) {
+            command.release(core);
+            responder.rejected(fault);
+            return null;
+        }
+        Route route = g.file.routes().find(new Subject(listener, command.key(), command.serviceClass(),
+                command.tenant(), command.write()));
+        if (route != null && route.action() instanceof Route.ToPools) {
+            return to(g, route, command, responder);
+        }
+        core.closeId(command);
+        command.release(core);
+        if (route == null) {
+            responder.rejected("no route takes this key");
+        } else if (route.action() instanceof Route.Refuse r) {
+            responder.refused(r.afterMs());
+        } else {
+            responder.failed();
+        }
+        return null;
+    }
+
+    private RequestHandler.Handle to(Generation g, Route route, Command command, Responder responder) {
+        String key = route.rewrite().apply(command.key());
+        if (key == null) {
+            core.closeId(command);
+            command.release(core);
+            responder.rejected("route " + route.name() + " makes no legal key of this one");
+            return null;
+        }
+        boolean rewritten = !key.equals(command.key());
+        RoutedRequest r = new RoutedRequest(core, g, g.chain(route), rewritten ? command.withKey(key) : command,
+                rewritten ? command : null, responder);
+        r.next();
+        return r;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/limits/Births.java
@@ -0,0 +1,46 @@
+package damsonworks.limits;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * When servers last started, where no list tells. A server that is new in the file is new; one that refused
+ * connections had no process, so that it has started anew when it takes them again. Free of clocks; Unix time in
+ * milliseconds. As many entries as servers are known.
+ */
+public final class Births {
+    private final Map<Integer, Double> born = new HashMap<>();
+    private final Set<Integer> down = new HashSet<>();
+
+    /** 0: long ago. */
+    public double of(int server) {
+        return born.getOrDefault(server, 0.0);
+    }
+
+    /** A server that was there before we were is taken for warm; one that comes later is not. */
+    public void added(int server, double now) {
+        born.putIfAbsent(server, now);
+    }
+
+    /** Forgets all but these. */
+    public void keep(Set<Integer> servers) {
+        born.keySet().retainAll(servers);
+        down.retainAll(servers);
+    }
+
+    /** It refused a connection. */
+    public void refused(int server) {
+        down.add(server);
+    }
+
+    /** It took a connection; true if it has started since it was last known to run. */
+    public boolean connected(int server, double now) {
+        if (!down.remove(server)) {
+            return false;
+        }
+        born.put(server, now);
+        return true;
+    }
+}
--- a/src/main/java/damsonworks/proxy/Clients.java
+++ b/src/main/java/damsonworks/proxy/Clients.java
@@ -6,14 +6,14 @@
 import java.util.Set;
 
 /** The clients of all listeners of one event loop, and the bound on them. */
-final class Clients {
+public final class Clients {
     private final Core core;
     private final int max;
     private final Set<ClientConnection> all = new HashSet<>();
     private final List<Listener> listeners = new ArrayList<>();
 
     /** @param max connections of clients; one that has stood idle makes room for a new one */
-    Clients(Core core, int max) {
+    public Clients(Core core, int max) {
         this.core = core;
         this.max = max;
     }
@@ -58,7 +58,7 @@
         }
     }
 
-    void sweep() {
+    public void sweep() {
         double now = core.now();
         for (ClientConnection c : List.copyOf(all)) {
             if (c.stalled(now)) {
--- a/src/main/java/damsonworks/proxy/Command.java
+++ b/src/main/java/damsonworks/proxy/Command.java
@@ -52,7 +52,7 @@
     }
 
     /** The same request for another key. It shares the value and must be released, too. */
-    Command withKey(String other) {
+    public Command withKey(String other) {
         Command c = new Command(other, id, write, extras, head.substring(0, 3) + other
                 + head.substring(3 + key.length()), tail);
         if (value != null) {
@@ -105,7 +105,7 @@
         return this;
     }
 
-    void release(Core core) {
+    public void release(Core core) {
         if (--holders == 0 && value != null) {
             core.giveBack(reserved);
             value.release();
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -5,12 +5,9 @@
 import com.google.gson.JsonParser;
 import com.google.gson.JsonPrimitive;
 import damsonworks.RoutingApi.Settings;
+import damsonworks.config.Addresses;
 import damsonworks.wire.SettingsParser;
-import io.netty.util.NetUtil;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -48,10 +45,10 @@
         JsonObject limits = json.has("limits") ? json.getAsJsonObject("limits") : new JsonObject();
         List<InetSocketAddress> peers = new ArrayList<>();
         if (json.has("peers")) {
-            json.getAsJsonArray("peers").forEach(p -> peers.add(address(p.getAsString())));
+            json.getAsJsonArray("peers").forEach(p -> peers.add(Addresses.of(p.getAsString())));
         }
         return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
-                address(need(json, "listen").getAsString()), address(need(json, "discovery").getAsString()),
+                Addresses.of(need(json, "listen").getAsString()), Addresses.of(need(json, "discovery").getAsString()),
                 Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
                 (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
@@ -74,7 +71,7 @@
 
     private static InetSocketAddress optionalAddress(JsonObject json, String key) {
         String text = json.has(key) && json.get(key).isJsonPrimitive() ? json.get(key).getAsString() : "";
-        return text.isEmpty() ? null : address(text);
+        return text.isEmpty() ? null : Addresses.of(text);
     }
 
     /** The simulator's form: lists of plain values joined by commas, lists of objects counted and numbered. */
@@ -103,24 +100,4 @@
     static String word(String text) {
         return text.replace(' ', '_').replace(',', '_');
     }
-
-    /** A literal address with its port. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            if (ip != null) {
-                return new InetSocketAddress(InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
-            }
-        } catch (UnknownHostException | IllegalArgumentException e) {
-        }
-        throw new IllegalArgumentException("'" + text + "' is not an address with a port");
-    }
-
-    /** An address in the form that it is told in. */
-    static String text(SocketAddress address) {
-        return address instanceof InetSocketAddress i ? i.getAddress().getHostAddress() + ":" + i.getPort()
-                : address.toString();
-    }
 }
--- a/src/main/java/damsonworks/proxy/Core.java
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -39,7 +39,7 @@
      * @param maxValueBytes what clients' values in hand may take together
      * @param maxUpstream connections to all servers together
      */
-    Core(EventLoop loop, Class<? extends Channel> upstream, long maxValueBytes, int maxUpstream) {
+    public Core(EventLoop loop, Class<? extends Channel> upstream, long maxValueBytes, int maxUpstream) {
         this.loop = loop;
         this.upstream = upstream;
         this.maxValueBytes = maxValueBytes;
@@ -58,7 +58,7 @@
         return epochMs + (System.nanoTime() - startNanos) / 1e6;
     }
 
-    Timer after(double ms, Runnable task) {
+    public Timer after(double ms, Runnable task) {
         return timers.after(ms, task);
     }
 
@@ -108,6 +108,20 @@
         upstreamCount--;
     }
 
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** Who is told of servers that refuse connections and of those that take them again. */
+    public void observe(Servers.Observer observer) {
+        servers.observe(observer);
+    }
+
+    /** The id of a request that has had its answer may come again. */
+    public void closeId(Command command) {
+        openIds.remove(command.id);
+    }
+
     /** A line on standard error; their number is bounded. */
     public void log(String line) {
         if (++logLines <= MAX_LOG_LINES) {
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -6,6 +6,8 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.config.Addresses;
+import damsonworks.config.ServerId;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -32,9 +34,9 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.zip.CRC32;
 
-final class DiscoveryClient implements Dispatcher.ListSource {
+/** Follows discovery's list of servers for one pool. */
+public final class DiscoveryClient implements Dispatcher.ListSource {
     private static final int WAIT_MS = 20_000;
     /** How much longer than its wait a call may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
@@ -43,7 +45,7 @@
     private static final int MAX_LIST = 4 << 20;
 
     /** A server of the list. */
-    record Host(Member member, SocketAddress dial) { }
+    public record Host(Member member, SocketAddress dial) { }
 
     /**
      * What is followed.
@@ -51,7 +53,7 @@
      * @param known the list as it was last had, in discovery's form; null for none
      * @param ask whether the module asks for the list; else it is followed from the start
      */
-    record Source(InetSocketAddress address, JsonObject known, boolean ask, List<String> zones, List<String> kinds) {
+    public record Source(InetSocketAddress address, JsonObject known, boolean ask, List<String> zones, List<String> kinds) {
         static Source of(Config config) {
             return new Source(config.discovery(), config.known(), config.settings().askForList(), config.zones(),
                     config.kinds());
@@ -65,8 +67,9 @@
     private final Line listLine = new Line();
     private InetSocketAddress address;
     private long version;
+    private boolean closed;
 
-    DiscoveryClient(EventLoop loop, Source source, Dispatcher dispatcher) {
+    public DiscoveryClient(EventLoop loop, Source source, Dispatcher dispatcher) {
         this.loop = loop;
         this.source = source;
         this.dispatcher = dispatcher;
@@ -89,7 +92,7 @@
     }
 
     /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
-    void start() {
+    public void start() {
         List<Host> known = List.of();
         if (source.known() != null) {
             try {
@@ -114,6 +117,13 @@
         }
     }
 
+    @Override
+    public void close() {
+        closed = true;
+        listLine.close();
+        watchLine.close();
+    }
+
     @Override
     public void fetch() {
         listLine.call("/discovery/hosts", 0, json -> {
@@ -196,22 +206,8 @@
         }
         double born = h.has("born_ms") ? h.get("born_ms").getAsDouble() : 0;
         int cell = h.has("block") ? h.get("block").getAsInt() : 0;
-        return new Host(new Member(id(name), zone, kind, cell, state, weight, born),
-                Config.address(h.get("dial").getAsString()));
-    }
-
-    static int id(String name) {
-        String digits = name.substring(name.lastIndexOf('-') + 1);
-        try {
-            if (digits.length() <= 8) {
-                return Integer.parseUnsignedInt(digits, 16);
-            }
-        } catch (NumberFormatException e) {
-            // not of that form
-        }
-        CRC32 sum = new CRC32();
-        sum.update(name.getBytes(StandardCharsets.UTF_8));
-        return (int) sum.getValue();
+        return new Host(new Member(ServerId.of(name), zone, kind, cell, state, weight, born),
+                Addresses.of(h.get("dial").getAsString()));
     }
 
     /** A connection for one call at a time, kept between calls. */
@@ -222,6 +218,9 @@
 
         /** Calls; the consumer gets the answer, or null where there is none that can be used. */
         void call(String path, int waitMs, Consumer<JsonObject> then) {
+            if (closed) {
+                return;
+            }
             if (waiting != null) {
                 close();
             }
@@ -247,7 +246,7 @@
         private void write(Channel to, String path) {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
                     Unpooled.EMPTY_BUFFER);
-            request.headers().set(HttpHeaderNames.HOST, Config.text(address));
+            request.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
             to.writeAndFlush(request);
         }
 
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -50,11 +50,14 @@
     private int nextId;
 
     /** Where the module's calls for the list go. */
-    interface ListSource {
+    public interface ListSource {
         void watch(boolean on);
 
         void fetch();
 
+        /** Asks for nothing any more. */
+        default void close() { }
+
         /** For lists that come from elsewhere. */
         ListSource NONE = new ListSource() {
             @Override
@@ -73,7 +76,7 @@
      * @param streamsPerConnection attempts on one connection of a cache node
      * @param plainNodes whether nodes are stock ones, which give no receipts and no ids with a miss
      */
-    record Pool(Settings settings, long seed, double idleCloseMs, int cacheConnections, int originConnections,
+    public record Pool(Settings settings, long seed, double idleCloseMs, int cacheConnections, int originConnections,
             int streamsPerConnection, boolean plainNodes, Placement.Factory placements, Admission admission) {
 
         /** The platform's one pool. Servers accept some forty connections each, for all proxies together. */
@@ -85,13 +88,17 @@
         }
     }
 
-    Dispatcher(Core core, Pool pool) {
+    public Dispatcher(Core core, Pool pool) {
         this.core = core;
         this.pool = pool;
         settings = pool.settings();
     }
 
     /** Starts the module; discovery and peers come to be used from here on. */
+    public void start(ListSource source) {
+        start(source, null);
+    }
+
     void start(ListSource source, PeerSocket socket) {
         discovery = source;
         peers = socket;
@@ -100,8 +107,9 @@
     }
 
     /** Ends at once. Connections to servers that no other pool holds are closed. */
-    void stop() {
+    public void stop() {
         stopped = true;
+        discovery.close();
         sweeper.cancel(false);
         for (Integer id : List.copyOf(upstreams.keySet())) {
             Upstream u = upstreams.remove(id);
@@ -132,12 +140,17 @@
         return pool.plainNodes();
     }
 
-    Settings settings() {
+    public Settings settings() {
         return settings;
     }
 
+    /** Whether a list has come that has a server. */
+    public boolean listed() {
+        return !upstreams.isEmpty();
+    }
+
     /** Requests in hand. */
-    int inHand() {
+    public int inHand() {
         return exchanges.size();
     }
 
@@ -185,7 +198,7 @@
         }
     }
 
-    void listed(ListKind kind, List<DiscoveryClient.Host> hosts) {
+    public void listed(ListKind kind, List<DiscoveryClient.Host> hosts) {
         for (DiscoveryClient.Host h : hosts) {
             int id = h.member().id();
             Upstream u = upstreams.get(id);
@@ -231,7 +244,7 @@
     }
 
     /** Takes a request; it will be answered once. */
-    void take(Exchange x) {
+    public void take(Exchange x) {
         Command c = x.command;
         x.id = ++nextId;
         exchanges.put(x.id, x);
@@ -470,7 +483,9 @@
 
     @Override
     public void tell(int peer, byte[] message) {
-        peers.send(peer, message);
+        if (peers != null) {
+            peers.send(peer, message);
+        }
     }
 
     @Override
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** A request in a pool's hands, with its attempts. */
-final class Exchange implements RequestHandler.Handle {
+public final class Exchange implements RequestHandler.Handle {
     final Dispatcher dispatcher;
     final Command command;
     final Responder responder;
@@ -30,6 +30,18 @@
         this.holdsId = holdsId;
     }
 
+    /** One that a router hands on; it holds the command until its attempts have ended. */
+    public static Exchange of(Dispatcher pool, Command command, Responder responder, double dueMs) {
+        Exchange x = new Exchange(pool, command.retain(), responder, false);
+        x.dueMs = dueMs;
+        return x;
+    }
+
+    /** Whether any attempt may have run, or may yet. */
+    public boolean mayHaveRun() {
+        return mayHaveRun || out > 0;
+    }
+
     @Override
     public void gone() {
         dispatcher.gone(this);
--- a/src/main/java/damsonworks/proxy/Intake.java
+++ b/src/main/java/damsonworks/proxy/Intake.java
@@ -13,7 +13,7 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
 
-    Intake(Core core, List<ServiceClass> kinds, List<Tenant> owners) {
+    public Intake(Core core, List<ServiceClass> kinds, List<Tenant> owners) {
         this.core = core;
         this.kinds = kinds;
         for (ServiceClass c : kinds) {
@@ -23,7 +23,7 @@
     }
 
     /** Fills in the request's figures; what is wrong with it, or null. */
-    String resolve(Command c) {
+    public String resolve(Command c) {
         Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
         String owner = MetaCodec.named(c.extras, "t");
         Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /** An address where clients connect, and the clients that came there. */
-final class Listener implements ClientConnection.Front {
+public final class Listener implements ClientConnection.Front {
     private static final int BACKLOG = 512;
 
     private final Core core;
@@ -23,19 +23,40 @@
     private OpenMeta open;
     private Channel channel;
     private boolean draining;
+    private boolean held;
 
     /** @param open what stock clients' commands are given; null for the platform's clients */
-    Listener(Core core, Clients clients, RequestHandler handler, OpenMeta open) {
+    public Listener(Core core, Clients clients, RequestHandler handler, OpenMeta open) {
         this.core = core;
         this.clients = clients;
         this.handler = handler;
         this.open = open;
     }
 
+    /** Takes the address, but no connections before {@link #bound()}. */
+    public ChannelFuture reserve(SocketAddress address) {
+        held = true;
+        return bind(address);
+    }
+
+    /** Takes connections from now on. */
+    public void bound() {
+        held = false;
+        if (!draining) {
+            accept(true);
+        }
+    }
+
+    /** Gives the address back where it was only reserved. */
+    public void close() {
+        channel.close();
+        core.loop.execute(() -> clients.remove(this));
+    }
+
     /** Binds; connections are taken from then on. Its future's channel has the address. */
-    ChannelFuture bind(SocketAddress address) {
+    public ChannelFuture bind(SocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(core.loop).channel(Transport.BEST.server())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.AUTO_READ, !held).option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
                 .childHandler(new ChannelInitializer<>() {
@@ -52,24 +73,24 @@
         return bound;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) channel.localAddress();
     }
 
     void accept(boolean on) {
-        if (channel.config().isAutoRead() != on) {
+        if (!held && channel.config().isAutoRead() != on) {
             channel.config().setAutoRead(on);
         }
     }
 
     /** Requests go there from now on, and get these defaults. */
-    void use(RequestHandler to, OpenMeta defaults) {
+    public void use(RequestHandler to, OpenMeta defaults) {
         handler = to;
         open = defaults;
     }
 
     /** Takes no new connections; those that are there end between requests. To be called until it is empty. */
-    void drain() {
+    public void drain() {
         if (!draining) {
             draining = true;
             channel.close();
@@ -82,7 +103,7 @@
         }
     }
 
-    boolean empty() {
+    public boolean empty() {
         return own.isEmpty();
     }
 
--- a/src/main/java/damsonworks/proxy/OpenMeta.java
+++ b/src/main/java/damsonworks/proxy/OpenMeta.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -7,22 +8,25 @@
  * {@code mg KEY v} and {@code ms KEY LENGTH}, with the flags {@code O} (opaque), {@code k} (the key comes back) and
  * {@code P} (our list, which may name class, tenant and deadline). What is not understood is told in a line.
  */
-final class OpenMeta {
+public final class OpenMeta {
     private static final String READ_FLAGS = "vOkP";
     private static final String WRITE_FLAGS = "OkP";
 
     private final String readDefaults;
     private final String writeDefaults;
+    private final Set<String> keyed;
     private final Supplier<String> ids;
 
     /**
      * @param readDefaults the list that a read without one gets, such as {@code c=page,t=acme,d=400}; names that the
      *            request's own list has are left out
+     * @param keyed names of classes whose repeats servers drop by a key; a request without one gets its id
      * @param ids new ids for requests
      */
-    OpenMeta(String readDefaults, String writeDefaults, Supplier<String> ids) {
+    public OpenMeta(String readDefaults, String writeDefaults, Set<String> keyed, Supplier<String> ids) {
         this.readDefaults = readDefaults;
         this.writeDefaults = writeDefaults;
+        this.keyed = keyed;
         this.ids = ids;
     }
 
@@ -84,13 +88,17 @@
     }
 
     /** The deadline is not left in the list: it is told to each node anew. */
-    private Command command(String key, boolean write, int length, String extras) {
+    private Command command(String key, boolean write, int length, String list) {
+        String extras = list;
+        String id = ids.get();
+        if (write && keyed.contains(MetaCodec.named(extras, "c")) && MetaCodec.valueAt(extras, "k") < 0) {
+            extras += ",k=" + id;
+        }
         int d = MetaCodec.valueAt(extras, "d");
         if (d < 0) {
-            return Command.of(key, ids.get(), write, length, extras);
+            return Command.of(key, id, write, length, extras);
         }
         int end = extras.indexOf(',', d);
-        String id = ids.get();
         String head = (write ? "ms " + key + " " + length : "mg " + key + " v") + " O" + id + " P";
         return new Command(key, id, write, extras, head + extras.substring(0, d), end < 0 ? "" : extras.substring(end));
     }
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.config.Addresses;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -63,7 +64,7 @@
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
             }
         }
-        request.headers().set(HttpHeaderNames.HOST, Config.text(dial));
+        request.headers().set(HttpHeaderNames.HOST, Addresses.text(dial));
         return channel.writeAndFlush(request);
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -51,9 +51,9 @@
     public static void main() {
         Config config = configuration();
         try {
-            onHangup(() -> { });
+            Hangup.run(() -> { });
             Proxy proxy = new Proxy(config, true);
-            onHangup(() -> proxy.reload(System.getenv("BALANCER_CONFIG")));
+            Hangup.run(() -> proxy.reload(System.getenv("BALANCER_CONFIG")));
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
         } catch (Exception e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
@@ -61,21 +61,6 @@
         }
     }
 
-    /**
-     * SIGHUP tells of a new configuration; unhandled it would end the process. The JDK's signals are called by
-     * reflection, as the compiler warns of their package and can't be told not to.
-     */
-    private static void onHangup(Runnable task) throws ReflectiveOperationException {
-        Class<?> signal = Class.forName("sun.misc.Signal");
-        Class<?> handler = Class.forName("sun.misc.SignalHandler");
-        signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                java.lang.reflect.Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                        (self, method, args) -> {
-                            task.run();
-                            return null;
-                        }));
-    }
-
     /** Reads the configuration again for discovery's address; one that is of no use leaves all as it is. */
     void reload(String path) {
         try {
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -9,17 +9,41 @@
  * The servers of all pools. One that stands in several pools under the same id and address is one: its connections
  * are shared and their bound holds for all pools together.
  */
-final class Servers {
+public final class Servers {
+    /** Told when a server is found to be down and when it is there again. */
+    public interface Observer {
+        /** It refused a connection: no process listens. */
+        void refused(int server);
+
+        /** It took a connection. */
+        void connected(int server);
+    }
+
     private final Core core;
     /** By id; more than one where pools hold different addresses for an id. */
     private final IntObjectHashMap<List<Upstream>> byId = new IntObjectHashMap<>();
     /** Those that no pool holds any more and that still have connections with attempts. */
     private final List<Upstream> leaving = new ArrayList<>();
 
+    private Observer observer;
+
     Servers(Core core) {
         this.core = core;
     }
 
+    void observe(Observer by) {
+        observer = by;
+    }
+
+    void opened(Upstream u, Throwable failure) {
+        if (observer != null && failure == null) {
+            observer.connected(u.id);
+        } else if (observer != null && failure instanceof java.net.ConnectException
+                && !(failure instanceof io.netty.channel.ConnectTimeoutException)) {
+            observer.refused(u.id);
+        }
+    }
+
     /** The server of this id at this address, shared if it is there already; to be released once. */
     Upstream hold(int id, boolean origin, SocketAddress dial, Dispatcher.Pool pool) {
         List<Upstream> same = byId.get(id);
--- a/src/main/java/damsonworks/proxy/Timers.java
+++ b/src/main/java/damsonworks/proxy/Timers.java
@@ -6,19 +6,20 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-final class Timers {
+public final class Timers {
     private static final long SLOT_NANOS = 2_000_000;
     /** A power of two; with the slot's length it covers the longest deadline. Later timers are set anew then. */
     private static final int SLOTS = 2048;
 
-    static final class Timer {
+    /** A task that may be called off. */
+    public static final class Timer {
         private Runnable task;
 
         private Timer(Runnable task) {
             this.task = task;
         }
 
-        void cancel() {
+        public void cancel() {
             task = null;
         }
     }
--- a/src/main/java/damsonworks/proxy/Transport.java
+++ b/src/main/java/damsonworks/proxy/Transport.java
@@ -25,11 +25,11 @@
  * The kinds of channel in use: Linux's epoll by Netty's native library, which costs less for each event, or the
  * JDK's own where that can't be loaded.
  */
-record Transport(IoHandlerFactory io, Class<? extends ServerChannel> server, Class<? extends Channel> socket,
+public record Transport(IoHandlerFactory io, Class<? extends ServerChannel> server, Class<? extends Channel> socket,
         Class<? extends Channel> datagram, Class<? extends ServerChannel> localServer,
         Class<? extends Channel> localSocket) {
 
-    static final Transport BEST = Epoll.isAvailable()
+    public static final Transport BEST = Epoll.isAvailable()
             ? new Transport(EpollIoHandler.newFactory(), EpollServerSocketChannel.class, EpollSocketChannel.class,
                     EpollDatagramChannel.class, EpollServerDomainSocketChannel.class, EpollDomainSocketChannel.class)
             : new Transport(NioIoHandler.newFactory(), NioServerSocketChannel.class, NioSocketChannel.class,
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -58,6 +58,7 @@
         channel = future.channel();
         dial = to;
         future.addListener(f -> {
+            upstream.core().servers.opened(upstream, f.cause());
             if (!f.isSuccess()) {
                 // No handler is told of a channel that never became active: without this its attempts would stay
                 // out until they time out as if they might have run, and it would hold a place for good.
--- a/src/test/java/damsonworks/proxy/FakeServer.java
+++ b/src/main/java/damsonworks/standin/ScriptedServer.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package damsonworks.standin;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -15,21 +15,21 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
-/** A server on loopback that runs a script for each connection; cache nodes, origins and discovery in tests. */
-final class FakeServer implements AutoCloseable {
+/** A server on loopback that runs a script for each connection: peers that do what no sound one does. */
+public final class ScriptedServer implements AutoCloseable {
     /** What to do with a connection; its end closes it. */
-    interface Script {
+    public interface Script {
         void run(Connection connection) throws Exception;
     }
 
     /** One accepted connection, with the reading that the protocols need. */
-    static final class Connection {
-        final Socket socket;
-        final InputStream in;
-        final OutputStream out;
-        private final FakeServer server;
+    public static final class Connection {
+        public final Socket socket;
+        public final InputStream in;
+        public final OutputStream out;
+        private final ScriptedServer server;
 
-        Connection(Socket socket, FakeServer server) throws IOException {
+        Connection(Socket socket, ScriptedServer server) throws IOException {
             this.socket = socket;
             this.server = server;
             in = new BufferedInputStream(socket.getInputStream());
@@ -37,12 +37,12 @@
         }
 
         /** A line without its end; null at the end of the stream. */
-        String line() throws IOException {
-            return FakeServer.line(in);
+        public String line() throws IOException {
+            return ScriptedServer.line(in);
         }
 
         /** The next command of a proxy, kept for the test to see; null at the end of the stream. */
-        String command() throws IOException {
+        public String command() throws IOException {
             String line = line();
             if (line != null) {
                 server.commands.add(line);
@@ -51,7 +51,7 @@
         }
 
         /** The next HTTP request, its lines and body in one text; null at the end of the stream. */
-        String request() throws IOException {
+        public String request() throws IOException {
             StringBuilder text = new StringBuilder();
             int length = 0;
             for (String line; (line = line()) != null;) {
@@ -68,23 +68,23 @@
             return null;
         }
 
-        void say(String text) throws IOException {
+        public void say(String text) throws IOException {
             out.write(text.getBytes(StandardCharsets.ISO_8859_1));
             out.flush();
         }
 
-        void sayHttp(int status, String headers, String body) throws IOException {
+        public void sayHttp(int status, String headers, String body) throws IOException {
             say("HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
         /** Ends the connection with a reset. */
-        void reset() throws IOException {
+        public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
         }
 
         /** Waits for the other side's end. */
-        void awaitEnd() throws IOException {
+        public void awaitEnd() throws IOException {
             try {
                 while (in.read() >= 0) {
                     // dropped
@@ -96,7 +96,7 @@
     }
 
     /** A line without its end; null at the end of the stream. */
-    static String line(InputStream in) throws IOException {
+    public static String line(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int b; (b = in.read()) != '\n';) {
             if (b < 0) {
@@ -110,19 +110,19 @@
     }
 
     /** The id of a command or of a request to the origin. */
-    static String id(String command) {
+    public static String id(String command) {
         int at = command.contains("Req-Id: ") ? command.indexOf("Req-Id: ") + 8
                 : command.toLowerCase().contains("req-id: ") ? command.toLowerCase().indexOf("req-id: ") + 8
                 : command.indexOf(" O") + 2;
         return command.substring(at).split("\\s")[0];
     }
 
-    final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
-    final BlockingQueue<Connection> accepted = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
+    public final BlockingQueue<Connection> accepted = new LinkedBlockingQueue<>();
     private final CopyOnWriteArrayList<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
 
-    FakeServer(Script script) throws IOException {
+    public ScriptedServer(Script script) throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         daemon(() -> {
             while (true) {
@@ -140,8 +140,8 @@
     }
 
     /** A cache node that answers reads with what this function makes of the command's line. */
-    static FakeServer node(Function<String, String> answer) throws IOException {
-        return new FakeServer(c -> {
+    public static ScriptedServer node(Function<String, String> answer) throws IOException {
+        return new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
                 c.say(answer.apply(line));
             }
@@ -164,16 +164,16 @@
         thread.start();
     }
 
-    int port() {
+    public int port() {
         return server.getLocalPort();
     }
 
-    String dial() {
+    public String dial() {
         return "127.0.0.1:" + port();
     }
 
     /** The next command that any connection read. */
-    String next() throws InterruptedException {
+    public String next() throws InterruptedException {
         String command = commands.poll(20, TimeUnit.SECONDS);
         if (command == null) {
             throw new AssertionError("no command came");
--- /dev/null
+++ b/src/main/java/damsonworks/standin/StandInFleet.java
@@ -0,0 +1,54 @@
+package damsonworks.standin;
+
+import damsonworks.proxy.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Cache nodes, an origin and discovery on ephemeral ports of 127.0.0.1, on one thread of their own. */
+public final class StandInFleet implements AutoCloseable {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+    private final EventLoop loop = group.next();
+    public final Ledger ledger = new Ledger();
+    public final List<StandInNode> nodes = new ArrayList<>();
+    public final StandInOrigin origin;
+    public final StandInDiscovery discovery;
+
+    /** All listed by discovery, warm, as {@code s-00000001} and so on, and the origin as {@code origin}. */
+    public StandInFleet(int count) throws InterruptedException {
+        origin = StandInOrigin.start(loop, ledger);
+        discovery = StandInDiscovery.start(loop);
+        for (int i = 0; i < count; i++) {
+            nodes.add(StandInNode.start(loop, ledger));
+            discovery.put(name(i), nodes.get(i).dial(), "node", "up", 0);
+        }
+        origin.serves(nodes);
+        discovery.put("origin", origin.dial(), "origin", "up", 0);
+    }
+
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** A node's name in discovery's list. */
+    public static String name(int node) {
+        return "s-%08x".formatted(node + 1);
+    }
+
+    /** A node dies and comes back empty; discovery tells its start. */
+    public void restart(int node) throws InterruptedException {
+        nodes.get(node).kill();
+        nodes.get(node).revive();
+        discovery.put(name(node), nodes.get(node).dial(), "node", "up", System.currentTimeMillis());
+    }
+
+    @Override
+    public void close() {
+        nodes.forEach(StandInNode::close);
+        origin.close();
+        discovery.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/standin/StandInNode.java
@@ -0,0 +1,312 @@
+package damsonworks.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import damsonworks.proxy.Transport;
+
+/**
+ * A cache node on loopback that speaks the meta commands (memcached's protocol.txt, "Meta Commands"): one core, work
+ * for each request, stalls, restarts from empty. In a fleet with an origin it only stores; alone it keeps what it is
+ * sent.
+ */
+public final class StandInNode implements AutoCloseable {
+    /** Values that it keeps; those longest not read go first. */
+    private static final int MOST_VALUES = 100_000;
+    private static final int MOST_REPEATS = 100_000;
+
+    private final EventLoop loop;
+    private final Ledger ledger;
+    private final Map<String, byte[]> values = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, byte[]> eldest) {
+            return size() > MOST_VALUES;
+        }
+    };
+    private final Set<String> keys = new HashSet<>();
+    private final ChannelGroup connections;
+    private final AtomicInteger commands = new AtomicInteger();
+    private Channel server;
+    private int port;
+    private Missed missed;
+    private ColdWatch watch;
+    private double workMs;
+    private double busyUntilMs;
+    private double stalledUntilMs;
+    private boolean mute;
+    private int busy;
+
+    /** Told of reads that this node could not answer. */
+    interface Missed {
+        void missed(String id, String key, StandInNode node);
+    }
+
+    private StandInNode(EventLoop loop, Ledger ledger) {
+        this.loop = loop;
+        this.ledger = ledger;
+        connections = new DefaultChannelGroup(loop);
+    }
+
+    /** One that listens on an ephemeral port of 127.0.0.1. */
+    public static StandInNode start(EventLoop loop, Ledger ledger) throws InterruptedException {
+        StandInNode node = new StandInNode(loop, ledger);
+        node.listen();
+        return node;
+    }
+
+    private void listen() throws InterruptedException {
+        server = new ServerBootstrap().group(loop).channel(Transport.BEST.server())
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        channel.pipeline().addLast(new Conversation());
+                    }
+                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).sync().channel();
+        port = ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    public String dial() {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Commands that have come since the start, those of earlier lives among them. */
+    public int commands() {
+        return commands.get();
+    }
+
+    void onMiss(Missed listener) {
+        missed = listener;
+    }
+
+    // ---- what befalls it; each returns once it is so
+
+    private void run(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.submit(task).syncUninterruptibly();
+        }
+    }
+
+    /** Each request takes so long, one after another. */
+    public StandInNode work(double ms) {
+        run(() -> workMs = ms);
+        return this;
+    }
+
+    /** It answers nothing for so long, and then all that came. */
+    public void stall(double ms) {
+        run(() -> stalledUntilMs = Math.max(stalledUntilMs, now() + ms));
+    }
+
+    /** From now on it takes commands and answers none, or answers again. */
+    public void mute(boolean on) {
+        run(() -> mute = on);
+    }
+
+    /** The next so many commands are answered that it is busy. */
+    public void busy(int commandsToTurnAway) {
+        run(() -> busy = commandsToTurnAway);
+    }
+
+    /** Watches what it is sent when cold. */
+    public StandInNode watch(ColdWatch by) {
+        run(() -> watch = by);
+        return this;
+    }
+
+    /** Ends its process: connections are reset, new ones refused, what it kept is gone. */
+    public void kill() {
+        server.close().syncUninterruptibly();
+        run(() -> {
+            connections.forEach(c -> c.config().setOption(ChannelOption.SO_LINGER, 0));
+            values.clear();
+            keys.clear();
+            stalledUntilMs = 0;
+            busyUntilMs = 0;
+        });
+        connections.close().syncUninterruptibly();
+    }
+
+    /** Starts it again at the same address, empty and cold. */
+    public void revive() throws InterruptedException {
+        run(() -> {
+            if (watch != null) {
+                watch.born(now());
+            }
+        });
+        listen();
+    }
+
+    /** Stores a value, as the origin does where a read missed. */
+    void store(String key, byte[] value) {
+        loop.execute(() -> values.put(key, value));
+    }
+
+    /** Voids a key. */
+    void drop(String key) {
+        loop.execute(() -> values.remove(key));
+    }
+
+    static double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    @Override
+    public void close() {
+        server.close().syncUninterruptibly();
+        connections.close().syncUninterruptibly();
+    }
+
+    private final class Conversation extends ByteToMessageDecoder {
+        private String write;
+        private int missing;
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+            if (write != null) {
+                if (in.readableBytes() >= missing) {
+                    byte[] value = new byte[missing - 2];
+                    in.readBytes(value).skipBytes(2);
+                    String line = write;
+                    write = null;
+                    take(ctx, line, value);
+                }
+                return;
+            }
+            String line = Lines.take(in);
+            if (line == null) {
+                return;
+            }
+            if (line.startsWith("ms ")) {
+                missing = Integer.parseInt(line.split(" ", 4)[2]) + 2;
+                write = line;
+            } else {
+                take(ctx, line, null);
+            }
+        }
+
+        private void take(ChannelHandlerContext ctx, String line, byte[] value) {
+            if (line.equals("mn")) {
+                say(ctx, "MN\r\n");
+                return;
+            }
+            commands.incrementAndGet();
+            double now = now();
+            if (watch != null) {
+                watch.arrived(now);
+            }
+            if (mute) {
+                return;
+            }
+            if (busy > 0) {
+                busy--;
+                say(ctx, "SERVER_ERROR busy\r\n");
+                return;
+            }
+            busyUntilMs = Math.max(Math.max(now, busyUntilMs), stalledUntilMs) + workMs;
+            if (busyUntilMs <= now) {
+                answer(ctx, line, value);
+            } else {
+                loop.schedule(() -> answer(ctx, line, value), (long) ((busyUntilMs - now) * 1e6), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, String line, byte[] value) {
+            if (!ctx.channel().isActive()) {
+                if (value == null) {
+                    return; // a read has no effect; a write that has come is carried out all the same
+                }
+            }
+            String key = line.substring(3, line.indexOf(' ', 3));
+            String id = Lines.flag(line, 'O');
+            String o = id == null ? "" : " O" + id;
+            if (value != null) {
+                store(line, key, value);
+                say(ctx, "HD" + o + " cw" + (id == null ? "" : id) + "\r\n");
+                return;
+            }
+            ledger.read();
+            byte[] kept = values.get(key);
+            if (kept == null) {
+                if (missed != null) {
+                    missed.missed(id, key, StandInNode.this);
+                }
+                say(ctx, "EN" + o + " h0\r\n");
+                return;
+            }
+            ByteBuf buf = ctx.alloc().buffer(64 + kept.length);
+            ByteBufUtil.writeAscii(buf, "VA " + kept.length + o + " h1\r\n");
+            buf.writeBytes(kept).writeShort('\r' << 8 | '\n');
+            write(ctx, buf);
+        }
+
+        private void store(String line, String key, byte[] value) {
+            String k = Lines.named(Lines.flag(line, 'P'), "k");
+            if (k != null && keys.size() < MOST_REPEATS && !keys.add(k)) {
+                ledger.dropped();
+                return;
+            }
+            values.put(key, value);
+            ledger.effect(k != null ? k : new String(value, java.nio.charset.StandardCharsets.ISO_8859_1));
+        }
+
+        private void say(ChannelHandlerContext ctx, String text) {
+            write(ctx, ByteBufUtil.writeAscii(ctx.alloc(), text));
+        }
+
+        /** Flushed with what else has come in the same read. */
+        private void write(ChannelHandlerContext ctx, ByteBuf buf) {
+            ctx.write(buf);
+            if (!reading) {
+                ctx.flush();
+            }
+        }
+
+        private boolean reading;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            reading = true;
+            super.channelRead(ctx, message);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            reading = false;
+            ctx.flush();
+            super.channelReadComplete(ctx);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/standin/StandInOrigin.java
@@ -0,0 +1,186 @@
+package damsonworks.standin;
+
+import damsonworks.proxy.Transport;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The origin on loopback, HTTP/1.1: the value of every key is made from it, so that a wrong answer shows; writes are
+ * counted in the ledger, repeats of keyed ones dropped. It tells the nodes what they missed.
+ */
+public final class StandInOrigin implements AutoCloseable {
+    private static final int MOST_MISSED = 100_000;
+
+    private final EventLoop loop;
+    private final Ledger ledger;
+    private final ChannelGroup connections;
+    private final Map<String, StandInNode> missedAt = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, StandInNode> eldest) {
+            return size() > MOST_MISSED;
+        }
+    };
+    private final Set<String> keys = new HashSet<>();
+    private final Map<String, byte[]> written = new HashMap<>();
+    private final AtomicInteger fetches = new AtomicInteger();
+    private final Channel server;
+    private Iterable<StandInNode> nodes = java.util.List.of();
+    private double workMs;
+    private boolean mute;
+    private boolean declining;
+
+    private StandInOrigin(EventLoop loop, Ledger ledger) throws InterruptedException {
+        this.loop = loop;
+        this.ledger = ledger;
+        connections = new DefaultChannelGroup(loop);
+        server = new ServerBootstrap().group(loop).channel(Transport.BEST.server())
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(8 << 20),
+                                new Conversation());
+                    }
+                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel();
+    }
+
+    public static StandInOrigin start(EventLoop loop, Ledger ledger) throws InterruptedException {
+        return new StandInOrigin(loop, ledger);
+    }
+
+    /** The value of a key that has not been written. */
+    public static String value(String key) {
+        return "value of " + key;
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    public String dial() {
+        return "127.0.0.1:" + address().getPort();
+    }
+
+    /** Reads that it has answered. */
+    public int fetches() {
+        return fetches.get();
+    }
+
+    /** The nodes that it stores missed values at and voids written keys of. */
+    void serves(Iterable<StandInNode> fleet) {
+        loop.submit(() -> {
+            nodes = fleet;
+            fleet.forEach(n -> n.onMiss((id, key, node) -> loop.execute(() -> missedAt.put(id + " " + key, node))));
+        }).syncUninterruptibly();
+    }
+
+    /** Each request takes so long; it does many at once. */
+    public StandInOrigin work(double ms) {
+        loop.submit(() -> workMs = ms).syncUninterruptibly();
+        return this;
+    }
+
+    /** From now on it carries out what comes and answers nothing, or answers again. */
+    public void mute(boolean on) {
+        loop.submit(() -> mute = on).syncUninterruptibly();
+    }
+
+    /** From now on it declines what comes without carrying it out, or takes it again. */
+    public void decline(boolean on) {
+        loop.submit(() -> declining = on).syncUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        server.close().syncUninterruptibly();
+        connections.close().syncUninterruptibly();
+    }
+
+    private final class Conversation extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            String key = URLDecoder.decode(request.uri().substring(1), StandardCharsets.ISO_8859_1);
+            String id = request.headers().get("Req-Id");
+            String k = Lines.named(request.headers().get("Req-Extra"), "k");
+            boolean write = request.method().equals(HttpMethod.PUT);
+            byte[] body = ByteBufUtil.getBytes(request.content());
+            if (declining) {
+                DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+                response.headers().set("Srv-Declined", "1").set(HttpHeaderNames.CONTENT_LENGTH, 0);
+                ctx.writeAndFlush(response);
+                return;
+            }
+            if (workMs > 0) {
+                loop.schedule(() -> answer(ctx, key, id, k, write, body), (long) (workMs * 1e6), TimeUnit.NANOSECONDS);
+            } else {
+                answer(ctx, key, id, k, write, body);
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, String key, String id, String k, boolean write, byte[] body) {
+            byte[] answer;
+            if (write) {
+                if (k != null && !keys.add(k)) {
+                    ledger.dropped();
+                } else {
+                    ledger.effect(k != null ? k : new String(body, StandardCharsets.ISO_8859_1));
+                    written.put(key, body);
+                    nodes.forEach(n -> n.drop(key));
+                }
+                answer = ("w" + id).getBytes(StandardCharsets.ISO_8859_1);
+            } else {
+                fetches.incrementAndGet();
+                answer = written.getOrDefault(key, value(key).getBytes(StandardCharsets.ISO_8859_1));
+                StandInNode node = missedAt.remove(id + " " + key);
+                if (node != null) {
+                    node.store(key, answer);
+                }
+            }
+            if (mute) {
+                return;
+            }
+            ByteBuf content = Unpooled.wrappedBuffer(answer);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                    content);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length);
+            ctx.writeAndFlush(response);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -0,0 +1,53 @@
+package damsonworks;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** One direction of dependence: command line over fronts and sockets over decisions over RoutingApi. */
+class ArchitectureTest {
+    /** Free of I/O, clocks and randomness of their own. */
+    private static final String[] DECISIONS = {"damsonworks.placement..", "damsonworks.limits..", "damsonworks.routes.."};
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("damsonworks");
+
+    @Test
+    void decisionsKnowNoSocketsFilesOrThreads() {
+        String[] outside = {"io.netty..", "java.net..", "java.nio.file..", "java.io..", "java.util.concurrent..",
+            "com.google.gson..", "org.tomlj..", "picocli..", "damsonworks.proxy..", "damsonworks.daemon..",
+            "damsonworks.config..", "damsonworks.cli..", "damsonworks.standin..", "damsonworks.wire..", "damsonworks.bench.."};
+        noClasses().that().resideInAnyPackage(DECISIONS).should().dependOnClassesThat().resideInAnyPackage(outside)
+                .check(ALL);
+        noClasses().that().haveSimpleName("Policy").or().haveSimpleName("Carp").or().haveSimpleName("RoutingApi")
+                .should().dependOnClassesThat().resideInAnyPackage(outside).check(ALL);
+    }
+
+    @Test
+    void decisionsReadNoClockAndDrawNoChance() {
+        noClasses().that().resideInAnyPackage(DECISIONS).or().haveSimpleNameStartingWith("Policy")
+                .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(Math.class, "random").orShould().dependOnClassesThat()
+                .resideInAnyPackage("java.time..").check(ALL);
+    }
+
+    @Test
+    void socketsKnowNothingOfWhatStandsAboveThem() {
+        noClasses().that().resideInAPackage("damsonworks.proxy..").should().dependOnClassesThat().resideInAnyPackage(
+                "damsonworks.daemon..", "damsonworks.cli..", "damsonworks.standin..", "damsonworks.routes..",
+                "damsonworks.bench..").check(ALL);
+        noClasses().that().resideInAPackage("damsonworks.daemon..").should().dependOnClassesThat().resideInAnyPackage(
+                "damsonworks.cli..", "damsonworks.standin..", "damsonworks.bench..").check(ALL);
+        noClasses().that().resideInAPackage("damsonworks.config..").should().dependOnClassesThat().resideInAnyPackage(
+                "damsonworks.proxy..", "damsonworks.daemon..", "damsonworks.cli..").check(ALL);
+    }
+
+    @Test
+    void frontsKnowNoConnectionsToServers() {
+        noClasses().that().haveSimpleNameStartingWith("ClientConnection").or().haveSimpleNameStartingWith("OpenMeta")
+                .or().haveSimpleNameStartingWith("Listener").should().dependOnClassesThat()
+                .haveSimpleNameStartingWith("Upstream").check(ALL);
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -0,0 +1,148 @@
+package damsonworks.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The daemon's file: what it says, and each error by its place. */
+class DaemonFileReaderTest {
+    static final String GOOD = """
+            [[class]]
+            name = "page"
+            effect = "safe"
+            [[class]]
+            name = "publish"
+            effect = "keyed"
+            window_ms = 1500
+            [[listen]]
+            name = "main"
+            address = "127.0.0.1:0"
+            open = true
+            class = "page"
+            [[pool]]
+            name = "a"
+            [[pool.server]]
+            name = "a1"
+            dial = "127.0.0.1:7001"
+            [[pool]]
+            name = "b"
+            [[pool.server]]
+            name = "b1-x"
+            dial = "127.0.0.1:7002"
+            [[route]]
+            name = "all"
+            pools = ["a"]
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private static List<String> errors(String text) {
+        return catchThrowableOfType(ConfigException.class, () -> DaemonFileReader.parse("f", text)).errors();
+    }
+
+    private static String with(String anchor, String line) {
+        return GOOD.replace(anchor, anchor + "\n" + line);
+    }
+
+    @Test
+    void aGoodFileSaysWhatIsRun() throws Exception {
+        DaemonFile f = DaemonFileReader.parse("f", with("name = \"a\"", "fallback = \"b\"\nretry_share = 0.5"));
+        assertThat(f.pools().keySet()).containsExactly("a", "b");
+        assertThat(f.chain(List.of("a"))).containsExactly("a", "b");
+        assertThat(f.pools().get("a").retryShare()).isEqualTo(0.5);
+        assertThat(f.routes().routes()).hasSize(1);
+        assertThat(f.listeners().get(0).readClass()).isEqualTo("page");
+    }
+
+    @Test
+    void theExampleInTheRepositoryIsGood() throws Exception {
+        assertThat(DaemonFileReader.read(Path.of("deploy/coralbay.toml")).routes().routes()).isNotEmpty();
+    }
+
+    @Test
+    void eachErrorNamesItsPlaceAndWhatIsAllowed() {
+        String[][] cases = {
+            {"name = \"page\"", "efect = \"safe\"", "f:3:1: unknown key 'efect' in class page; allowed: aim_ms"},
+            {"name = \"main\"", "adress = 1", "unknown key 'adress'"},
+            {"name = \"a\"", "in_hand = 0", "f:15:1: in_hand is 0; a number from 1 to 1000000"},
+            {"name = \"a\"", "in_hand = \"x\"", "in_hand is no whole number"},
+            {"name = \"a\"", "per_second = \"x\"", "per_second is no number"},
+            {"name = \"a\"", "placement = \"ring\"", "placement is 'ring'; allowed: carp"},
+            {"name = \"a\"", "fallback = \"c\"", "there is no pool 'c'; there are: a, b"},
+            {"name = \"a\"", "fallback = \"a\"", "fallbacks go round: a -> a"},
+            {"name = \"a1\"", "backup = 1", "backup is neither true nor false"},
+            {"name = \"a1\"", "down = true", "every server of pool a is down"},
+            {"name = \"a1\"", "backup = true", "every server of pool a is a backup"},
+            {"name = \"all\"", "prefix = \"x\"\nkey = \"y\"", "more than one of key, prefix and regex"},
+            {"name = \"all\"", "regex = \"(a)\\\\1\"", "regex can't be used"},
+            {"name = \"all\"", "regex = \"(a\"", "regex can't be used"},
+            {"name = \"all\"", "class = \"no\"", "there is no class 'no'; there are: page, publish"},
+            {"name = \"all\"", "listener = [\"main\", 3]", "listener holds something that is no text"},
+            {"name = \"all\"", "refuse_ms = 5", "needs one of pools, refuse_ms and fail"},
+            {"name = \"all\"", "share = { from_percent = 5, to_percent = 5 }", "the share is empty"},
+            {"name = \"all\"", "regex = \"^a\"\nreplace = \"$1\"", "'$1' names no group"},
+            {"name = \"all\"", "add = \"a b\"", "add puts something into keys"},
+            {"name = \"publish\"", "aim_ms = 2000", "aim_ms is 2000, more than the deadline"},
+        };
+        for (String[] c : cases) {
+            assertThat(errors(with(c[0], c[1]))).as(c[1]).anySatisfy(e -> assertThat(e).contains(c[2])
+                    .matches("f:\\d+:\\d+: .*"));
+        }
+        assertThat(errors(GOOD.replace("window_ms = 1500", ""))).anySatisfy(e -> assertThat(e).contains("window_ms"));
+        assertThat(errors(GOOD.replace("127.0.0.1:7001", "cache.example:7001"))).singleElement().asString()
+                .startsWith("f:17:1: ").contains("names are not looked up");
+        assertThat(errors(GOOD.replace("127.0.0.1:7002", "127.0.0.1:7001"))).singleElement().asString()
+                .contains("is server 'a1' already");
+        assertThat(errors(GOOD.replace("b1-x", "a1"))).anySatisfy(e -> assertThat(e).contains("a name has one address"));
+        assertThat(errors(GOOD.replace("pools = [\"a\"]", "pools = [\"a\", \"a\"]"))).singleElement().asString()
+                .contains("falls back to itself");
+    }
+
+    @Test
+    void allErrorsAreToldInTheFilesOrderAndNotOnlyTheFirst() {
+        String broken = GOOD.replace("effect = \"safe\"", "effect = \"sure\"").replace("open = true", "open = 3")
+                .replace("127.0.0.1:7002", "nowhere").replace("pools = [\"a\"]", "pools = [\"c\"]");
+        List<String> errors = errors(broken);
+        assertThat(errors).hasSizeGreaterThanOrEqualTo(4);
+        assertThat(errors).extracting(e -> Integer.parseInt(e.split(":")[1])).isSorted();
+    }
+
+    @Test
+    void whatIsNoTomlIsToldByItsPlace() {
+        assertThat(errors("[[class]\nname = 1")).isNotEmpty().allMatch(e -> e.matches("f:\\d+:\\d+: [^\\n]+"));
+        assertThat(errors("")).anyMatch(e -> e.contains("no class")).anyMatch(e -> e.contains("no listener"))
+                .anyMatch(e -> e.contains("no pool")).anyMatch(e -> e.contains("no route"));
+        // As when the file is read while it is being written.
+        for (int cut = 1; cut < GOOD.length() - 20; cut += 7) {
+            int at = cut;
+            assertThat(errors(GOOD.substring(0, at))).as("cut at " + at).isNotEmpty();
+        }
+    }
+
+    @Test
+    void loopsAndRoutesThatAreNeverReachedAreErrors() {
+        String loop = GOOD.replace("name = \"a\"\n", "name = \"a\"\nfallback = \"b\"\n")
+                .replace("name = \"b\"\n", "name = \"b\"\nfallback = \"a\"\n");
+        assertThat(errors(loop)).hasSize(2).allMatch(e -> e.contains("fallbacks go round"));
+        assertThat(errors(GOOD + "[[route]]\nname = \"late\"\norder = 1\nprefix = \"x\"\npools = [\"b\"]\n"))
+                .singleElement().asString().startsWith("f:27:1: ").contains("never reached").contains("'all'");
+    }
+
+    @Test
+    void filesThatCanNotBeReadAreToldInOneLine() throws Exception {
+        Path none = folder.resolve("none.toml");
+        assertThat(catchThrowableOfType(ConfigException.class, () -> DaemonFileReader.read(none)).errors())
+                .containsExactly(none + ":1:1: there is no such file");
+        Path binary = folder.resolve("binary.toml");
+        Files.write(binary, new byte[] {(byte) 0xc3, 0x28, 0, 1});
+        assertThat(catchThrowableOfType(ConfigException.class, () -> DaemonFileReader.read(binary)).errors())
+                .containsExactly(binary + ":1:1: the file is not UTF-8 text");
+        assertThat(catchThrowableOfType(ConfigException.class, () -> DaemonFileReader.read(folder)).errors()).hasSize(1);
+    }
+}
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.standin.ScriptedServer;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
@@ -13,12 +14,12 @@
 /** What clients do to the proxy, on loopback sockets. */
 class ClientConnectionTest {
     private static String hit(String command) {
-        return "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n";
+        return "VA 5 O" + ScriptedServer.id(command) + " h1\r\nhello\r\n";
     }
 
     @Test
     void commandsComeInPiecesAndInHeapsAndAreAnsweredInOrder() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start();
+        try (Fleet fleet = new Fleet().node(ScriptedServer.node(ClientConnectionTest::hit)).start();
                 Fleet.Client client = fleet.client()) {
             client.say("m").say("n\r").say("\n");
             assertThat(client.line()).isEqualTo("MN");
@@ -35,9 +36,9 @@
     @Test
     void aSlowFirstAnswerHoldsBackAQuickSecond() throws Exception {
         CountDownLatch second = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             String line = c.command();
-            if (FakeServer.id(line).equals("1")) {
+            if (ScriptedServer.id(line).equals("1")) {
                 second.await();
             }
             c.say(hit(line));
@@ -54,7 +55,7 @@
 
     @Test
     void theCommandGoesOnUnchangedButForTheDeadline() throws Exception {
-        FakeServer node = FakeServer.node(ClientConnectionTest::hit);
+        ScriptedServer node = ScriptedServer.node(ClientConnectionTest::hit);
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
             client.say("mg 7f3a v Oab12 Pc=text,t=acme,d=20000,r=1 q\r\n");
             client.line();
@@ -70,7 +71,7 @@
     void aBinaryValueOfFourMebibytesReachesTheOriginWhole() throws Exception {
         byte[] value = new byte[MetaCodec.MAX_VALUE];
         new Random(1).nextBytes(value);
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             c.request();
             c.sayHttp(200, "", "r1");
         });
@@ -87,7 +88,7 @@
 
     @Test
     void brokenCommandsAreToldAndOnlyLostFramingEndsTheConnection() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start()) {
+        try (Fleet fleet = new Fleet().node(ScriptedServer.node(ClientConnectionTest::hit)).start()) {
             try (Fleet.Client client = fleet.client()) {
                 client.say("mg 7f3a v\r\n").say("ms 7f3a 5 v\r\nhello\r\n").say("mg 7f3a v O1 Pc=none,d=5\r\n")
                         .read("2");
@@ -109,7 +110,7 @@
 
     @Test
     void aDeadlineThatIsNoneIsToldAndNothingIsSentOn() throws Exception {
-        FakeServer node = FakeServer.node(ClientConnectionTest::hit);
+        ScriptedServer node = ScriptedServer.node(ClientConnectionTest::hit);
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
             for (String d : new String[] {"soon", "", "-5", "0", "NaN", "Infinity", "20000d", "1.2.3", "9".repeat(400)}) {
                 client.say("mg 7f3a v O1 Pc=text,d=" + d + "\r\n");
@@ -124,7 +125,7 @@
     @Test
     void theIdOfAnOpenRequestIsTakenUntilItsAnswer() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
                 go.await();
                 c.say(hit(line));
@@ -147,7 +148,7 @@
 
     @Test
     void aConnectionOnWhichNothingIsAskedIsClosedAndOneThatAskedIsKept() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start();
+        try (Fleet fleet = new Fleet().node(ScriptedServer.node(ClientConnectionTest::hit)).start();
                 Fleet.Client used = fleet.client(); Fleet.Client silent = fleet.client();
                 Fleet.Client half = fleet.client(); Fleet.Client cut = fleet.client()) {
             assertThat(used.say("mn\r\n").line()).isEqualTo("MN");
@@ -163,7 +164,7 @@
 
     @Test
     void bytesThatCannotGoOnAreToldAndCostNoConnectionToTheOrigin() throws Exception {
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             while (c.request() != null) {
                 c.sayHttp(200, "", "r1");
             }
@@ -184,7 +185,7 @@
     @Test
     void aConnectionThatCameWhenAllWereBusyGetsRoomOnceOneIsIdle() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
                 go.await();
                 c.say(hit(line));
@@ -214,7 +215,7 @@
     @Test
     void aClientThatGoesAwayTakesItsAttemptsAlong() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             c.command();
             c.awaitEnd();
             ended.countDown();
@@ -231,14 +232,14 @@
     @Test
     @Timeout(60)
     void nothingIsKeptOfRequestsThatAreOver() throws Exception {
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
-                if (!FakeServer.id(line).equals("silent")) {
-                    c.say(FakeServer.id(line).startsWith("m") ? "EN O" + FakeServer.id(line) + " h0\r\n" : hit(line));
+                if (!ScriptedServer.id(line).equals("silent")) {
+                    c.say(ScriptedServer.id(line).startsWith("m") ? "EN O" + ScriptedServer.id(line) + " h0\r\n" : hit(line));
                 }
             }
         });
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             while (c.request() != null) {
                 c.sayHttp(200, "", "fetch");
             }
@@ -254,7 +255,7 @@
             }
             assertThat(fleet.proxy.inHand()).isZero();
             client.read("silent");
-            while (!FakeServer.id(node.next()).equals("silent")) {
+            while (!ScriptedServer.id(node.next()).equals("silent")) {
                 // those before it
             }
             assertThat(fleet.proxy.inHand()).isEqualTo(1);
@@ -267,7 +268,7 @@
 
     @Test
     void aValueThatFindsNoRoomIsTurnedAwayUnseen() throws Exception {
-        FakeServer origin = new FakeServer(c -> c.sayHttp(200, "", c.request().substring(0, 3)));
+        ScriptedServer origin = new ScriptedServer(c -> c.sayHttp(200, "", c.request().substring(0, 3)));
         Fleet setup = new Fleet().origin(origin);
         JsonObject limits = new JsonObject();
         limits.addProperty("memory_mb", 8);
@@ -277,7 +278,7 @@
             assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
             client.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
             assertThat(client.line()).isEqualTo("HD O2 cPUT");
-            assertThat(FakeServer.id(origin.next())).isEqualTo("2");
+            assertThat(ScriptedServer.id(origin.next())).isEqualTo("2");
         }
     }
 }
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.standin.ScriptedServer;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.util.concurrent.CountDownLatch;
@@ -10,12 +11,12 @@
 
 /** What discovery does to the proxy, on loopback sockets. */
 class DiscoveryClientTest {
-    private static FakeServer hits() throws Exception {
-        return FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+    private static ScriptedServer hits() throws Exception {
+        return ScriptedServer.node(line -> "VA 5 O" + ScriptedServer.id(line) + " h1\r\nhello\r\n");
     }
 
     /** A list of version 43 with this one node, as it would be written. */
-    private static String list(FakeServer node, boolean whole) {
+    private static String list(ScriptedServer node, boolean whole) {
         JsonArray hosts = new JsonArray();
         hosts.add(Fleet.host("s-0000beef", "node-fast", node.dial(), "up"));
         return Fleet.list(43, whole, hosts).toString();
@@ -29,12 +30,12 @@
 
     @Test
     void failuresAndNonsenseLeaveTheListAndAreAskedAgain() throws Exception {
-        FakeServer node = hits();
+        ScriptedServer node = hits();
         JsonObject unknown = Fleet.list(44, true, new JsonArray());
         unknown.getAsJsonArray("hosts").add(Fleet.host("s-1", "no-such-class", "127.0.0.1:1", "up"));
         String[] bad = {"{", "[]", "{\"seq\":44,\"whole\":true,\"hosts\":[{}]}", unknown.toString()};
         CountDownLatch all = new CountDownLatch(bad.length + 2);
-        FakeServer discovery = new FakeServer(c -> {
+        ScriptedServer discovery = new ScriptedServer(c -> {
             for (String request; (request = c.request()) != null;) {
                 int call = (int) (bad.length + 2 - all.getCount());
                 all.countDown();
@@ -60,11 +61,11 @@
 
     @Test
     void aWatchGoesOnAfterEachAnswerAndItsChangesAreFollowed() throws Exception {
-        FakeServer first = hits();
-        FakeServer then = hits();
+        ScriptedServer first = hits();
+        ScriptedServer then = hits();
         CountDownLatch served = new CountDownLatch(1);
         CountDownLatch told = new CountDownLatch(1);
-        FakeServer discovery = new FakeServer(c -> {
+        ScriptedServer discovery = new ScriptedServer(c -> {
             c.request();
             c.sayHttp(200, "", list(first, true));
             c.request();
@@ -97,16 +98,16 @@
         for (String health : new String[] {"up", "removed"}) {
             CountDownLatch go = new CountDownLatch(1);
             CountDownLatch ended = new CountDownLatch(1);
-            FakeServer old = new FakeServer(c -> {
+            ScriptedServer old = new ScriptedServer(c -> {
                 String line = c.command();
                 go.await();
-                c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+                c.say("VA 5 O" + ScriptedServer.id(line) + " h1\r\nhello\r\n");
                 c.awaitEnd();
                 ended.countDown();
             });
-            FakeServer moved = hits();
+            ScriptedServer moved = hits();
             CountDownLatch taken = new CountDownLatch(1);
-            FakeServer discovery = new FakeServer(c -> {
+            ScriptedServer discovery = new ScriptedServer(c -> {
                 c.request();
                 taken.await();
                 JsonArray changes = new JsonArray();
@@ -137,8 +138,8 @@
 
     @Test
     void idsComeFromTheHostsNames() {
-        assertThat(DiscoveryClient.id("s-5be2a07c")).isEqualTo(0x5be2a07c);
-        assertThat(DiscoveryClient.id("s-f2ffffff")).isEqualTo(0xf2ffffff);
-        assertThat(DiscoveryClient.id("cache.example")).isEqualTo(DiscoveryClient.id("cache.example"));
+        assertThat(damsonworks.config.ServerId.of("s-5be2a07c")).isEqualTo(0x5be2a07c);
+        assertThat(damsonworks.config.ServerId.of("s-f2ffffff")).isEqualTo(0xf2ffffff);
+        assertThat(damsonworks.config.ServerId.of("cache.example")).isEqualTo(damsonworks.config.ServerId.of("cache.example"));
     }
 }
--- a/src/test/java/damsonworks/proxy/DrainTest.java
+++ b/src/test/java/damsonworks/proxy/DrainTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.standin.ScriptedServer;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -10,10 +11,10 @@
     @Test
     void whatIsInHandIsAnsweredBeforeItsConnectionEnds() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             String line = c.command();
             go.await();
-            c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+            c.say("VA 5 O" + ScriptedServer.id(line) + " h1\r\nhello\r\n");
             c.awaitEnd();
         });
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client idle = fleet.client();
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.standin.ScriptedServer;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.io.BufferedInputStream;
@@ -81,7 +82,7 @@
         return list;
     }
 
-    Fleet node(FakeServer server) {
+    Fleet node(ScriptedServer server) {
         hosts.add(host("s-%08x".formatted(hosts.size() + 1), "node-fast", server.dial(), "up"));
         parts.add(server);
         return this;
@@ -92,13 +93,13 @@
         return this;
     }
 
-    Fleet origin(FakeServer server) {
+    Fleet origin(ScriptedServer server) {
         hosts.add(host("s-0000aaaa", "origin", server.dial(), "up"));
         parts.add(server);
         return this;
     }
 
-    Fleet discovery(FakeServer server) {
+    Fleet discovery(ScriptedServer server) {
         config.addProperty("discovery", server.dial());
         parts.add(server);
         return this;
@@ -154,7 +155,7 @@
 
         /** A line without its end; null at the end of the stream. */
         String line() throws IOException {
-            return FakeServer.line(in);
+            return ScriptedServer.line(in);
         }
 
         byte[] bytes(int n) throws IOException {
--- a/src/test/java/damsonworks/proxy/StreamTest.java
+++ b/src/test/java/damsonworks/proxy/StreamTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.standin.ScriptedServer;
 import java.io.IOException;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -17,13 +18,13 @@
         new Random(7).nextBytes(VALUE);
     }
 
-    private static void head(FakeServer.Connection c, String command) throws IOException {
-        c.say("VA " + VALUE.length + " O" + FakeServer.id(command) + " h1\r\n");
+    private static void head(ScriptedServer.Connection c, String command) throws IOException {
+        c.say("VA " + VALUE.length + " O" + ScriptedServer.id(command) + " h1\r\n");
     }
 
     @Test
     void aLongValueOfANodePassesWholeAndTheNextAnswerAfterIt() throws Exception {
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
                 head(c, line);
                 c.out.write(VALUE);
@@ -42,14 +43,14 @@
 
     @Test
     void aLongValueOfTheOriginPassesWhole() throws Exception {
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             c.request();
             c.say("HTTP/1.1 200 OK\r\nContent-Length: " + VALUE.length + "\r\n\r\n");
             c.out.write(VALUE);
             c.out.flush();
             c.awaitEnd();
         });
-        FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        ScriptedServer node = ScriptedServer.node(line -> "EN O" + ScriptedServer.id(line) + " h0\r\n");
         try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
@@ -60,7 +61,7 @@
     @Test
     void theFirstBytesDoNotWaitForTheLast() throws Exception {
         CountDownLatch seen = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             head(c, c.command());
             c.out.write(VALUE, 0, 1000);
             c.out.flush();
@@ -81,7 +82,7 @@
     void aClientThatDoesNotReadHoldsTheNodeBack() throws Exception {
         AtomicLong sent = new AtomicLong();
         CountDownLatch over = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
                 head(c, line);
                 for (int at = 0; at < VALUE.length; at += 1 << 14) {
@@ -112,7 +113,7 @@
 
     @Test
     void aValueCutInTheMiddleEndsTheClientsConnectionAndNothingElse() throws Exception {
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             head(c, c.command());
             c.out.write(VALUE, 0, 100_000);
             c.out.flush();
@@ -128,7 +129,7 @@
     @Test
     void aClientThatLeavesInTheMiddleFreesTheNodesConnection() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             head(c, c.command());
             c.out.write(VALUE, 0, 100_000);
             c.out.flush();
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.standin.ScriptedServer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.CountDownLatch;
@@ -11,12 +12,12 @@
 /** What cache nodes and the origin do to the proxy, on loopback sockets. */
 class UpstreamTest {
     private static String hit(String command) {
-        return "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n";
+        return "VA 5 O" + ScriptedServer.id(command) + " h1\r\nhello\r\n";
     }
 
     /** An origin that answers every request in this way. */
-    private static FakeServer origin(int status, String headers, String body) throws Exception {
-        return new FakeServer(c -> {
+    private static ScriptedServer origin(int status, String headers, String body) throws Exception {
+        return new ScriptedServer(c -> {
             while (c.request() != null) {
                 c.sayHttp(status, headers, body);
             }
@@ -31,7 +32,7 @@
 
     @Test
     void aMissIsFetchedFromTheOrigin() throws Exception {
-        FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        ScriptedServer node = ScriptedServer.node(line -> "EN O" + ScriptedServer.id(line) + " h0\r\n");
         try (Fleet fleet = new Fleet().node(node).origin(origin(200, "", "master")).start();
                 Fleet.Client client = fleet.client()) {
             client.read("1");
@@ -42,7 +43,7 @@
 
     @Test
     void oneConnectionServesRequestAfterRequest() throws Exception {
-        FakeServer node = FakeServer.node(UpstreamTest::hit);
+        ScriptedServer node = ScriptedServer.node(UpstreamTest::hit);
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 5; i++) {
                 client.read("a" + i);
@@ -56,11 +57,11 @@
     @Test
     void aNodeThatRefusesConnectionsOrTurnsAwayIsPassedOver() throws Exception {
         AtomicInteger busy = new AtomicInteger();
-        FakeServer full = FakeServer.node(line -> {
+        ScriptedServer full = ScriptedServer.node(line -> {
             busy.incrementAndGet();
             return "SERVER_ERROR busy\r\n";
         });
-        try (Fleet fleet = new Fleet().node(refused()).node(full).node(FakeServer.node(UpstreamTest::hit))
+        try (Fleet fleet = new Fleet().node(refused()).node(full).node(ScriptedServer.node(UpstreamTest::hit))
                 .origin(origin(200, "", "fetch")).start();
                 Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 30; i++) {
@@ -74,7 +75,7 @@
 
     @Test
     void anOriginThatRefusesConnectionsIsKnownAtOnceNotToHaveRunTheWrite() throws Exception {
-        Fleet setup = new Fleet().node(FakeServer.node(UpstreamTest::hit));
+        Fleet setup = new Fleet().node(ScriptedServer.node(UpstreamTest::hit));
         setup.hosts.add(Fleet.host("s-0000aaaa", "origin", refused(), "up"));
         try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
             // More than the connections that one server may have: a failed one must not keep its place.
@@ -98,7 +99,7 @@
 
     @Test
     void anUnsafeWriteWhoseLastByteWentOutIsNeverSentAgain() throws Exception {
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             c.request();
             c.reset();
         });
@@ -115,7 +116,7 @@
         for (String garbage : new String[] {"VA x O1\r\n", "VA 5 O7 h1\r\nhello\r\n", "VA 5 O1\r\nhelloXX", "\u0000\r\n",
             "HD O1 cx\r\n"}) {
             CountDownLatch ended = new CountDownLatch(1);
-            FakeServer node = new FakeServer(c -> {
+            ScriptedServer node = new ScriptedServer(c -> {
                 c.command();
                 c.say(garbage);
                 c.awaitEnd();
@@ -132,7 +133,7 @@
         for (String head : new String[] {"what?", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2",
             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1", "HTTP/1.1 2x0 OK\r\nContent-Length: 2",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nr1\r\nzz"}) {
-            FakeServer broken = new FakeServer(c -> {
+            ScriptedServer broken = new ScriptedServer(c -> {
                 c.request();
                 c.say(head + "\r\n\r\nr1");
                 c.awaitEnd();
@@ -148,13 +149,13 @@
     void whatStandsBehindAnAnswerIsNotTheNextRequestsAnswer() throws Exception {
         CountDownLatch missed = new CountDownLatch(2);
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
-                c.say("EN O" + FakeServer.id(line) + " h0\r\n");
+                c.say("EN O" + ScriptedServer.id(line) + " h0\r\n");
                 missed.countDown();
             }
         });
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             c.request();
             if (go.getCount() > 0) {
                 go.await();
@@ -181,7 +182,7 @@
     @Test
     void anIdleConnectionThatTheNodeClosedIsNotWrittenTo() throws Exception {
         CountDownLatch closed = new CountDownLatch(1);
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             c.request();
             c.sayHttp(200, "", "r1");
             c.socket.close();
@@ -201,11 +202,11 @@
     void anAttemptGoesToAnIdleConnectionAndElseBehindTheFewest() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         CountDownLatch never = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             for (String line; (line = c.command()) != null;) {
-                if (FakeServer.id(line).startsWith("held")) {
+                if (ScriptedServer.id(line).startsWith("held")) {
                     never.await();
-                } else if (FakeServer.id(line).equals("first")) {
+                } else if (ScriptedServer.id(line).equals("first")) {
                     go.await();
                 }
                 c.say(hit(line));
@@ -235,7 +236,7 @@
     @Test
     void givingUpOneAttemptSparesTheOthersOnItsConnection() throws Exception {
         CountDownLatch gone = new CountDownLatch(1);
-        FakeServer pipelined = new FakeServer(c -> {
+        ScriptedServer pipelined = new ScriptedServer(c -> {
             String first = c.command();
             String second = c.command();
             gone.await();
@@ -258,7 +259,7 @@
 
     @Test
     void aSpellOfGivenUpAttemptsKeepsItsConnections() throws Exception {
-        FakeServer node = new FakeServer(c -> {
+        ScriptedServer node = new ScriptedServer(c -> {
             while (c.command() != null) {
                 // never answered
             }
@@ -279,12 +280,12 @@
     @Test
     void anAnswerThatStopsInItsMiddleIsNotWaitedFor() throws Exception {
         CountDownLatch ended = new CountDownLatch(2);
-        FakeServer node = new FakeServer(c -> {
-            c.say("VA 5 O" + FakeServer.id(c.command()) + " h1\r\nhel");
+        ScriptedServer node = new ScriptedServer(c -> {
+            c.say("VA 5 O" + ScriptedServer.id(c.command()) + " h1\r\nhel");
             c.awaitEnd();
             ended.countDown();
         });
-        FakeServer origin = new FakeServer(c -> {
+        ScriptedServer origin = new ScriptedServer(c -> {
             for (String request; (request = c.request()) != null;) {
                 if (request.startsWith("PUT")) {
                     c.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nr");
