Cause the daemon's hard cases in tests: reloads under load, cold servers in two pools, fallback

Each hard case of pools and routes gets a test that causes it: a hundred reloads under load, files of no use, a listener that goes, a server of two pools that restarts, a cold fallback, effects from pool to pool, retry budgets, backups, full pools, keys and flags of stock clients, and that the platform's commands load none of the new classes.

What they showed and is mended: a miss of the last pool asked is the answer, not a refusal; a refusal carries the longest advice of the pools passed; servers that are new in a file may be called warm.

--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -62,10 +62,11 @@
      * A server of a pool.
      *
      * @param id from its name, alike at every proxy
+     * @param warm whether it has been running for long though it is new in the file
      * @param capacity requests a second when warm; 0: not told
      */
     public record Server(String name, int id, InetSocketAddress dial, String zone, String kind, double weight,
-            boolean backup, boolean down, boolean drain, double capacity) { }
+            boolean backup, boolean down, boolean drain, boolean warm, double capacity) { }
 
     /** A list of servers that is followed. */
     public record Discovery(InetSocketAddress address, List<String> zones, List<String> kinds, String originKind) { }
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -298,7 +298,7 @@
         String zone = s.text("zone", "here");
         zones.add(zone);
         Server server = new Server(name, id, dial, zone, s.text("kind", kind), s.number("weight", 1, 0, 1e6),
-                s.flag("backup", false), s.flag("down", false), s.flag("drain", false),
+                s.flag("backup", false), s.flag("down", false), s.flag("drain", false), s.flag("warm", false),
                 s.number("capacity", 0, 0.1, 1e9));
         String sameAddress = namesByAddress.putIfAbsent(dial, name);
         if (sameAddress != null && !sameAddress.equals(name) && dial.getPort() != 0) {
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -222,15 +222,17 @@
     /** Servers that this file names and the one before did not have just come. */
     private void births(DaemonFile file, Generation before, double now) {
         Set<Integer> present = new HashSet<>();
+        Set<Integer> warm = new HashSet<>();
         for (DaemonFile.Pool p : file.pools().values()) {
             PoolSettings.all(p).stream().filter(s -> !s.down()).forEach(s -> present.add(s.id()));
+            PoolSettings.all(p).stream().filter(DaemonFile.Server::warm).forEach(s -> warm.add(s.id()));
         }
         if (before != null) {
             Set<Integer> known = new HashSet<>();
             for (DaemonFile.Pool p : before.file.pools().values()) {
                 PoolSettings.all(p).stream().filter(s -> !s.down()).forEach(s -> known.add(s.id()));
             }
-            present.stream().filter(s -> !known.contains(s)).forEach(s -> births.added(s, now));
+            present.stream().filter(s -> !known.contains(s) && !warm.contains(s)).forEach(s -> births.added(s, now));
         }
         births.keep(present);
     }
--- a/src/main/java/damsonworks/daemon/RoutedRequest.java
+++ b/src/main/java/damsonworks/daemon/RoutedRequest.java
@@ -31,7 +31,8 @@
     /** What drops repeats in all pools in which it may have run; null where that is nothing, or more than one. */
     private String ranGroup;
     private boolean failed;
-    private boolean allMissed = true;
+    /** Whether the last pool that was asked has said that it lacks the key: then that is the answer. */
+    private boolean missed;
     private double advice;
 
     /** Takes the commands over; {@code original} is null unless the key was changed. */
@@ -62,9 +63,7 @@
             }
             double wait = pool.admit(now);
             if (wait > 0) {
-                advice = wait;
-                failed = false;
-                allMissed = false;
+                advice = Math.max(advice, wait);
                 continue;
             }
             Exchange x = Exchange.of(pool.dispatcher, command, this, due);
@@ -75,7 +74,7 @@
         if (failed || !Fallback.mayRefuse(kind, mayHaveRun)) {
             over();
             client.failed();
-        } else if (allMissed && at > 0) {
+        } else if (missed) {
             over();
             client.miss();
         } else {
@@ -84,7 +83,7 @@
         }
     }
 
-    private void givenUp(boolean missed, boolean hasFailed, double retryAfterMs) {
+    private void givenUp(boolean hasMissed, boolean hasFailed, double retryAfterMs) {
         if (over) {
             return;
         }
@@ -94,8 +93,8 @@
             mayHaveRun = true;
         }
         failed = hasFailed;
-        allMissed &= missed;
-        advice = retryAfterMs;
+        missed = hasMissed;
+        advice = Math.max(advice, retryAfterMs);
         next();
     }
 
--- a/src/main/java/damsonworks/standin/StandInNode.java
+++ b/src/main/java/damsonworks/standin/StandInNode.java
@@ -165,7 +165,7 @@
     }
 
     /** Stores a value, as the origin does where a read missed. */
-    void store(String key, byte[] value) {
+    public void store(String key, byte[] value) {
         loop.execute(() -> values.put(key, value));
     }
 
--- /dev/null
+++ b/src/test/java/damsonworks/DaemonJarIT.java
@@ -0,0 +1,137 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The daemon's commands of the packaged program, started as an operator does. */
+@Timeout(120)
+class DaemonJarIT {
+    @TempDir
+    private Path folder;
+
+    private record Result(int code, String out, String err) { }
+
+    private static Process start(String... words) throws IOException {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        line.addAll(List.of(words));
+        return new ProcessBuilder(line).start();
+    }
+
+    private static Result run(String... words) throws Exception {
+        List<String> line = new ArrayList<>(List.of("-jar", "target/damsonworks.jar"));
+        line.addAll(List.of(words));
+        Process p = start(line.toArray(new String[0]));
+        String out = new String(p.getInputStream().readAllBytes());
+        String err = new String(p.getErrorStream().readAllBytes());
+        return new Result(p.waitFor(), out, err);
+    }
+
+    @Test
+    void checkAndExplainTellByTheirExitCodes() throws Exception {
+        assertThat(run("check", "deploy/coralbay.toml")).satisfies(r -> {
+            assertThat(r.code).isZero();
+            assertThat(r.out).contains("good").contains("3 pools");
+        });
+        Path broken = folder.resolve("broken.toml");
+        Files.writeString(broken, Files.readString(Path.of("deploy/coralbay.toml")).replace("retry_share", "retries")
+                .replace("pools = [\"next\", \"pages\"]", "pools = [\"nxt\"]"));
+        assertThat(run("check", broken.toString())).satisfies(r -> {
+            assertThat(r.code).isEqualTo(2);
+            assertThat(r.err.lines()).hasSize(2).allMatch(l -> l.matches(java.util.regex.Pattern.quote(broken.toString())
+                    + ":\\d+:\\d+: .*"));
+        });
+        Result explain = run("explain", "deploy/coralbay.toml", "v1-news-7", "health", "--why");
+        assertThat(explain.code).isZero();
+        assertThat(explain.out.lines()).first().asString().matches("v1-news-7 route=old-names pool=pages server=p[12] key=page/news/7");
+        assertThat(explain.out).contains("health route=health answer=refused after=1000ms").contains("passed over canary");
+        assertThat(run("explain", "deploy/coralbay.toml", "k", "--class", "none").code).isEqualTo(2);
+        assertThat(run("nothing")).satisfies(r -> {
+            assertThat(r.code).isEqualTo(2);
+            assertThat(r.err).contains("nothing").doesNotContain("\tat ");
+        });
+        assertThat(run("run", folder.resolve("none.toml").toString())).satisfies(r -> {
+            assertThat(r.code).isEqualTo(2);
+            assertThat(r.err.lines()).hasSize(1);
+        });
+    }
+
+    @Test
+    void theDemoAccountsForEveryRequest() throws Exception {
+        Result demo = run("demo", "--requests", "3000");
+        assertThat(demo.code).as(demo.out + demo.err).isZero();
+        assertThat(demo.out.lines().reduce((a, b) -> b).orElseThrow())
+                .matches("sent 3000 served \\d+ refused \\d+ failed \\d+ lost 0 repeated 0");
+    }
+
+    @Test
+    void runServesReloadsOnSighupAndDrainsOnSigterm() throws Exception {
+        Path file = folder.resolve("coralbay.toml");
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        String text = Files.readString(Path.of("deploy/coralbay.toml")).replace("127.0.0.1:11211", "127.0.0.1:" + port)
+                .replace("127.0.0.1:11212", "127.0.0.1:0");
+        Files.writeString(file, text);
+        Process p = start("-jar", "target/damsonworks.jar", "run", file.toString());
+        try {
+            BufferedReader err = new BufferedReader(new InputStreamReader(p.getErrorStream()));
+            assertThat(err.readLine()).isEqualTo("listening on 127.0.0.1:" + port + " (open)");
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
+                client.getOutputStream().write("mg health v\r\n".getBytes());
+                assertThat(in.readLine()).isEqualTo("SERVER_ERROR busy 1000");
+                Files.writeString(file, "[[route]");
+                hangup(p);
+                String line;
+                while (!(line = err.readLine()).contains(file + ":")) {
+                    assertThat(line).isNotNull();
+                }
+                assertThat(err.readLine()).isEqualTo("nothing has changed");
+                Files.writeString(file, text.replace("refuse_ms = 1000", "refuse_ms = 7"));
+                hangup(p);
+                assertThat(err.readLine()).contains("as it is now");
+                client.getOutputStream().write("mg health v\r\n".getBytes());
+                assertThat(in.readLine()).isEqualTo("SERVER_ERROR busy 7");
+                p.destroy();
+                assertThat(in.readLine()).isNull();
+            }
+            assertThat(p.waitFor(60, TimeUnit.SECONDS)).isTrue();
+        } finally {
+            p.destroyForcibly();
+        }
+    }
+
+    private static void hangup(Process process) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor()).isZero();
+    }
+
+    /** The platform's proxies have 32 MB: what others need must cost them nothing. */
+    @Test
+    void thePlatformsCommandsLoadNoneOfTheDaemonsClasses() throws Exception {
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load:stdout", "-jar", "target/damsonworks.jar", "train");
+        b.environment().put("BALANCER_CONFIG", "src/test/resources/config.json");
+        b.environment().put("TMPDIR", folder.toString());
+        Process p = b.redirectErrorStream(true).start();
+        String loaded = new String(p.getInputStream().readAllBytes());
+        assertThat(p.waitFor()).isZero();
+        assertThat(loaded).contains("damsonworks.proxy.Dispatcher ");
+        assertThat(loaded.lines().filter(l -> l.matches(".*(damsonworks\\.(cli|daemon|routes|limits|standin|bench)\\."
+                + "|damsonworks\\.config\\.(Daemon|Section)|org\\.tomlj|picocli|re2j|antlr).*"))).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/DaemonRig.java
@@ -0,0 +1,148 @@
+package damsonworks.daemon;
+
+import damsonworks.config.DaemonFileReader;
+import damsonworks.standin.LoadClient;
+import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInNode;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+
+/** A daemon before stand-ins, by a file that a test puts together. */
+final class DaemonRig implements AutoCloseable {
+    /** Servers that were down are tried again soon, clients come back soon. */
+    static final String LIMITS = "[limits]\nconnect_timeout_ms = 50\nmax_retry_after_ms = 5\n";
+    static final String CLASSES = """
+            [[class]]
+            name = "page"
+            effect = "safe"
+            aim_ms = 10000
+            deadline_ms = 20000
+            [[class]]
+            name = "publish"
+            effect = "keyed"
+            window_ms = 60000
+            aim_ms = 10000
+            deadline_ms = 20000
+            [[class]]
+            name = "submit"
+            effect = "unsafe"
+            aim_ms = 10000
+            deadline_ms = 20000
+            """;
+    static final String MAIN = listener("main", "127.0.0.1:0");
+
+    final StandInFleet fleet;
+    final Daemon daemon;
+
+    DaemonRig(StandInFleet fleet, String file) throws Exception {
+        this.fleet = fleet;
+        daemon = Daemon.start(DaemonFileReader.parse("rig", file), 7);
+    }
+
+    static String listener(String name, String address) {
+        return "[[listen]]\nname = \"" + name + "\"\naddress = \"" + address
+                + "\"\nopen = true\nclass = \"page\"\nwrite_class = \"submit\"\n";
+    }
+
+    /** A pool of these nodes, named by their ports, before the fleet's origin. */
+    static String pool(String name, StandInFleet fleet, String keys, StandInNode... nodes) {
+        return "[[pool]]\nname = \"" + name + "\"\n" + keys + "\n" + servers("", nodes) + "[pool.origin]\nname = \"store\"\n"
+                + "dial = \"" + fleet.origin.dial() + "\"\n";
+    }
+
+    /** A pool of stock nodes with nothing behind them. */
+    static String plain(String name, String keys, StandInNode... nodes) {
+        return "[[pool]]\nname = \"" + name + "\"\nnodes = \"plain\"\n" + keys + "\n" + servers("", nodes);
+    }
+
+    static String servers(String keys, StandInNode... nodes) {
+        StringBuilder text = new StringBuilder();
+        for (StandInNode n : nodes) {
+            text.append("[[pool.server]]\nname = \"").append(name(n)).append("\"\ndial = \"").append(n.dial())
+                    .append("\"\n").append(keys).append('\n');
+        }
+        return text.toString();
+    }
+
+    static String name(StandInNode node) {
+        return "node:" + node.address().getPort();
+    }
+
+    static String route(String name, String keys, String... pools) {
+        return "[[route]]\nname = \"" + name + "\"\n" + keys + "\npools = [\"" + String.join("\", \"", pools) + "\"]\n";
+    }
+
+    void load(String file) throws Exception {
+        daemon.load(DaemonFileReader.parse("rig", file));
+    }
+
+    LoadClient.Account ask(int total, int connections, int depth, IntFunction<LoadClient.Ask> asks) throws Exception {
+        return new LoadClient(fleet.loop(), daemon.address("main"), total, asks).start(connections, depth)
+                .get(100, TimeUnit.SECONDS);
+    }
+
+    static LoadClient.Ask read(String key) {
+        return new LoadClient.Ask(key, "", null, null);
+    }
+
+    Talk talk() throws IOException {
+        return new Talk(daemon.address("main"));
+    }
+
+    @Override
+    public void close() {
+        daemon.close();
+        fleet.close();
+    }
+
+    /** One client by hand. */
+    static final class Talk implements AutoCloseable {
+        final Socket socket;
+        private final InputStream in;
+
+        Talk(InetSocketAddress to) throws IOException {
+            socket = new Socket(to.getAddress(), to.getPort());
+            socket.setSoTimeout(60_000);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        Talk say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        /** A line; null at the end of the stream. */
+        String line() throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int b; (b = in.read()) != '\n';) {
+                if (b < 0) {
+                    return null;
+                }
+                if (b != '\r') {
+                    line.append((char) b);
+                }
+            }
+            return line.toString();
+        }
+
+        List<String> lines(int n) throws IOException {
+            List<String> lines = new java.util.ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                lines.add(line());
+            }
+            return lines;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/ListenersTest.java
@@ -0,0 +1,121 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.config.DaemonFile;
+import damsonworks.config.DaemonFileReader;
+import damsonworks.routes.Subject;
+import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInNode;
+import org.junit.jupiter.api.Test;
+
+/** What clients of an open listener may send, and what routes make of keys. */
+class ListenersTest {
+    private static String file(StandInFleet fleet) {
+        return DaemonRig.CLASSES + DaemonRig.MAIN + "[[listen]]\nname = \"strict\"\naddress = \"127.0.0.1:0\"\n"
+                + DaemonRig.pool("a", fleet, "", fleet.nodes.toArray(new StandInNode[0]))
+                + DaemonRig.route("long", "prefix = \"long/\"\nadd = \"" + "x".repeat(40) + "\"", "a")
+                + DaemonRig.route("swap", "regex = \"^([a-z]+)-([0-9]+)$\"\nreplace = \"$2/$1\"", "a")
+                + "[[route]]\nname = \"off\"\nkey = \"off\"\nrefuse_ms = 700\n[[route]]\nname = \"bad\"\nkey = \"bad\"\nfail = true\n"
+                + DaemonRig.route("pages", "prefix = \"page/\"", "a");
+    }
+
+    @Test
+    void plainCommandsOfStockClientsAreTakenAndAllElseIsAnsweredWithALine() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet)); DaemonRig.Talk t = rig.talk()) {
+            String[][] talks = {
+                {"mn", "MN"},
+                {"mg page/1 v", "VA 15", "value of page/1"},
+                {"mg page/1 v O77 k", "VA 15 O77 kpage/1", "value of page/1"},
+                {"mg page/1 v Pc=page,d=5000", "VA 15", "value of page/1"},
+                {"mg page/1 k v Oabc", "VA 15 Oabc kpage/1", "value of page/1"},
+                {"ms page/9 2\r\nhi", "HD"},
+                {"ms page/9 2 O5 k\r\nho", "HD O5 kpage/9"},
+                {"mg page/1", "CLIENT_ERROR mg needs the flag v"},
+                {"mg page/1 v t", "CLIENT_ERROR flag t is not offered; mg takes v, O, k and P"},
+                {"mg page/1 v q", "CLIENT_ERROR flag q is not offered; mg takes v, O, k and P"},
+                {"ms page/1 2 T30\r\nhi", "CLIENT_ERROR flag T is not offered; ms takes O, k and P"},
+                {"md page/1", "ERROR this listener takes mg, ms and mn, not md"},
+                {"me page/1", "ERROR this listener takes mg, ms and mn, not me"},
+                {"get page/1", "ERROR this listener takes mg, ms and mn"},
+                {"mg " + "k".repeat(251) + " v", "CLIENT_ERROR a key has 1 to 250 printing ASCII characters, and so has the line"},
+                {"mg page/" + "k".repeat(245) + " v", "VA 259", "value of page/" + "k".repeat(245)},
+                {"mg page/1 v Pc=nothing", "CLIENT_ERROR unknown class, tenant or deadline"},
+                {"mg page/1 v Pd=x", "CLIENT_ERROR unknown class, tenant or deadline"},
+                {"mg other v", "CLIENT_ERROR no route takes this key"},
+                {"mg off v", "SERVER_ERROR busy 700"},
+                {"mg bad v", "SERVER_ERROR failed"},
+                {"mg ab-12 v", "VA 14", "value of 12/ab"},
+                {"mg long/" + "k".repeat(240) + " v", "CLIENT_ERROR route long makes no legal key of this one"},
+            };
+            for (String[] talk : talks) {
+                t.say(talk[0] + "\r\n");
+                for (int i = 1; i < talk.length; i++) {
+                    assertThat(t.line()).as(talk[0]).isEqualTo(talk[i]);
+                }
+            }
+            assertThat(t.say("mg page/2 v\r\n").line()).as("the connection goes on").isEqualTo("VA 15");
+            assertThat(fleet.ledger.times("hi")).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aStrictListenerIsAsStrictAsThePlatforms() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet));
+                DaemonRig.Talk t = new DaemonRig.Talk(rig.daemon.address("strict"))) {
+            assertThat(t.say("mg page/1 v\r\n").line()).isEqualTo("CLIENT_ERROR bad command line format");
+            assertThat(t.say("mg page/1 v O1 Pc=page,d=9000\r\n").lines(2)).containsExactly("VA 15 O1", "value of page/1");
+            assertThat(t.say("ms page/1 2 O2 Pc=submit,d=9000\r\nhi\r\n").line()).isEqualTo("HD O2 cwO2".replace("wO2", "w2"));
+        }
+    }
+
+    @Test
+    void manyPipelinedCommandsAreAnsweredInTheirOrder() throws Exception {
+        StandInFleet fleet = new StandInFleet(3);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet)); DaemonRig.Talk t = rig.talk()) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 200; i++) {
+                byte[] value = ("value of page/" + i).getBytes();
+                String key = "page/" + i;
+                fleet.nodes.forEach(n -> n.store(key, value));
+                all.append("mg page/").append(i).append(" v O").append(i).append("\r\n");
+            }
+            t.say(all.toString());
+            for (int i = 0; i < 200; i++) {
+                assertThat(t.line()).isEqualTo("VA " + ("value of page/" + i).length() + " O" + i);
+                assertThat(t.line()).isEqualTo("value of page/" + i);
+            }
+        }
+    }
+
+    @Test
+    void explainNamesTheServerThatIsAskedAndWhatWasPassedOver() throws Exception {
+        StandInFleet fleet = new StandInFleet(5);
+        String text = file(fleet);
+        DaemonFile file = DaemonFileReader.parse("f", text);
+        Explainer explain = new Explainer(file);
+        try (DaemonRig rig = new DaemonRig(fleet, text); DaemonRig.Talk t = rig.talk()) {
+            for (int i = 0; i < 40; i++) {
+                int[] before = fleet.nodes.stream().mapToInt(StandInNode::commands).toArray();
+                t.say("mg page/" + i + " v\r\n").lines(2);
+                String asked = "";
+                for (int n = 0; n < before.length; n++) {
+                    if (fleet.nodes.get(n).commands() > before[n]) {
+                        asked = DaemonRig.name(fleet.nodes.get(n));
+                    }
+                }
+                assertThat(explain.lines(new Subject("main", "page/" + i, 0, 0, false), false))
+                        .containsExactly("page/" + i + " route=pages pool=a server=" + asked);
+            }
+        }
+        assertThat(explain.lines(new Subject("main", "ab-12", 0, 0, true), true))
+                .first().isEqualTo("ab-12 route=swap pool=a server=store key=12/ab");
+        assertThat(explain.lines(new Subject("main", "page/1", 0, 0, false), true)).contains("  passed over off: key is not off");
+        assertThat(explain.lines(new Subject("main", "off", 0, 0, false), false)).containsExactly(
+                "off route=off answer=refused after=700ms");
+        assertThat(explain.lines(new Subject("main", "zz", 0, 0, false), false)).containsExactly(
+                "zz route=- answer=rejected (no route takes it)");
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/PoolsTest.java
@@ -0,0 +1,212 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.standin.ColdWatch;
+import damsonworks.standin.LoadClient;
+import damsonworks.standin.LoadClient.Ask;
+import damsonworks.standin.ScriptedServer;
+import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInNode;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** What pools do together: fallback under the rules on effects, one cold budget, retry budgets, backups. */
+class PoolsTest {
+    private static final String SITE = "[site]\nwarm_up_ms = 5000\nfall_ms = 300\n" + DaemonRig.LIMITS;
+    /** Deadlines short enough that a test may wait for one. */
+    private static final String SHORT = DaemonRig.CLASSES.replace("20000", "2000").replace("10000", "1000");
+
+    private static Ask read(int i) {
+        return new Ask("k/" + i, "c=page", null, null);
+    }
+
+    @Test
+    void aServerInTwoPoolsThatRestartsIsColdToBothTogether() throws Exception {
+        StandInFleet fleet = new StandInFleet(3);
+        StandInNode shared = fleet.nodes.get(0);
+        ColdWatch watch = new ColdWatch(100, 0.3, 5000, 300);
+        shared.watch(watch);
+        String two = DaemonRig.pool("a", fleet, "", fleet.nodes.get(1)) + DaemonRig.pool("b", fleet, "", fleet.nodes.get(2));
+        String server = DaemonRig.servers("capacity = 100", shared);
+        two = two.replace("[pool.origin]", server + "[pool.origin]");
+        try (DaemonRig rig = new DaemonRig(fleet, SITE + DaemonRig.CLASSES + DaemonRig.MAIN + two
+                + DaemonRig.route("a", "prefix = \"a/\"", "a") + DaemonRig.route("b", "prefix = \"b/\"", "b"))) {
+            shared.kill();
+            // Both pools find it down.
+            rig.ask(400, 4, 2, i -> DaemonRig.read((i % 2 == 0 ? "a/" : "b/") + i));
+            shared.revive();
+            LoadClient.Account a = null;
+            for (int round = 0; round == 0 || watch.sent() < 60 && round < 400; round++) {
+                int from = round * 2000;
+                a = rig.ask(2000, 8, 4, i -> DaemonRig.read((i % 2 == 0 ? "a/" : "b/") + (from + i)));
+                assertThat(a.faults).isEmpty();
+            }
+            assertThat(watch.sent()).as("it is used while it is cold").isGreaterThanOrEqualTo(60);
+            // What goes out before its first connection shows that it restarted comes on top: a few requests.
+            assertThat(watch.worst()).isLessThan(3);
+        }
+    }
+
+    @Test
+    void whenTheFirstPoolIsDownAColdFallbackIsFilledAsFastAsItMayBeAndTheRestRefusedAtOnce() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        StandInNode first = fleet.nodes.get(0);
+        StandInNode spare = fleet.nodes.get(1);
+        ColdWatch watch = new ColdWatch(200, 0.3, 5000, 300);
+        spare.watch(watch);
+        String head = SITE + DaemonRig.CLASSES + DaemonRig.MAIN + DaemonRig.plain("a", "", first);
+        try (DaemonRig rig = new DaemonRig(fleet, head + DaemonRig.route("all", "", "a"))) {
+            // The spare pool comes with a new file, so that its server is a new one.
+            watch.born(System.nanoTime() / 1e6);
+            rig.load(head + DaemonRig.plain("spare", "", spare).replace("dial", "capacity = 200\ndial")
+                    + DaemonRig.route("all", "", "a", "spare"));
+            first.kill();
+            LoadClient.Account a = rig.ask(3000, 8, 4, PoolsTest::read);
+            assertThat(a.faults).isEmpty();
+            assertThat(a.missing).as("answered by the spare node, which has none of the keys").isPositive();
+            assertThat(a.refused).isPositive();
+            assertThat(a.refusedWithoutTime).isZero();
+            assertThat(a.failed).isZero();
+            assertThat(watch.worst()).isLessThan(3);
+        }
+    }
+
+    @Test
+    void aReadThatTimedOutGoesToTheNextPool() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        try (DaemonRig rig = new DaemonRig(fleet, SHORT + DaemonRig.MAIN
+                + DaemonRig.plain("a", "retry_share = 0\nretries_always = 0", fleet.nodes.get(0))
+                + DaemonRig.pool("b", fleet, "", fleet.nodes.get(1)) + DaemonRig.route("all", "", "a", "b"));
+                DaemonRig.Talk talk = rig.talk()) {
+            fleet.nodes.get(0).mute(true);
+            assertThat(talk.say("mg k v\r\n").lines(2)).containsExactly("VA 10", "value of k");
+            assertThat(fleet.nodes.get(0).commands()).isPositive();
+        }
+    }
+
+    @Test
+    void anUnsafeWriteThatTimedOutGoesNowhereElse() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        try (DaemonRig rig = new DaemonRig(fleet, SHORT + DaemonRig.MAIN + DaemonRig.plain("a", "", fleet.nodes.get(0))
+                + DaemonRig.plain("b", "", fleet.nodes.get(1)) + DaemonRig.route("all", "", "a", "b"));
+                DaemonRig.Talk talk = rig.talk()) {
+            fleet.nodes.get(0).mute(true);
+            assertThat(talk.say("ms k 2 Pc=submit\r\nhi\r\n").line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(fleet.nodes.get(0).commands()).isEqualTo(1);
+            assertThat(fleet.nodes.get(1).commands()).isZero();
+        }
+    }
+
+    @Test
+    void anUnsafeWriteThatCanNotHaveRunGoesOn() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        try (DaemonRig rig = new DaemonRig(fleet, SHORT + DaemonRig.MAIN + DaemonRig.plain("a", "", fleet.nodes.get(0))
+                + DaemonRig.plain("b", "", fleet.nodes.get(1)) + DaemonRig.route("all", "", "a", "b"));
+                DaemonRig.Talk talk = rig.talk()) {
+            fleet.nodes.get(0).kill();
+            assertThat(talk.say("ms k 2 Pc=submit\r\nhi\r\n").line()).isEqualTo("HD");
+            assertThat(fleet.ledger.times("hi")).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aKeyedWriteThatMayHaveRunGoesOnOnlyWhereItsRepeatIsDropped() throws Exception {
+        for (boolean together : new boolean[] {true, false}) {
+            StandInFleet fleet = new StandInFleet(2);
+            ScriptedServer resets = new ScriptedServer(c -> {
+                c.command();
+                c.line();
+                c.reset();
+            });
+            String first = "[[pool]]\nname = \"a\"\nnodes = \"plain\"\ndedup_group = \"g\"\n[[pool.server]]\nname = \"r\"\n"
+                    + "dial = \"" + resets.dial() + "\"\n";
+            try (resets; DaemonRig rig = new DaemonRig(fleet, SHORT.replace("60000", "5000") + DaemonRig.MAIN + first
+                    + DaemonRig.plain("b", "dedup_group = \"" + (together ? "g" : "h") + "\"", fleet.nodes.get(1))
+                    + DaemonRig.route("all", "", "a", "b"));
+                    DaemonRig.Talk talk = rig.talk()) {
+                assertThat(talk.say("ms k 2 Pc=publish,k=once\r\nhi\r\n").line())
+                        .isEqualTo(together ? "HD" : "SERVER_ERROR failed");
+                assertThat(fleet.nodes.get(1).commands()).isEqualTo(together ? 1 : 0);
+                assertThat(talk.say("ms k 2 Pc=submit\r\nno\r\n").line()).isEqualTo("SERVER_ERROR failed");
+                assertThat(fleet.ledger.times("no")).as("an unsafe one never").isZero();
+            }
+        }
+    }
+
+    @Test
+    void whenItsRetriesAreSpentAPoolRefusesAndItComesBackAfterwards() throws Exception {
+        StandInFleet fleet = new StandInFleet(4);
+        StandInNode[] n = fleet.nodes.toArray(new StandInNode[0]);
+        try (DaemonRig rig = new DaemonRig(fleet, DaemonRig.LIMITS + "second_copies = false\n" + DaemonRig.CLASSES + DaemonRig.MAIN
+                + DaemonRig.plain("a", "retry_share = 0.1\nretries_always = 0", n) + DaemonRig.route("all", "", "a"))) {
+            for (StandInNode node : n) {
+                node.busy(Integer.MAX_VALUE);
+            }
+            int before = 0;
+            LoadClient.Account a = rig.ask(2000, 4, 4, PoolsTest::read);
+            for (StandInNode node : n) {
+                before += node.commands();
+            }
+            assertThat(a.refused).isEqualTo(2000);
+            assertThat(a.refusedWithoutTime).isZero();
+            // A first try each at most, a tenth of that in retries, and the ten that were saved up.
+            assertThat(before).isLessThanOrEqualTo(2000 + 200 + 10);
+            for (StandInNode node : n) {
+                node.busy(0);
+                for (int i = 0; i < 200; i++) {
+                    node.store("k/" + i, new byte[5]);
+                }
+            }
+            LoadClient.Account again;
+            do {
+                again = rig.ask(200, 4, 1, PoolsTest::read);
+                assertThat(again.faults).isEmpty();
+            } while (again.served < 200);
+        }
+    }
+
+    @Test
+    void backupsServeWhileNoOtherCanAndNoLonger() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        StandInNode primary = fleet.nodes.get(0);
+        StandInNode backup = fleet.nodes.get(1);
+        String pool = "[[pool]]\nname = \"a\"\nnodes = \"plain\"\n" + DaemonRig.servers("", primary)
+                + DaemonRig.servers("backup = true", backup);
+        try (DaemonRig rig = new DaemonRig(fleet, "[site]\nwarm_up_ms = 0\n" + DaemonRig.LIMITS + DaemonRig.CLASSES + DaemonRig.MAIN + pool
+                + DaemonRig.route("all", "", "a"))) {
+            assertThat(rig.ask(300, 4, 2, PoolsTest::read).missing).isEqualTo(300);
+            assertThat(backup.commands()).isZero();
+            primary.kill();
+            LoadClient.Account a = rig.ask(300, 4, 2, PoolsTest::read);
+            assertThat(a.faults).isEmpty();
+            assertThat(backup.commands()).isPositive();
+            primary.revive();
+            int seen = primary.commands();
+            AtomicInteger asked = new AtomicInteger();
+            while (primary.commands() < seen + 50 && asked.get() < 200_000) {
+                asked.addAndGet(rig.ask(200, 4, 2, PoolsTest::read).sent);
+            }
+            int spare = backup.commands();
+            assertThat(rig.ask(100, 2, 1, PoolsTest::read).missing).isEqualTo(100);
+            assertThat(backup.commands()).as("fail-back").isEqualTo(spare);
+        }
+    }
+
+    @Test
+    void aPoolThatIsFullSendsOnToTheNextOrRefusesWithATime() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        try (DaemonRig rig = new DaemonRig(fleet, DaemonRig.CLASSES + DaemonRig.MAIN
+                + DaemonRig.plain("a", "in_hand = 1", fleet.nodes.get(0)) + DaemonRig.plain("b", "per_second = 10", fleet.nodes.get(1))
+                + DaemonRig.route("all", "", "a", "b"));
+                DaemonRig.Talk one = rig.talk(); DaemonRig.Talk two = rig.talk(); DaemonRig.Talk three = rig.talk()) {
+            fleet.nodes.get(0).mute(true);
+            one.say("mg k1 v\r\n");
+            while (rig.daemon.inHand() == 0) {
+                Thread.onSpinWait();
+            }
+            assertThat(two.say("mg k2 v\r\n").line()).isEqualTo("EN");
+            assertThat(three.say("mg k3 v\r\n").line()).matches("SERVER_ERROR busy [1-9]\\d*");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/ReloadTest.java
@@ -0,0 +1,142 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import damsonworks.config.ConfigException;
+import damsonworks.standin.LoadClient;
+import damsonworks.standin.LoadClient.Ask;
+import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInNode;
+import damsonworks.standin.StandInOrigin;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** New files under load, good ones and bad ones. */
+class ReloadTest {
+    @TempDir
+    private Path folder;
+
+    private static Ask ask(int i) {
+        String key = "page/" + i % 300;
+        return switch (i % 10) {
+            case 0 -> new Ask("s/" + i, "c=submit", "submit-" + i, null);
+            case 1 -> new Ask("p/" + i, "c=publish,k=publish-" + i, "publish-" + i, null);
+            default -> new Ask(key, "c=page", null, StandInOrigin.value(key));
+        };
+    }
+
+    @Test
+    void aHundredReloadsUnderLoadLoseNothingAndRepeatNothing() throws Exception {
+        StandInFleet fleet = new StandInFleet(6);
+        StandInNode[] n = fleet.nodes.toArray(new StandInNode[0]);
+        String[] files = new String[4];
+        for (int v = 0; v < files.length; v++) {
+            // Routes move between the pools, a pool comes and goes, another is replaced whole, servers change places.
+            files[v] = (v == 2 ? DaemonRig.LIMITS + "max_attempts = 2\n" : DaemonRig.LIMITS) + DaemonRig.CLASSES + DaemonRig.MAIN
+                    + DaemonRig.pool("a", fleet, "in_hand = " + (1000 + v), n[0], n[1], n[2 + v % 2])
+                    + (v == 1 ? "" : DaemonRig.pool("b", fleet, "", n[3], n[4], n[5]))
+                    + DaemonRig.route("pages", "prefix = \"page/\"", v % 2 == 0 && v != 1 ? "b" : "a")
+                    + DaemonRig.route("all", "", v == 3 ? "b" : "a");
+        }
+        try (DaemonRig rig = new DaemonRig(fleet, files[0])) {
+            fleet.origin.work(2);
+            int total = 30_000;
+            CompletableFuture<LoadClient.Account> load = new LoadClient(fleet.loop(), rig.daemon.address("main"), total,
+                    ReloadTest::ask).start(8, 4);
+            int reloads = 0;
+            while (reloads < 100 || !load.isDone()) {
+                rig.load(files[++reloads % files.length]);
+            }
+            LoadClient.Account a = load.get(60, TimeUnit.SECONDS);
+            assertThat(a.faults).isEmpty();
+            assertThat(a.answered()).isEqualTo(total);
+            assertThat(a.refusedWithoutTime).isZero();
+            assertThat(fleet.ledger.repeated()).isZero();
+            while (rig.daemon.inHand() > 0 || rig.daemon.poolsAtWork() > 2) {
+                Thread.onSpinWait(); // pools that went are let go of
+            }
+        }
+    }
+
+    @Test
+    void aFileOfNoUseChangesNothingAndSaysWhy() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        StandInNode[] n = fleet.nodes.toArray(new StandInNode[0]);
+        String good = DaemonRig.CLASSES + DaemonRig.MAIN + DaemonRig.pool("a", fleet, "", n) + DaemonRig.route("all", "", "a");
+        Path file = folder.resolve("coralbay.toml");
+        try (DaemonRig rig = new DaemonRig(fleet, good); DaemonRig.Talk talk = rig.talk();
+                ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress before = rig.daemon.address("main");
+            String unbindable = good + DaemonRig.listener("second", "127.0.0.1:" + taken.getLocalPort())
+                    + DaemonRig.listener("third", "127.0.0.1:0");
+            for (String bad : new String[] {"", "[[[", good.substring(0, good.length() / 2), good.replace("\"a\"", "\"\""),
+                unbindable}) {
+                Files.writeString(file, bad);
+                ConfigException e = catchThrowableOfType(ConfigException.class, () -> rig.daemon.reload(file));
+                assertThat(e.errors()).isNotEmpty().allMatch(l -> l.startsWith(file + ":") && l.matches(".*:\\d+:\\d+: .*"));
+                talk.say("mg page/1 v\r\n");
+                assertThat(talk.lines(2)).containsExactly("VA 15", "value of page/1");
+                assertThat(rig.daemon.address("main")).isEqualTo(before);
+                assertThat(rig.daemon.addresses()).hasSize(1);
+            }
+        }
+    }
+
+    @Test
+    void oneListenerGoesAndTheOtherIsNotDisturbed() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        StandInNode n = fleet.nodes.get(0);
+        String pools = DaemonRig.pool("a", fleet, "", n) + DaemonRig.route("all", "", "a");
+        String two = DaemonRig.CLASSES + DaemonRig.MAIN + DaemonRig.listener("second", "127.0.0.1:0") + pools;
+        try (DaemonRig rig = new DaemonRig(fleet, two);
+                DaemonRig.Talk stays = rig.talk();
+                DaemonRig.Talk idle = new DaemonRig.Talk(rig.daemon.address("second"));
+                DaemonRig.Talk busy = new DaemonRig.Talk(rig.daemon.address("second"))) {
+            InetSocketAddress second = rig.daemon.address("second");
+            assertThat(idle.say("mn\r\n").line()).isEqualTo("MN");
+            fleet.origin.work(200);
+            busy.say("mg slow v\r\n");
+            while (rig.daemon.inHand() == 0) {
+                Thread.onSpinWait();
+            }
+            rig.load(DaemonRig.CLASSES + DaemonRig.MAIN + pools);
+            assertThat(idle.line()).isNull();
+            assertThat(busy.lines(2)).containsExactly("VA 13", "value of slow");
+            assertThat(busy.line()).as("ends between requests").isNull();
+            assertThat(stays.say("mg other v\r\n").lines(2)).containsExactly("VA 14", "value of other");
+            assertThat(catchThrowableOfType(ConnectException.class, () -> new Socket(second.getAddress(), second.getPort())))
+                    .isNotNull();
+        }
+    }
+
+    @Test
+    void aRequestInHandEndsUnderTheFileThatItCameUnder() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        StandInNode old = fleet.nodes.get(0);
+        StandInNode next = fleet.nodes.get(1);
+        String head = DaemonRig.CLASSES + DaemonRig.MAIN;
+        try (DaemonRig rig = new DaemonRig(fleet, head + DaemonRig.pool("a", fleet, "", old) + DaemonRig.route("all", "", "a"));
+                DaemonRig.Talk talk = rig.talk(); DaemonRig.Talk later = rig.talk()) {
+            fleet.origin.work(300);
+            talk.say("mg k v\r\n");
+            while (rig.daemon.inHand() == 0) {
+                Thread.onSpinWait();
+            }
+            rig.load(head + DaemonRig.pool("b", fleet, "", next) + DaemonRig.route("all", "", "b"));
+            later.say("mg k2 v\r\n"); // the new node is cold, so this may go by the origin alone
+            assertThat(talk.lines(2)).containsExactly("VA 10", "value of k");
+            assertThat(later.lines(2)).containsExactly("VA 11", "value of k2");
+            assertThat(old.commands()).isEqualTo(1);
+        }
+    }
+}
