Flush at once on the platform, gather writes only in the daemon

On part of a core a process may be halted in the middle of a turn, and what it had to say with it, and a few hundred requests a second leave nothing to gather.

Core gathers writes only where it is told to, in the daemon. Zones that another pool has no longer replace a pool at a reload.

--- a/src/main/java/damsonworks/bench/HopBench.java
+++ b/src/main/java/damsonworks/bench/HopBench.java
@@ -71,7 +71,7 @@
     }
 
     private static String file(StandInNode node) {
-        return "[[class]]\nname = \"page\"\neffect = \"safe\"\naim_ms = 10000\ndeadline_ms = 20000\n"
+        return "[[class]]\nname = \"page\"\neffect = \"safe\"\naim_ms = 250\ndeadline_ms = 1000\n"
                 + "[[listen]]\nname = \"main\"\naddress = \"127.0.0.1:0\"\nopen = true\nclass = \"page\"\n"
                 + "[[pool]]\nname = \"a\"\nnodes = \"plain\"\n[[pool.server]]\nname = \"n-1\"\ndial = \"" + node.dial()
                 + "\"\n[[route]]\nname = \"all\"\npools = [\"a\"]\n";
--- a/src/main/java/damsonworks/cli/RunCommand.java
+++ b/src/main/java/damsonworks/cli/RunCommand.java
@@ -53,6 +53,8 @@
         } catch (ConfigException e) {
             e.errors().forEach(err::println);
             err.println("nothing has changed");
+        } catch (RuntimeException e) {
+            err.println("the file could not be taken over, please report this: " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -21,9 +21,9 @@
      *
      * @param me this proxy's number among those of the tier, from 0
      * @param instances how many proxies share the servers
-     * @param zones names of zones, ours first
+     * @param zone ours
      */
-    public record Site(String name, int me, int instances, List<String> zones, double drainGraceMs,
+    public record Site(String name, int me, int instances, String zone, double drainGraceMs,
             double startCapacity, double warmUpMs, double tipMultiple, double fallMs) { }
 
     /**
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -43,7 +43,6 @@
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final Map<String, Section> poolSections = new HashMap<>();
     private final List<Listen> listeners = new ArrayList<>();
-    private final Set<String> zones = new java.util.LinkedHashSet<>();
     /** Servers of all pools, by name and by address: one server has one of each. */
     private final Map<String, Server> serversByName = new HashMap<>();
     private final Map<InetSocketAddress, String> namesByAddress = new HashMap<>();
@@ -110,21 +109,16 @@
         fallbacks();
         RouteTable table = routes(routes);
         root.end();
-        List<String> allZones = new ArrayList<>();
-        allZones.add(site.zones().get(0));
-        zones.stream().filter(z -> !allZones.contains(z)).forEach(allZones::add);
-        Site whole = new Site(site.name(), site.me(), site.instances(), allZones, site.drainGraceMs(),
-                site.startCapacity(), site.warmUpMs(), site.tipMultiple(), site.fallMs());
-        return new DaemonFile(path, whole, limits, classes, tenants, listeners, pools, table);
+        return new DaemonFile(path, site, limits, classes, tenants, listeners, pools, table);
     }
 
     private Site site(Section s) {
         if (s == null) {
-            return new Site("coralbay", 0, 1, List.of("here"), 2000, 0.3, 9000, 3, 1500);
+            return new Site("coralbay", 0, 1, "here", 2000, 0.3, 9000, 3, 1500);
         }
         int instances = s.integer("instances", 1, 1, 10_000);
         Site site = new Site(s.text("name", "coralbay"), s.integer("me", 0, 0, instances - 1), instances,
-                List.of(s.text("zone", "here")), s.number("drain_grace_ms", 2000, 100, HOUR_MS),
+                s.text("zone", "here"), s.number("drain_grace_ms", 2000, 100, HOUR_MS),
                 s.number("start_capacity", 0.3, 0.01, 1), s.number("warm_up_ms", 9000, 0, HOUR_MS),
                 s.number("tip_multiple", 3, 1.5, 100), s.number("fall_ms", 1500, 100, HOUR_MS));
         s.end();
@@ -296,7 +290,6 @@
                     + "; rename one");
         }
         String zone = s.text("zone", "here");
-        zones.add(zone);
         Server server = new Server(name, id, dial, zone, s.text("kind", kind), s.number("weight", 1, 0, 1e6),
                 s.flag("backup", false), s.flag("down", false), s.flag("drain", false), s.flag("warm", false),
                 s.number("capacity", 0, 0.1, 1e9));
@@ -330,7 +323,6 @@
         if (sites.isEmpty()) {
             s.error("zones", "discovery needs zones, the sites that its list names");
         }
-        zones.addAll(sites);
         Discovery d = new Discovery(address(s, "address", false), sites, kinds, originKind);
         s.end();
         return d;
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -82,7 +82,7 @@
         seeds = new SplittableRandom(seed);
         idPrefix = Long.toHexString(seeds.nextLong() & 0xFFFFFFFFFFL | 0x10000000000L);
         int sockets = file.limits().sockets();
-        core = new Core(loop, Transport.BEST.socket(), (long) file.limits().memoryMb() << 20 >> 3, sockets / 3);
+        core = new Core(loop, Transport.BEST.socket(), (long) file.limits().memoryMb() << 20 >> 3, sockets / 3, true);
         clients = new Clients(core, Math.max(16, sockets - sockets / 3 - OWN_DESCRIPTORS));
         router = new Router(core);
     }
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** A pool of the file in the terms of the decision module. */
 final class PoolSettings {
@@ -43,15 +44,24 @@
         return kinds;
     }
 
+    /** Ours and those of its servers: a zone that another pool has says nothing to this one. */
+    private static List<String> zones(DaemonFile file, DaemonFile.Pool pool) {
+        if (pool.discovery() != null) {
+            return pool.discovery().zones();
+        }
+        return Stream.concat(Stream.of(file.site().zone()), all(pool).stream().map(DaemonFile.Server::zone)).distinct()
+                .toList();
+    }
+
     static Settings of(DaemonFile file, DaemonFile.Pool pool) {
         DaemonFile.Site site = file.site();
         DaemonFile.Limits limits = file.limits();
         boolean listed = pool.discovery() == null;
         List<String> kinds = kinds(pool);
-        List<String> zones = listed ? site.zones() : pool.discovery().zones();
+        List<String> zones = zones(file, pool);
         boolean aside = listed ? pool.origin() != null : pool.discovery().originKind() != null;
         int originKind = !aside ? -1 : listed ? kinds.size() - 1 : kinds.indexOf(pool.discovery().originKind());
-        return new Settings(site.me(), site.instances(), Math.max(0, zones.indexOf(site.zones().get(0))), zones.size(),
+        return new Settings(site.me(), site.instances(), Math.max(0, zones.indexOf(site.zone())), zones.size(),
                 kinds.size(), !listed, aside, originKind, Reports.NONE, List.of(), false,
                 file.tenants().size() > 1 ? 0.1 : 1, true, false, false, limits.secondCopies(), true,
                 limits.maxAttempts(), limits.maxRetryAfterMs(), limits.connectTimeoutMs(), site.drainGraceMs(), 20,
@@ -62,7 +72,7 @@
     static Member member(DaemonFile file, DaemonFile.Pool pool, DaemonFile.Server s, double bornMs) {
         boolean origin = s == pool.origin();
         List<String> kinds = kinds(pool);
-        return new Member(s.id(), file.site().zones().indexOf(s.zone()), origin ? kinds.size() - 1
+        return new Member(s.id(), zones(file, pool).indexOf(s.zone()), origin ? kinds.size() - 1
                 : kinds.indexOf(s.kind()), 0, s.drain() ? State.DRAINING : State.READY, (float) s.weight(), bornMs);
     }
 
--- a/src/main/java/damsonworks/proxy/Core.java
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -31,6 +31,7 @@
     private final long startNanos = System.nanoTime();
     private final long maxValueBytes;
     private final int maxUpstream;
+    private final boolean gathers;
     private double closes = CLOSES_SAVED;
     private double closesAtMs;
     private int upstreamCount;
@@ -41,8 +42,12 @@
      * @param upstream the kind of channel towards servers
      * @param maxValueBytes what clients' values in hand may take together
      * @param maxUpstream connections to all servers together
+     * @param gathers whether a turn of the loop flushes once for all it writes. That saves CPU at high rates; a
+     *            process with part of a core may be halted in the middle of a turn, and what it had to say with it
      */
-    public Core(EventLoop loop, Class<? extends Channel> upstream, long maxValueBytes, int maxUpstream) {
+    public Core(EventLoop loop, Class<? extends Channel> upstream, long maxValueBytes, int maxUpstream,
+            boolean gathers) {
+        this.gathers = gathers;
         this.loop = loop;
         this.upstream = upstream;
         this.maxValueBytes = maxValueBytes;
@@ -53,7 +58,7 @@
 
     /** As the platform's configuration bounds it. */
     static Core of(EventLoop loop, Config config, Class<? extends Channel> upstream) {
-        return new Core(loop, upstream, (long) config.memoryMb() << 20 >> 3, config.sockets() / 3);
+        return new Core(loop, upstream, (long) config.memoryMb() << 20 >> 3, config.sockets() / 3, false);
     }
 
     /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
@@ -66,10 +71,15 @@
     }
 
     /**
-     * Runs once the events that the loop has in hand are done. What they write to one connection goes out in one
-     * call of the system, not in one for each request; each connection asks once, so there are as many as those.
+     * Runs once the events that the loop has in hand are done, where writes are gathered: what they write to one
+     * connection goes out in one call of the system, not in one for each request. Each connection asks once, so
+     * there are as many as those. Else at once.
      */
     void flushLater(Runnable flush) {
+        if (!gathers) {
+            flush.run();
+            return;
+        }
         flushes.add(flush);
         if (flushes.size() == 1) {
             loop.execute(flushAll);
