--- a/src/main/java/damsonworks/placement/CarpPlacement.java
+++ b/src/main/java/damsonworks/placement/CarpPlacement.java
@@ -2,25 +2,30 @@
 
 import damsonworks.Carp;
 import damsonworks.RoutingApi.Member;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
 
 /**
  * CARP's ranking (draft-vinod-carp-v1-03, section 3.4). Every member is scored for each key, so the scan is
- * what counts: all hashes are combined in a loop that the compiler turns into vector code, and a part of them
- * is looked into only if its greatest hash with its greatest multiplier could get among the best. The answers
- * are those of scoring one member after another.
+ * what counts. Hashes lie in rows; loops that the compiler turns into vector code combine a row with the key
+ * and keep, for each lane of some rows, the greatest. Only lanes whose greatest hash with the greatest
+ * multiplier could get among the best are looked into. The answers are those of scoring one after another.
  */
 public final class CarpPlacement implements Placement {
-    /** Looked into or passed over as one: most hold none of the best. */
-    private static final int PART = 32;
+    /** Hashes in a row, 1 KiB: enough for unrolled vector code. */
+    private static final int LANES = 256;
+    /** Rows whose lanes are passed over as one. */
+    private static final int ROWS = 16;
 
-    /** Members by falling multiplier, so that those of a part have nearly the same. */
+    private final int lanes;
+    /** Members by falling multiplier, so that those near each other have nearly the same. */
     private final int[] order;
-    private final int[] hashes;
     private final double[] multipliers;
-    /** Their hashes combined with a key's. */
-    private final int[] combined;
+    private final int[][] hashes;
+    /** The hashes combined with a key's. */
+    private final int[][] combined;
+    private final int[] greatest;
     private double[] scores = new double[16];
 
     /** Over members in the order of their ids; their weights need not sum to 1. */
@@ -33,18 +38,21 @@
         float[] x = Carp.multipliers(weights);
         order = IntStream.range(0, n).boxed().sorted((a, b) -> Float.compare(x[b], x[a]))
                 .mapToInt(Integer::intValue).toArray();
-        hashes = new int[n];
-        combined = new int[n];
         multipliers = new double[n];
+        lanes = Math.max(1, Math.min(LANES, n));
+        int rows = (n + lanes - 1) / lanes;
+        hashes = new int[rows][lanes]; // the last row may end in lanes of nobody
+        combined = new int[rows][lanes];
+        greatest = new int[lanes];
         for (int i = 0; i < n; i++) {
-            hashes[i] = Carp.memberHash(members.get(order[i]).id());
+            hashes[i / lanes][i % lanes] = Carp.memberHash(members.get(order[i]).id());
             multipliers[i] = x[order[i]];
         }
     }
 
     @Override
     public int spreadable() {
-        return hashes.length;
+        return order.length;
     }
 
     @Override
@@ -52,24 +60,41 @@
         if (scores.length < want) {
             scores = new double[want];
         }
-        combine(keyHash, hashes, combined);
         int count = 0;
-        int least = Integer.MIN_VALUE;
-        for (int from = 0; from < combined.length; from += PART) {
-            int to = Math.min(combined.length, from + PART);
-            if (greatest(combined, from, to) >= least) {
-                count = look(from, to, count, want, top);
-                // Holds for what follows, too: multipliers fall.
-                least = count < want ? Integer.MIN_VALUE : least(scores[want - 1], multipliers[from]);
+        if (hashes.length <= 1) { // too few for lanes to save anything
+            for (int i = 0; i < order.length; i++) {
+                combined[0][i] = Carp.combine(keyHash, hashes[0][i]);
+                count = look(0, 1, i, count, want, top);
+            }
+            return count;
+        }
+        int least = 0;
+        for (int from = 0; from < hashes.length; from += ROWS) {
+            int to = Math.min(hashes.length, from + ROWS);
+            Arrays.fill(greatest, 0);
+            for (int row = from; row < to; row++) {
+                combine(keyHash, hashes[row], combined[row]);
+                greatest(combined[row], greatest);
+            }
+            for (int lane = 0; lane < lanes; lane++) {
+                if (greatest[lane] >= least) {
+                    count = look(from, to, lane, count, want, top);
+                    // Holds for what follows, too: multipliers fall.
+                    least = count < want ? 0 : least(scores[want - 1], multipliers[from * lanes]);
+                }
             }
         }
         return count;
     }
 
-    private int look(int from, int to, int count, int want, int[] top) {
+    private int look(int from, int to, int lane, int count, int want, int[] top) {
         int n = count;
-        for (int i = from; i < to; i++) {
-            double score = ((combined[i] ^ Integer.MIN_VALUE) & 0xFFFFFFFFL) * multipliers[i];
+        for (int row = from; row < to; row++) {
+            int i = row * lanes + lane;
+            if (i >= order.length) {
+                break;
+            }
+            double score = (combined[row][lane] & 0xFFFFFFFFL) * multipliers[i];
             if (n < want || score >= scores[want - 1] && before(score, order[i], want - 1, top)) {
                 n = insert(top, n, want, order[i], score);
             }
@@ -78,43 +103,36 @@
     }
 
     /**
-     * {@link Carp#combine} for all, moved to compare as signed. Vector code comes of it only if both
-     * arrays have one index; rotations are sums, as for the usual form there is no vector code everywhere.
+     * {@link Carp#combine} for a row. Vector code comes of it only if all arrays have one index; rotations
+     * are sums, as for the usual form there is no vector code everywhere.
      */
     private static void combine(int keyHash, int[] hashes, int[] out) {
         for (int i = 0; i < out.length; i++) {
             int h = (keyHash ^ hashes[i]) * (Carp.SPREAD + 1);
             h = ((h << 21) + (h >>> 11)) * (Carp.SPREAD + 1);
-            out[i] = (h << 21) + (h >>> 11) ^ Integer.MIN_VALUE;
+            out[i] = (h << 21) + (h >>> 11);
         }
     }
 
-    /** In four strands, as one would wait for itself. */
-    private static int greatest(int[] of, int from, int to) {
-        int a = Integer.MIN_VALUE;
-        int b = a;
-        int c = a;
-        int d = a;
-        int i = from;
-        for (; i + 3 < to; i += 4) {
-            a = Math.max(a, of[i]);
-            b = Math.max(b, of[i + 1]);
-            c = Math.max(c, of[i + 2]);
-            d = Math.max(d, of[i + 3]);
-        }
-        for (; i < to; i++) {
-            a = Math.max(a, of[i]);
+    /**
+     * The greatest of each lane, by halves of the hashes: they are not negative, so a difference can't
+     * overflow and its sign chooses. Math.max would be no vector code.
+     */
+    private static void greatest(int[] row, int[] greatest) {
+        for (int i = 0; i < row.length; i++) {
+            int half = row[i] >>> 1;
+            int more = half - greatest[i];
+            greatest[i] = half - (more & more >> 31);
         }
-        return Math.max(Math.max(a, b), Math.max(c, d));
     }
 
     /**
-     * The least hash, moved like the others, that could reach a score with this multiplier. Rounded down by
-     * more than the division can be wrong: what passes is scored exactly.
+     * The least half of a hash that could reach a score with this multiplier. Rounded down by more than the
+     * division can be wrong: what passes is scored exactly.
      */
     private static int least(double score, double multiplier) {
         double hash = multiplier > 0 ? score / multiplier * (1 - 1e-12) - 1 : 0;
-        return (int) ((long) Math.max(0, Math.min(0xFFFFFFFFL, hash)) + Integer.MIN_VALUE);
+        return (int) ((long) Math.max(0, Math.min(0xFFFFFFFFL, hash)) >>> 1);
     }
 
     /** Whether a score goes before the one at this rank; of equals the member that is first on the list. */
--- a/src/test/java/damsonworks/placement/PlacementTest.java
+++ b/src/test/java/damsonworks/placement/PlacementTest.java
@@ -17,7 +17,7 @@
     private static List<Member> members(SplittableRandom random, int n, boolean equal) {
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            float weight = equal ? 1 : 0.25f + random.nextInt(8) / 4f;
+            float weight = equal ? 1 : random.nextInt(8) / 4f;
             members.add(new Member(random.nextInt(), 0, 0, 0, State.READY, weight, 0));
         }
         members.sort((a, b) -> Integer.compareUnsigned(a.id(), b.id()));
@@ -44,10 +44,10 @@
     @Test
     void carpsRankingIsThatOfScoringAndSortingAllAtEverySize() {
         SplittableRandom random = new SplittableRandom(11);
-        for (int n : new int[] {0, 1, 2, 7, 8, 9, 255, 256, 257, 511, 1000}) {
+        for (int n : new int[] {0, 1, 2, 7, 8, 9, 255, 256, 257, 511, 1000, 4095, 4097, 9000}) {
             List<Member> members = members(random, n, n % 2 == 0);
             Placement carp = new CarpPlacement(members);
-            for (int i = 0; i < 60; i++) {
+            for (int i = 0; i < (n > 2000 ? 15 : 60); i++) {
                 long key = random.nextLong();
                 int want = 1 + random.nextInt(20);
                 assertThat(top(carp, key, want)).as("%d members", n)
