Test that a pool that goes sends nothing new once the drain grace is over

The rule on drains holds for pools that a reload removes, but no test caused it. A request in hand of a pool that goes would be asked of a second server after the grace; with the cut taken out of the daemon the test sees two commands where one is allowed.

--- a/src/test/java/damsonworks/daemon/ReloadTest.java
+++ b/src/test/java/damsonworks/daemon/ReloadTest.java
@@ -139,4 +139,25 @@
             assertThat(old.commands()).isEqualTo(1);
         }
     }
+
+    @Test
+    void aPoolThatGoesSendsNothingNewOnceTheDrainGraceIsOver() throws Exception {
+        StandInFleet fleet = new StandInFleet(3);
+        StandInNode[] n = fleet.nodes.toArray(new StandInNode[0]);
+        String head = "[site]\ndrain_grace_ms = 100\n" + DaemonRig.CLASSES.replace("20000", "2000").replace("10000", "1000")
+                + DaemonRig.MAIN;
+        try (DaemonRig rig = new DaemonRig(fleet, head + DaemonRig.plain("a", "", n[0], n[1]) + DaemonRig.route("all", "", "a"));
+                DaemonRig.Talk talk = rig.talk()) {
+            n[0].mute(true);
+            n[1].mute(true);
+            talk.say("mg k v\r\n");
+            while (n[0].commands() + n[1].commands() == 0) {
+                Thread.onSpinWait();
+            }
+            // Before the first one is overdue, after which the other would be asked.
+            rig.load(head + DaemonRig.plain("b", "", n[2]) + DaemonRig.route("all", "", "b"));
+            assertThat(talk.line()).startsWith("SERVER_ERROR busy ");
+            assertThat(n[0].commands() + n[1].commands()).isEqualTo(1);
+        }
+    }
 }
