Import nginx's upstream and location blocks, with a report and a comparison

The merged companies route by nginx and want the same key on the same node, and to be told what can't be had. import-nginx reads a configuration with its includes (package nginx), makes a model of it (nginx.model) and of that routes and pools (nginx.importer).

--- /dev/null
+++ b/src/main/java/damsonworks/nginx/importer/ServerMoves.java
@@ -0,0 +1,61 @@
+package damsonworks.nginx.importer;
+
+import damsonworks.Carp;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.State;
+import damsonworks.placement.Peer;
+import damsonworks.placement.Placement;
+import damsonworks.placement.PlacementKey;
+import damsonworks.placement.Placements;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** What share of a pool's keys would move if it went over to CARP: computed, over keys drawn at random. */
+final class ServerMoves {
+    private static final int KEYS = 10_000;
+    private static final long SEED = 1;
+
+    private ServerMoves() { }
+
+    static void note(Collection<PoolTranslator.PoolSpec> pools, Report report) {
+        for (PoolTranslator.PoolSpec p : pools) {
+            if (!p.placement().equals(Placements.CARP)) {
+                report.note(String.format(java.util.Locale.ROOT,
+                        "pool %s: going over to CARP would move %.1f%% of its keys to another server", p.name(),
+                        100.0 * moved(p) / KEYS));
+            }
+        }
+    }
+
+    private static int moved(PoolTranslator.PoolSpec pool) {
+        List<Peer> peers = new ArrayList<>();
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < pool.servers().size(); i++) {
+            PoolTranslator.ServerSpec s = pool.servers().get(i);
+            int id = damsonworks.placement.ServerId.of(s.name());
+            peers.add(new Peer(id, s.weight(), s.ring() == null ? s.name() : s.ring()));
+            if (!s.down() && !s.backup()) {
+                members.add(new Member(id, 0, 0, 0, State.READY, s.weight(), 0));
+            }
+        }
+        members.sort((a, b) -> Integer.compareUnsigned(a.id(), b.id()));
+        Placement now = Placements.factory(pool.placement(), peers).of(members);
+        Placement carp = Placements.factory(Placements.CARP, peers).of(members);
+        SplittableRandom random = new SplittableRandom(SEED);
+        int[] top = new int[2];
+        int moved = 0;
+        for (int i = 0; i < KEYS; i++) {
+            byte[] text = ("/" + Long.toString(random.nextLong(), 36)).getBytes(StandardCharsets.US_ASCII);
+            long key = PlacementKey.of(text);
+            now.top(key, Carp.keyHash(key), 1, top);
+            int before = top[0];
+            long number = random.nextLong();
+            carp.top(number, Carp.keyHash(number), 1, top);
+            moved += top[0] != before ? 1 : 0;
+        }
+        return moved;
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/ImportedSitesTest.java
@@ -0,0 +1,170 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.config.DaemonFile;
+import damsonworks.config.DaemonFileReader;
+import damsonworks.nginx.ConfParser;
+import damsonworks.nginx.ConfSource;
+import damsonworks.nginx.importer.ImportOptions;
+import damsonworks.nginx.importer.Importer;
+import damsonworks.routes.PathKey;
+import damsonworks.standin.NginxModel;
+import damsonworks.standin.ScriptedServer;
+import damsonworks.standin.StandInNginx;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Configurations of the shapes that people run: a thousand keys each through the stand-in of the original and through
+ * the real daemon with the imported file, in front of nodes that tell which of them was asked and for what.
+ */
+class ImportedSitesTest {
+    private static final int KEYS = 1000;
+    private static final Pattern SERVER = Pattern.compile("(?:server|proxy_pass|set \\$to)\\s+(?:http://)?"
+            + "((?:[0-9]+\\.){3}[0-9]+(?::[0-9]+)?|\\[::1]:[0-9]+)");
+
+    static Stream<Path> sites() throws Exception {
+        URI at = ImportedSitesTest.class.getResource("/nginx").toURI();
+        return Files.list(Path.of(at)).filter(p -> p.toString().endsWith(".conf")).sorted();
+    }
+
+    private static ConfSource alone(Path file) {
+        return new ConfSource() {
+            @Override
+            public String read(String path) {
+                try {
+                    return Files.readString(file, StandardCharsets.ISO_8859_1);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+
+            @Override
+            public List<String> glob(String pattern) {
+                return List.of();
+            }
+        };
+    }
+
+    /** The words behind {@code # NAME} at a file's head. */
+    private static List<String> words(String text, String name) {
+        return text.lines().filter(l -> l.startsWith("# " + name + " ")).flatMap(l -> Arrays.stream(l.substring(
+                name.length() + 3).split(" "))).toList();
+    }
+
+    @ParameterizedTest
+    @MethodSource("sites")
+    void everyKeyGoesToTheNodeThatItWentTo(Path file) throws Exception {
+        String text = Files.readString(file, StandardCharsets.ISO_8859_1);
+        Map<String, String> dial = new LinkedHashMap<>();
+        Map<String, String> names = new LinkedHashMap<>();
+        List<ScriptedServer> nodes = new ArrayList<>();
+        Matcher m = SERVER.matcher(text);
+        Set<String> addresses = new LinkedHashSet<>();
+        while (m.find()) {
+            addresses.add(m.group(1));
+        }
+        try {
+            for (String address : addresses) {
+                // Two spellings of one address are one server.
+                String full = address.matches(".*[\\].0-9]:[0-9]+") ? address : address + ":80";
+                String known = names.get(full);
+                if (known == null) {
+                    ScriptedServer node = ScriptedServer.node(command -> value(full + " " + command.split(" ")[1],
+                            ScriptedServer.id(command)));
+                    nodes.add(node);
+                    known = node.dial();
+                    names.put(full, known);
+                }
+                dial.put(address, known);
+            }
+            ConfParser.Conf conf = ConfParser.read(alone(file), file.getFileName().toString());
+            Importer.Result imported = Importer.run(conf, new ImportOptions("127.0.0.1", 0, dial, "unsafe", 0));
+            assertThat(imported.file()).isNotNull();
+            DaemonFile daemonFile = DaemonFileReader.parse("imported", imported.file());
+            try (StandInNginx original = new StandInNginx(new NginxModel(conf.directives()));
+                    Daemon daemon = Daemon.start(daemonFile, 3)) {
+                replay(text, imported, original, daemon, daemonFile.listeners().get(0).name());
+            }
+        } finally {
+            for (ScriptedServer n : nodes) {
+                n.close();
+            }
+        }
+    }
+
+    private static String value(String text, String id) {
+        return "VA " + text.length() + " O" + id + "\r\n" + text + "\r\n";
+    }
+
+    private static void replay(String text, Importer.Result imported, StandInNginx original, Daemon daemon, String listener)
+            throws Exception {
+        List<String> hosts = words(text, "host");
+        List<String> templates = words(text, "key");
+        int asked = 0;
+        int passedOn = 0;
+        try (Socket http = new Socket(original.address().getAddress(), original.address().getPort());
+                DaemonRig.Talk cache = new DaemonRig.Talk(daemon.address(listener))) {
+            http.setTcpNoDelay(true);
+            InputStream raw = http.getInputStream();
+            BufferedReader in = new BufferedReader(new InputStreamReader(raw, StandardCharsets.ISO_8859_1));
+            for (int i = 0; asked < KEYS; i++) {
+                for (String template : templates) {
+                    String host = hosts.get(i % hosts.size()).replace("-", "").replaceFirst("^\\.$", "");
+                    String uri = template.replace("{n}", Integer.toString(i * 7919 % 100_003));
+                    http.getOutputStream().write(("GET " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n").getBytes(
+                            StandardCharsets.ISO_8859_1));
+                    Map<String, String> answer = headers(in);
+                    String key = (imported.hostInKeys() ? host : "") + uri;
+                    cache.say("mg " + key + " v\r\n");
+                    String line = cache.line();
+                    asked++;
+                    if (answer.get("X-Node") == null) {
+                        assertThat(line).as(key + " is answered by nginx itself, " + answer).startsWith("SERVER_ERROR");
+                        continue;
+                    }
+                    assertThat(line).as(key + " goes to " + answer).startsWith("VA ");
+                    String[] reply = cache.line().split(" ");
+                    passedOn++;
+                    if (!answer.get("X-Node").equals("-")) {
+                        String node = answer.get("X-Node");
+                        assertThat(reply[0]).as(key).isEqualTo(node.matches(".*[\\].0-9]:[0-9]+") ? node : node + ":80");
+                    }
+                    assertThat(PathKey.of(reply[1]).path()).as("path that the node gets for " + key).isEqualTo(
+                            PathKey.of(answer.get("X-Uri")).path());
+                }
+            }
+        }
+        assertThat(passedOn).isGreaterThan(KEYS / 4);
+    }
+
+    private static Map<String, String> headers(BufferedReader in) throws IOException {
+        Map<String, String> all = new LinkedHashMap<>();
+        all.put("status", in.readLine());
+        for (String line; !(line = in.readLine()).isEmpty();) {
+            all.put(line.substring(0, line.indexOf(':')), line.substring(line.indexOf(':') + 2));
+        }
+        return all;
+    }
+}
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -138,8 +138,8 @@
 
     @Test
     void idsComeFromTheHostsNames() {
-        assertThat(damsonworks.config.ServerId.of("s-5be2a07c")).isEqualTo(0x5be2a07c);
-        assertThat(damsonworks.config.ServerId.of("s-f2ffffff")).isEqualTo(0xf2ffffff);
-        assertThat(damsonworks.config.ServerId.of("cache.example")).isEqualTo(damsonworks.config.ServerId.of("cache.example"));
+        assertThat(damsonworks.placement.ServerId.of("s-5be2a07c")).isEqualTo(0x5be2a07c);
+        assertThat(damsonworks.placement.ServerId.of("s-f2ffffff")).isEqualTo(0xf2ffffff);
+        assertThat(damsonworks.placement.ServerId.of("cache.example")).isEqualTo(damsonworks.placement.ServerId.of("cache.example"));
     }
 }
