Read long files in parts, index patterns by their beginning, import in linear time

The file that an import of 50,000 lines makes could not be read with 512 MB: the TOML parser keeps some objects for each character until it is done.

Patterns were tried one after another, and an imported site has its patterns before its prefixes.

--- a/src/main/java/damsonworks/bench/BenchCommand.java
+++ b/src/main/java/damsonworks/bench/BenchCommand.java
@@ -14,7 +14,7 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes or servers; else all.")
+    @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers or import; else all.")
     private String only;
 
     @Option(names = "--seconds", paramLabel = "S", defaultValue = "3", description = "Length of each run of the hop.")
@@ -38,6 +38,9 @@
         if (only == null || only.equals("servers")) {
             choices.servers();
         }
+        if (only == null || only.equals("import")) {
+            new ImportBench(out).run(rounds);
+        }
         return choices.sink() == 42 ? 1 : 0;
     }
 }
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -28,8 +28,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
 
 /** Reads the daemon's file and finds everything that is wrong with it, not only the first. */
 public final class DaemonFileReader {
@@ -73,12 +71,14 @@
     /** The same for a text; {@code name} stands for the file in errors. */
     public static DaemonFile parse(String name, String text) throws ConfigException {
         DaemonFileReader reader = new DaemonFileReader(name);
-        TomlParseResult toml = Toml.parse(text);
-        if (toml.hasErrors()) {
-            toml.errors().forEach(e -> reader.errors.add(e.position(), oneLine(e.getMessage())));
+        List<TomlParts.Part> parts = TomlParts.parse(text);
+        for (TomlParts.Part p : parts) {
+            p.toml().errors().forEach(e -> reader.errors.add(p.at(e.position()), oneLine(e.getMessage())));
+        }
+        if (!reader.errors.none()) {
             throw new ConfigException(reader.errors.lines());
         }
-        DaemonFile file = reader.file(name, new Section(toml, "", null, reader.errors));
+        DaemonFile file = reader.file(name, Section.root(parts, reader.errors));
         if (!reader.errors.none()) {
             throw new ConfigException(reader.errors.lines());
         }
--- a/src/main/java/damsonworks/config/Section.java
+++ b/src/main/java/damsonworks/config/Section.java
@@ -14,12 +14,19 @@
  * others. What is wrong is noted with its place and a stand-in value goes on, so that one pass finds every error.
  */
 final class Section {
-    private final TomlTable table;
+    private final List<Piece> pieces;
     private final String name;
     private final TomlPosition at;
     private final Errors errors;
     private final Set<String> known = new LinkedHashSet<>();
 
+    /** A table, or what one part of the file has of it. */
+    private record Piece(TomlTable table, int before) {
+        TomlPosition at(TomlPosition p) {
+            return p == null ? null : TomlPosition.positionAt(p.line() + before, p.column());
+        }
+    }
+
     /** All that was found to be wrong. */
     static final class Errors {
         private final String file;
@@ -47,17 +54,27 @@
         }
     }
 
-    Section(TomlTable table, String name, TomlPosition at, Errors errors) {
-        this.table = table;
+    private Section(List<Piece> pieces, String name, TomlPosition at, Errors errors) {
+        this.pieces = pieces;
         this.name = name;
         this.at = at;
         this.errors = errors;
     }
 
+    /** The whole file. */
+    static Section root(List<TomlParts.Part> parts, Errors errors) {
+        return new Section(parts.stream().map(p -> new Piece(p.toml(), p.before())).toList(), "", null, errors);
+    }
+
     /** Where a key stands, or the table if it is not there. */
     TomlPosition at(String key) {
-        TomlPosition p = table.inputPositionOf(List.of(key));
-        return p == null ? at : p;
+        for (Piece p : pieces) {
+            TomlPosition found = p.table.inputPositionOf(List.of(key));
+            if (found != null) {
+                return p.at(found);
+            }
+        }
+        return at;
     }
 
     void error(String key, String text) {
@@ -66,18 +83,29 @@
 
     boolean has(String key) {
         known.add(key);
-        return table.contains(List.of(key));
+        return piece(key) != null;
+    }
+
+    /** The first that has a key; null if none does. */
+    private Piece piece(String key) {
+        for (Piece p : pieces) {
+            if (p.table.contains(List.of(key))) {
+                return p;
+            }
+        }
+        return null;
     }
 
     private Object value(String key) {
         known.add(key);
-        return table.get(List.of(key));
+        Piece p = piece(key);
+        return p == null ? null : p.table.get(List.of(key));
     }
 
     String text(String key) {
         String value = text(key, null);
         if (value == null) {
-            if (!table.contains(List.of(key))) {
+            if (piece(key) == null) {
                 errors.add(at, name + " has no " + key + "; it must have one, a text");
             }
             return "";
@@ -159,7 +187,7 @@
                 if (array.get(i) instanceof String s) {
                     list.add(s);
                 } else {
-                    errors.add(array.inputPositionOf(i), key + " holds something that is no text");
+                    errors.add(piece(key).at(array.inputPositionOf(i)), key + " holds something that is no text");
                 }
             }
         } else if (value != null) {
@@ -171,8 +199,14 @@
     /** The table under a key; null where it is absent. */
     Section section(String key) {
         Object value = value(key);
+        Piece first = piece(key);
+        for (Piece p : pieces) {
+            if (p != first && p.table.contains(List.of(key))) {
+                errors.add(p.at(p.table.inputPositionOf(List.of(key))), key + " previously defined at line " + at(key).line());
+            }
+        }
         if (value instanceof TomlTable t) {
-            return new Section(t, name.isEmpty() ? key : name + "." + key, at(key), errors);
+            return new Section(List.of(new Piece(t, first.before)), name.isEmpty() ? key : name + "." + key, at(key), errors);
         }
         if (value != null) {
             error(key, key + " is no table; write " + key + " = { ... } or [" + key + "]");
@@ -182,27 +216,36 @@
 
     /** The tables under a key. */
     List<Section> sections(String key) {
-        Object value = value(key);
+        known.add(key);
         List<Section> list = new ArrayList<>();
-        if (value instanceof TomlArray array) {
-            for (int i = 0; i < array.size(); i++) {
-                if (array.get(i) instanceof TomlTable t) {
-                    Object named = t.get(List.of("name"));
-                    list.add(new Section(t, key + (named instanceof String s ? " " + s : ""),
-                            array.inputPositionOf(i), errors));
-                } else {
-                    errors.add(array.inputPositionOf(i), key + " holds something that is no table");
-                }
+        for (Piece p : pieces) {
+            Object value = p.table.get(List.of(key));
+            if (value instanceof TomlArray array) {
+                sections(key, p, array, list);
+            } else if (value != null) {
+                errors.add(p.at(p.table.inputPositionOf(List.of(key))), key + " is no list of tables; write [[" + key + "]]");
             }
-        } else if (value != null) {
-            error(key, key + " is no list of tables; write [[" + key + "]]");
         }
         return list;
     }
 
+    private void sections(String key, Piece p, TomlArray array, List<Section> into) {
+        for (int i = 0; i < array.size(); i++) {
+            if (array.get(i) instanceof TomlTable t) {
+                Object named = t.get(List.of("name"));
+                into.add(new Section(List.of(new Piece(t, p.before)), key + (named instanceof String s ? " " + s : ""),
+                        p.at(array.inputPositionOf(i)), errors));
+            } else {
+                errors.add(p.at(array.inputPositionOf(i)), key + " holds something that is no table");
+            }
+        }
+    }
+
     /** Tells of the keys that nothing has asked for. */
     void end() {
-        for (String key : table.keySet()) {
+        Set<String> keys = new LinkedHashSet<>();
+        pieces.forEach(p -> keys.addAll(p.table.keySet()));
+        for (String key : keys) {
             if (!known.contains(key)) {
                 error(key, "unknown key '" + key + "'" + (name.isEmpty() ? "" : " in " + name) + "; allowed: "
                         + String.join(", ", new TreeSet<>(known)));
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -98,7 +98,9 @@
                 return Intake.keyNumber(by.equals(PlaceBy.KEY) ? poolKey
                         : new String(by.bytes(s, route, poolKey), StandardCharsets.ISO_8859_1));
             }
-            return PlacementKey.of(by.bytes(s, route, poolKey));
+            byte[] text = by.bytes(s, route, poolKey);
+            // Where it is empty nginx goes round; one server for all such requests would be worse than the key's own.
+            return PlacementKey.of(text.length > 0 ? text : poolKey.getBytes(StandardCharsets.ISO_8859_1));
         };
     }
 
--- a/src/main/java/damsonworks/nginx/Directive.java
+++ b/src/main/java/damsonworks/nginx/Directive.java
@@ -28,8 +28,12 @@
 
     /** The last of a name directly in its block; null where there is none. */
     public Directive last(String wanted) {
-        List<Directive> all = all(wanted);
-        return all.isEmpty() ? null : all.get(all.size() - 1);
+        for (int i = block == null ? -1 : block.size() - 1; i >= 0; i--) {
+            if (block.get(i).name.equals(wanted)) {
+                return block.get(i);
+            }
+        }
+        return null;
     }
 
     @Override
--- a/src/main/java/damsonworks/nginx/importer/FileText.java
+++ b/src/main/java/damsonworks/nginx/importer/FileText.java
@@ -173,8 +173,11 @@
         return texts.stream().map(FileText::quoted).collect(Collectors.joining(", ", "[", "]"));
     }
 
-    /** A basic string of TOML. */
+    /** A literal string of TOML, in which patterns stand as they are, or a basic one. */
     private static String quoted(String text) {
+        if (text.indexOf('\\') >= 0 && text.chars().allMatch(c -> c >= ' ' && c < 0x7F && c != '\'')) {
+            return "'" + text + "'";
+        }
         StringBuilder s = new StringBuilder("\"");
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
--- a/src/main/java/damsonworks/nginx/importer/Importer.java
+++ b/src/main/java/damsonworks/nginx/importer/Importer.java
@@ -127,8 +127,6 @@
 
     private void hosts(boolean apart) {
         RouteTranslator translator = new RouteTranslator(model, values, pools, report, routes);
-        Set<String> exactElsewhere = new HashSet<>();
-        model.servers.forEach(s -> s.names().stream().filter(Importer::isExact).forEach(exactElsewhere::add));
         Set<String> takenNames = new HashSet<>();
         Map<String, Set<String>> takenHosts = new HashMap<>();
         Set<String> asked = apart ? literals() : Set.of();
@@ -151,7 +149,8 @@
             }
             // Hosts that something asks for by name get routes of their own.
             List<String> own = new ArrayList<>();
-            if (asksHost(s.directive()) || !asked.isEmpty()) {
+            boolean depends = asksHost(s.directive());
+            if (depends) {
                 String me = Integer.toString(i);
                 for (String name : asked) {
                     if (at.stream().allMatch(l -> me.equals(whole.find(l, name)))) {
@@ -159,7 +158,6 @@
                     }
                 }
             }
-            boolean depends = asksHost(s.directive());
             List<String> names = new ArrayList<>();
             for (String n : s.names()) {
                 boolean again = !n.startsWith("~") && at.stream().anyMatch(l -> !takenHosts.computeIfAbsent(l,
--- a/src/main/java/damsonworks/nginx/importer/PoolTranslator.java
+++ b/src/main/java/damsonworks/nginx/importer/PoolTranslator.java
@@ -109,6 +109,9 @@
         parameters(s);
         String dial = dial(s.address());
         String name = name(s.address(), dial);
+        if (dial != null && s.address().startsWith("localhost") && !options.dial().containsKey(s.address())) {
+            report.changed(d, "localhost is taken for 127.0.0.1 alone");
+        }
         if (dial == null || !word(name)) {
             report.not(d, (s.address().startsWith("unix:") ? "sockets of Unix are not dialled" : word(s.address())
                     ? "'" + s.address() + "' is no address, and names are not looked up; give it one by --dial "
@@ -170,6 +173,9 @@
         if (told != null) {
             return told;
         }
+        if (address.matches("localhost(:[0-9]{1,5})?")) {
+            return dial("127.0.0.1" + address.substring("localhost".length())); // RFC 6761, section 6.3
+        }
         if (address.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}(:[0-9]{1,5})?") || address.matches("\\[[0-9a-fA-F:.]+](:[0-9]{1,5})?")) {
             String full = address.matches(".*(]|\\.[0-9]+):[0-9]+") ? address : address + ":" + DEFAULT_PORT;
             int port = Integer.parseInt(full.substring(full.lastIndexOf(':') + 1));
--- a/src/main/java/damsonworks/nginx/importer/RouteTranslator.java
+++ b/src/main/java/damsonworks/nginx/importer/RouteTranslator.java
@@ -40,6 +40,8 @@
     private String host;
     private String hostLiteral;
     private LocationSearch search;
+    /** {@code error_page}s that locations inherit. */
+    private List<Directive> errorPages = List.of();
     private final Map<Location, RegexTranslation> patterns = new IdentityHashMap<>();
     private int order;
 
@@ -124,6 +126,10 @@
         hostLiteral = literal;
         order = 0;
         report.carried(s.directive());
+        errorPages = s.directive().all("error_page");
+        if (errorPages.isEmpty()) {
+            errorPages = model.http.stream().filter(d -> d.name().equals("error_page")).toList();
+        }
         search = new LocationSearch(s.locations(), l -> l.directive.last("proxy_pass") != null
                 || l.directive.last("memcached_pass") != null);
         search.unreachable().forEach(l -> report.add(l.directive, Report.Level.LEFT,
@@ -424,6 +430,9 @@
                 report.changed(s.location().directive, "nginx redirects " + s.exact() + " to " + s.exact()
                         + "/; here it fails");
                 end(in, s.location().directive, false, "301");
+            } else if (s.location().directive.last("internal") != null) {
+                report.changed(s.location().directive.last("internal"), "requests for it fail, without a status");
+                end(in, s.location().directive, false, "404");
             } else {
                 report.carried(s.location().directive);
                 go(rewriting(s.location().directive), in);
@@ -431,7 +440,12 @@
         }
         if (!all) {
             Walk none = new Walk(new Place(base + 3, null, null), w.when, null, w.set, null, null, null, 0);
-            end(none, server.directive(), false, "404");
+            Directive files = server.directive().last("try_files"); // counts where no location does
+            if (files != null) {
+                tryFiles(files, none);
+            } else {
+                end(none, server.directive(), false, "404");
+            }
         }
     }
 
@@ -674,7 +688,8 @@
         if (given && variables) {
             change = template(uri, w);
         } else if (r == null) {
-            change = given ? new Change(PathKey.encode(w.location.text), uri.literal(), null, w.when)
+            boolean same = uri.literal().equals(w.location.text); // "location /a/" with "proxy_pass http://u/a/"
+            change = given && !same ? new Change(PathKey.encode(w.location.text), uri.literal(), null, w.when)
                     : new Change(null, null, null, w.when);
         } else {
             Expression path = r.path;
@@ -790,10 +805,11 @@
 
     /** The pool of the named location that takes what this one fails to answer; null: none. */
     private String fallback(Walk w, String pool) {
-        Directive from = w.location.directive.last("error_page") != null ? w.location.directive
-                : server.directive().last("error_page") != null ? server.directive() : null;
-        List<Directive> all = from != null ? from.all("error_page")
-                : model.http.stream().filter(d -> d.name().equals("error_page")).toList();
+        Location at = w.location;
+        while (at != null && at.directive.last("error_page") == null) {
+            at = at.parent;
+        }
+        List<Directive> all = at != null ? at.directive.all("error_page") : errorPages;
         String found = null;
         for (Directive e : all) {
             String target = e.args().isEmpty() ? "" : e.args().get(e.args().size() - 1);
--- a/src/main/java/damsonworks/nginx/importer/ServerMoves.java
+++ b/src/main/java/damsonworks/nginx/importer/ServerMoves.java
@@ -15,22 +15,26 @@
 
 /** What share of a pool's keys would move if it went over to CARP: computed, over keys drawn at random. */
 final class ServerMoves {
-    private static final int KEYS = 10_000;
+    private static final int MOST_KEYS = 10_000;
+    private static final int LEAST_KEYS = 500;
+    /** Over all pools: with very many each is known less exactly. */
+    private static final int ALL_KEYS = 500_000;
     private static final long SEED = 1;
 
     private ServerMoves() { }
 
     static void note(Collection<PoolTranslator.PoolSpec> pools, Report report) {
+        int keys = Math.max(LEAST_KEYS, Math.min(MOST_KEYS, ALL_KEYS / Math.max(1, pools.size())));
         for (PoolTranslator.PoolSpec p : pools) {
             if (!p.placement().equals(Placements.CARP)) {
                 report.note(String.format(java.util.Locale.ROOT,
                         "pool %s: going over to CARP would move %.1f%% of its keys to another server", p.name(),
-                        100.0 * moved(p) / KEYS));
+                        100.0 * moved(p, keys) / keys));
             }
         }
     }
 
-    private static int moved(PoolTranslator.PoolSpec pool) {
+    private static int moved(PoolTranslator.PoolSpec pool, int keys) {
         List<Peer> peers = new ArrayList<>();
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < pool.servers().size(); i++) {
@@ -47,7 +51,7 @@
         SplittableRandom random = new SplittableRandom(SEED);
         int[] top = new int[2];
         int moved = 0;
-        for (int i = 0; i < KEYS; i++) {
+        for (int i = 0; i < keys; i++) {
             byte[] text = ("/" + Long.toString(random.nextLong(), 36)).getBytes(StandardCharsets.US_ASCII);
             long key = PlacementKey.of(text);
             now.top(key, Carp.keyHash(key), 1, top);
--- a/src/main/java/damsonworks/routes/KeyPattern.java
+++ b/src/main/java/damsonworks/routes/KeyPattern.java
@@ -61,6 +61,11 @@
         return pattern.groupCount();
     }
 
+    /** What every key begins with in which it is found; empty where that can't be told. */
+    String literal() {
+        return literal;
+    }
+
     public boolean matches(String key) {
         return key.startsWith(literal) && pattern.matcher(key).find();
     }
--- a/src/main/java/damsonworks/routes/RouteTable.java
+++ b/src/main/java/damsonworks/routes/RouteTable.java
@@ -169,12 +169,15 @@
     private static final class Tier {
         private static final Route[] NONE = { };
         private final Map<String, Route[]> exact = new HashMap<>();
-        private final String[] prefixes;
+        private final PrefixIndex prefixes;
         /** The routes of each prefix. */
         private final Route[][] prefixRoutes;
-        /** For each prefix, the longest other one that it begins with; -1: none. */
-        private final int[] parent;
         private final Route[] patterns;
+        /** What keys must begin with for some patterns, and the places of those in {@link #patterns}. */
+        private final PrefixIndex literals;
+        private final int[][] literalPatterns;
+        /** Places of the patterns that tell nothing of a key's beginning. */
+        private final int[] loose;
         private final Route[] rest;
 
         Tier(List<Route> routes) {
@@ -193,42 +196,59 @@
                     (r.patterns().isEmpty() ? others : regex).add(r);
                 }
             }
-            prefixes = byPrefix.keySet().stream().sorted().toArray(String[]::new);
-            prefixRoutes = new Route[prefixes.length][];
-            parent = new int[prefixes.length];
-            for (int i = 0; i < prefixes.length; i++) {
-                prefixRoutes[i] = byPrefix.get(prefixes[i]).toArray(NONE);
-                int p = i - 1;
-                while (p >= 0 && !prefixes[i].startsWith(prefixes[p])) {
-                    p = parent[p];
-                }
-                parent[i] = p;
-            }
+            prefixes = new PrefixIndex(byPrefix.keySet());
+            prefixRoutes = new Route[prefixes.size()][];
+            byPrefix.forEach((text, list) -> prefixRoutes[prefixes.indexOf(text)] = list.toArray(NONE));
             patterns = regex.toArray(NONE);
+            Map<String, List<Integer>> byLiteral = new HashMap<>();
+            List<Integer> without = new ArrayList<>();
+            for (int i = 0; i < patterns.length; i++) {
+                String literal = patterns[i].patterns().stream().map(KeyPattern::literal).max(
+                        java.util.Comparator.comparingInt(String::length)).orElse("");
+                (literal.isEmpty() ? without : byLiteral.computeIfAbsent(literal, l -> new ArrayList<>())).add(i);
+            }
+            literals = new PrefixIndex(byLiteral.keySet());
+            literalPatterns = new int[literals.size()][];
+            byLiteral.forEach((text, list) -> literalPatterns[literals.indexOf(text)] = ints(list));
+            loose = ints(without);
             rest = others.toArray(NONE);
         }
 
         Route find(Subject s) {
             String key = s.key();
             Route r = fitting(exact.getOrDefault(key, NONE), s);
-            // All prefixes of the key are the last one that sorts no later than it, or among those that one begins
-            // with: what sorts between a prefix of the key and the key begins with that prefix, too.
-            for (int i = prefixes.length == 0 ? -1 : floor(key); r == null && i >= 0; i = parent[i]) {
-                if (key.startsWith(prefixes[i])) {
-                    r = fitting(prefixRoutes[i], s);
-                }
+            for (int i = prefixes.longest(key); r == null && i >= 0; i = prefixes.shorter(i)) {
+                r = fitting(prefixRoutes[i], s);
+            }
+            r = r != null || patterns.length == 0 ? r : pattern(s, key);
+            return r != null ? r : fitting(rest, s);
+        }
+
+        /** The first pattern that fits, looking only at those whose literal beginning the key has. */
+        private Route pattern(Subject s, String key) {
+            int best = patterns.length;
+            for (int l = literals.longest(key); l >= 0; l = literals.shorter(l)) {
+                best = first(literalPatterns[l], best, s);
             }
-            for (int i = 0; r == null && i < patterns.length; i++) {
-                if (patterns[i].fits(s)) {
-                    r = patterns[i];
+            best = first(loose, best, s);
+            return best == patterns.length ? null : patterns[best];
+        }
+
+        /** The first of these places, before {@code best}, whose route fits; else {@code best}. */
+        private int first(int[] places, int best, Subject s) {
+            for (int p : places) {
+                if (p >= best) {
+                    break;
+                }
+                if (patterns[p].fits(s)) {
+                    return p;
                 }
             }
-            return r != null ? r : fitting(rest, s);
+            return best;
         }
 
-        private int floor(String key) {
-            int at = Arrays.binarySearch(prefixes, key);
-            return at >= 0 ? at : -at - 2;
+        private static int[] ints(List<Integer> list) {
+            return list.stream().mapToInt(Integer::intValue).toArray();
         }
 
         private static Route fitting(Route[] routes, Subject s) {
--- a/src/main/java/damsonworks/standin/NginxModel.java
+++ b/src/main/java/damsonworks/standin/NginxModel.java
@@ -106,9 +106,19 @@
             if (a.over != null) {
                 break;
             }
-            if (location == null) {
+            if (location == null && server.last("try_files") == null
+                    || location != null && location.last("internal") != null && !a.everChanged) {
                 return new Answer(404, null, null, null);
             }
+            if (location == null) {
+                String to = content(server, server, a, cycle);
+                if (to == null) {
+                    break;
+                }
+                a.uri = to;
+                a.everChanged = true;
+                continue;
+            }
             a.changed = false;
             a.handler = null;
             rewriting(location.block(), a);
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -1,6 +1,7 @@
 package damsonworks.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
 import java.nio.file.Files;
@@ -145,4 +146,30 @@
                 .containsExactly(binary + ":1:1: the file is not UTF-8 text");
         assertThat(catchThrowableOfType(ConfigException.class, () -> DaemonFileReader.read(folder)).errors()).hasSize(1);
     }
+
+    /** Long files are parsed in parts; places, duplicates and tables of tables must not suffer from it. */
+    @Test
+    void aLongFileIsReadAsIfInOnePiece() throws Exception {
+        StringBuilder text = new StringBuilder("[[class]]\nname = \"r\"\neffect = \"safe\"\n[[listen]]\nname = \"l\"\n"
+                + "address = \"127.0.0.1:0\"\nopen = true\nclass = \"r\"\n");
+        for (int i = 0; i < 2000; i++) {
+            text.append("[[pool]] # [[pool]]\nname = \"p").append(i).append("\"\nnodes = \"plain\"\n[[pool.server]]\nname = \"s")
+                    .append(i).append("\"\ndial = '127.0.0.1:").append(1 + i).append("'\n[[route]]\nname = \"\"\"r").append(i)
+                    .append("\"\"\"\nregex = [\n'[a]',\n  '''\n[b]''',\n]\nprefix = \"").append(i).append("/\"\npools = \"p")
+                    .append(i).append("\"\n");
+        }
+        DaemonFile file = DaemonFileReader.parse("f", text.toString());
+        assertThat(file.pools()).hasSize(2000);
+        assertThat(file.routes().routes()).hasSize(2000);
+        int lines = (int) text.chars().filter(c -> c == '\n').count();
+        String bad = text + "[site]\nname = \"a\"\n[[route]]\nname = \"bad\"\npools = [\"none\"]\n";
+        assertThatThrownBy(() -> DaemonFileReader.parse("f", bad)).isInstanceOfSatisfying(ConfigException.class,
+                e -> assertThat(e.errors()).containsExactly("f:" + (lines + 5) + ":1: " + e.errors().get(0).split(": ", 2)[1])
+                        .allMatch(l -> l.contains("there is no pool 'none'")));
+        String twice = "[site]\nname = \"a\"\n" + text + "[site]\nname = \"b\"\n";
+        assertThatThrownBy(() -> DaemonFileReader.parse("f", twice)).isInstanceOfSatisfying(ConfigException.class,
+                e -> assertThat(e.errors()).containsExactly("f:" + (lines + 3) + ":1: site previously defined at line 1"));
+        assertThatThrownBy(() -> DaemonFileReader.parse("f", text + "x = = 1\n")).isInstanceOfSatisfying(
+                ConfigException.class, e -> assertThat(e.errors().get(0)).startsWith("f:" + (lines + 1) + ":5: "));
+    }
 }
