--- a/src/main/java/damsonworks/config/RouteReader.java
+++ b/src/main/java/damsonworks/config/RouteReader.java
@@ -109,9 +109,7 @@
         if (n.startsWith("~")) {
             return pattern(s, "names", n.substring(1)) != null;
         }
-        String plain = n.startsWith("*.") ? n.substring(2) : n.startsWith(".") ? n.substring(1)
-                : n.endsWith(".*") ? n.substring(0, n.length() - 2) : n;
-        if (plain.isEmpty() || plain.indexOf('*') >= 0 || plain.indexOf('/') >= 0 || !KeyRewrite.legal(plain)) {
+        if (!VirtualHosts.isName(n)) {
             s.error("names", "'" + n + "' is no host; allowed: a.example, *.example, .example, a.*, ~regex");
             return false;
         }
--- a/src/main/java/damsonworks/nginx/importer/Importer.java
+++ b/src/main/java/damsonworks/nginx/importer/Importer.java
@@ -2,6 +2,7 @@
 
 import damsonworks.nginx.ConfParser;
 import damsonworks.nginx.Directive;
+import damsonworks.nginx.model.DirectiveShapes;
 import damsonworks.nginx.model.HttpModel;
 import damsonworks.nginx.model.ServerBlock;
 import damsonworks.nginx.model.UpstreamBlock;
@@ -39,13 +40,17 @@
     private final List<VirtualHosts.Host> hosts = new ArrayList<>();
     /** Listeners' names by socket, in order. */
     private final Map<String, String> listeners = new LinkedHashMap<>();
+    private final Set<String> listenerNames = new HashSet<>();
     /** The server block that takes what no name takes, by socket. */
     private final Map<String, ServerBlock> defaults = new HashMap<>();
 
     private Importer(ConfParser.Conf conf, ImportOptions options) {
-        this.conf = conf;
         this.options = options;
-        model = new HttpModel(conf.directives());
+        List<HttpModel.Fault> shapes = new ArrayList<>();
+        this.conf = new ConfParser.Conf(DirectiveShapes.checked(conf.directives(), shapes), conf.empty(), conf.files(),
+                conf.bytes());
+        shapes.forEach(f -> report.not(f.at(), f.why()));
+        model = new HttpModel(this.conf.directives());
         values = new Values(model, report);
         pools = new PoolTranslator(options, report);
     }
@@ -83,7 +88,8 @@
                     report.not(l.directive(), "sockets of Unix are not listened on");
                     continue;
                 }
-                String name = listeners.computeIfAbsent(l.socket(), k -> "listen-" + k.replaceAll("[^A-Za-z0-9.:*]", "_"));
+                String name = listeners.computeIfAbsent(l.socket(), k -> unique("listen-" + k.replaceAll(
+                        "[^A-Za-z0-9.:*]", "_"), listenerNames));
                 boolean encrypted = l.directive() != null && l.directive().args().stream().anyMatch(a -> a.equals("ssl")
                         || a.equals("quic"));
                 report.changed(l.directive(), "listener " + name + (encrypted ? "; connections are not encrypted here" : ""));
@@ -173,7 +179,11 @@
                         names.add("~" + r.text());
                     }
                 } else if (!n.isEmpty() && !n.equals("_")) {
-                    names.add(n);
+                    if (VirtualHosts.isName(n)) {
+                        names.add(n);
+                    } else {
+                        report.not(s.directive(), "server name " + n + " is none that a request could have");
+                    }
                 }
             }
             String base = hostName(s, takenNames);
@@ -261,7 +271,8 @@
     }
 
     private static String unique(String name, Set<String> taken) {
-        String cut = name.length() > 56 ? name.substring(0, 56) : name;
+        String plain = name.replaceAll("[^!-~]|[,=]", "_");
+        String cut = plain.length() > 56 ? plain.substring(0, 56) : plain;
         String n = cut;
         for (int i = 2; !taken.add(n); i++) {
             n = cut + "#" + i;
--- a/src/main/java/damsonworks/nginx/importer/Report.java
+++ b/src/main/java/damsonworks/nginx/importer/Report.java
@@ -72,6 +72,10 @@
     void finish(ConfParser.Conf conf) {
         List<Entry> all = new ArrayList<>();
         finish(conf.directives(), false, all);
+        // What has been left out of the tree has entries, too.
+        Map<Directive, Boolean> told = new IdentityHashMap<>();
+        all.forEach(e -> told.put(e.directive, true));
+        entries.forEach((d, own) -> own.stream().filter(e -> !told.containsKey(d) && e.level == Level.NOT).forEach(all::add));
         conf.empty().forEach(e -> all.add(new Entry(e.include(), Level.LEFT, "no file has such a name")));
         inOrder = all;
     }
--- a/src/main/java/damsonworks/routes/VirtualHosts.java
+++ b/src/main/java/damsonworks/routes/VirtualHosts.java
@@ -90,6 +90,13 @@
         }
     }
 
+    /** Whether a host may have this name, its pattern aside. */
+    public static boolean isName(String n) {
+        String plain = n.startsWith("*.") ? n.substring(2) : n.startsWith(".") ? n.substring(1)
+                : n.endsWith(".*") ? n.substring(0, n.length() - 2) : n;
+        return n.startsWith("~") || plain.indexOf('*') < 0 && plain.indexOf('/') < 0 && KeyRewrite.legal(plain);
+    }
+
     public List<Host> hosts() {
         return hosts;
     }
--- a/src/test/java/damsonworks/placement/NginxPlacementTest.java
+++ b/src/test/java/damsonworks/placement/NginxPlacementTest.java
@@ -184,4 +184,60 @@
             assertThat(ranks(Placements.factory(kind.apply(""), peers).of(List.of()), peers, List.of(), text(1), 3)).isEmpty();
         }
     }
+
+    /** Four bytes with this CRC-32: over four bytes it is an affine map without gaps, solved by elimination. */
+    private static byte[] withCrc(int wanted) {
+        int zero = (int) crc(new byte[4]);
+        int[] images = new int[32];
+        int[] inputs = new int[32];
+        for (int bit = 0; bit < 32; bit++) {
+            byte[] one = new byte[4];
+            one[bit / 8] = (byte) (1 << bit % 8);
+            images[bit] = (int) crc(one) ^ zero;
+            inputs[bit] = 1 << bit;
+        }
+        int left = wanted ^ zero;
+        int input = 0;
+        for (int at = 0; at < 32; at++) {
+            int row = at;
+            while ((images[row] >>> at & 1) == 0) {
+                row++;
+            }
+            int image = images[row];
+            int from = inputs[row];
+            images[row] = images[at];
+            inputs[row] = inputs[at];
+            images[at] = image;
+            inputs[at] = from;
+            for (int other = at + 1; other < 32; other++) {
+                if ((images[other] >>> at & 1) != 0) {
+                    images[other] ^= image;
+                    inputs[other] ^= from;
+                }
+            }
+            if ((left >>> at & 1) != 0) {
+                left ^= image;
+                input ^= from;
+            }
+        }
+        return new byte[] {(byte) input, (byte) (input >>> 8), (byte) (input >>> 16), (byte) (input >>> 24)};
+    }
+
+    @Test
+    void aKeyOnAPointBelongsToThatPoint() {
+        List<Peer> peers = peers(1, 1, 1, 1);
+        List<Member> members = ready(peers, Set.of());
+        Placement placement = Placements.factory("nginx-consistent", peers).of(members);
+        for (int p = 0; p < 4; p++) {
+            byte[] base = ("10.0.0." + (p + 1) + "\0" + "11211").getBytes(StandardCharsets.US_ASCII);
+            int point = 0;
+            for (int i = 0; i < 160; i++) {
+                point = (int) crc(base, new byte[] {(byte) point, (byte) (point >>> 8), (byte) (point >>> 16),
+                    (byte) (point >>> 24)});
+                byte[] key = withCrc(point);
+                assertThat((int) crc(key)).isEqualTo(point);
+                assertThat(ranks(placement, peers, members, key, 1)).as("point " + i + " of server " + p).containsExactly(p);
+            }
+        }
+    }
 }
