Run WebAssembly hooks before routing: metered modules, checked orders, their own threads

Operators want to map keys and tag classes without rebuilding the proxy, and a hook must harm its own request alone. A module (Chicory, compiled to the Java machine's code) is rewritten on loading so that it counts its work; what it imports, its memory and tables are checked before anything runs. Each hook has a thread, a bounded queue and its own part of a request's time; a call that is late is answered by the hook's failure rule whatever it still does. Orders are checked against the class that the client sent; a breaker switches a hook off that fails too often. [[hook]] in the daemon's file, hook test, three hooks with their sources.

35 hostile modules beside normal traffic on another listener: every request has one answer, none of the normal ones fails, no effect twice; ten more do not load, with the reason; a module cut at every byte and bent at random gives an error line.

--- a/src/main/java/damsonworks/cli/CheckCommand.java
+++ b/src/main/java/damsonworks/cli/CheckCommand.java
@@ -1,6 +1,8 @@
 package damsonworks.cli;
 
+import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
+import damsonworks.daemon.Hooks;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -23,6 +25,12 @@
         if (f == null) {
             return Cli.UNUSABLE;
         }
+        try {
+            Hooks.check(f);
+        } catch (ConfigException e) {
+            e.errors().forEach(spec.commandLine().getErr()::println);
+            return Cli.UNUSABLE;
+        }
         spec.commandLine().getOut().println(file + ": good; " + f.listeners().size() + " listeners, " + f.pools().size()
                 + " pools, " + f.routes().routes().size() + " routes");
         return 0;
--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -2,22 +2,27 @@
 
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Tenant;
+import damsonworks.hooks.HookModule;
 import damsonworks.routes.KeyForm;
 import damsonworks.routes.PlaceBy;
 import damsonworks.routes.RouteTable;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The daemon's file, checked: what {@code run} serves. All times in milliseconds.
  *
  * @param keys what keys are
+ * @param hooks in the order in which they are called
  * @param pools by name, in the file's order
  */
 public record DaemonFile(String path, Site site, KeyForm keys, Limits limits, List<ServiceClass> classes, List<Tenant> tenants,
-        List<Listen> listeners, Map<String, Pool> pools, RouteTable routes) {
+        List<Listen> listeners, List<Hook> hooks, Map<String, Pool> pools,
+        RouteTable routes) {
 
     /**
      * What is true of the whole installation.
@@ -79,6 +84,21 @@
     /** A list of servers that is followed. */
     public record Discovery(InetSocketAddress address, List<String> zones, List<String> kinds, String originKind) { }
 
+    /**
+     * A plug-in.
+     *
+     * @param at place in the file, for errors
+     * @param module path of the WebAssembly module
+     * @param sha256 what it must be; null: not checked
+     * @param listeners whose requests it gets; empty: all
+     * @param refuse whether a request is refused where it fails; else it goes on as it was
+     * @param queue calls that may wait
+     * @param breakerShare of calls that may fail before it is switched off
+     */
+    public record Hook(String name, String at, Path module, String sha256, Set<String> listeners, int order,
+            HookModule.Limits limits, boolean refuse, double refuseMs, int queue, double breakerShare, double breakerOffMs,
+            String config) { }
+
     /** A pool and those that follow it by its own {@code fallback}. */
     public List<String> chain(List<String> named) {
         List<String> chain = new ArrayList<>(named);
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -5,11 +5,13 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Tenant;
 import damsonworks.config.DaemonFile.Discovery;
+import damsonworks.config.DaemonFile.Hook;
 import damsonworks.config.DaemonFile.Limits;
 import damsonworks.config.DaemonFile.Listen;
 import damsonworks.config.DaemonFile.Pool;
 import damsonworks.config.DaemonFile.Server;
 import damsonworks.config.DaemonFile.Site;
+import damsonworks.hooks.HookModule;
 import damsonworks.placement.NginxConsistentPlacement;
 import damsonworks.placement.Placements;
 import damsonworks.placement.ServerId;
@@ -34,6 +36,9 @@
     /** A file of 10,000 routes has some 2 MB; bounds what a wrong path can make us read. */
     static final long MAX_BYTES = 32L << 20;
     private static final double HOUR_MS = 3_600_000;
+    /** Each has a thread. */
+    private static final int MAX_HOOKS = 16;
+    private static final int MAX_CONFIG = 32_768;
 
     private final Section.Errors errors;
     private final List<ServiceClass> classes = new ArrayList<>();
@@ -101,6 +106,13 @@
         root.sections("tenant").forEach(this::tenant);
         root.sections("listen").forEach(this::listen);
         root.sections("pool").forEach(this::pool);
+        List<Hook> hooks = new ArrayList<>();
+        Set<String> hookNames = new HashSet<>();
+        root.sections("hook").forEach(h -> hooks.add(hook(path, h, hookNames)));
+        if (hooks.size() > MAX_HOOKS) {
+            errors.add(null, hooks.size() + " hooks; at most " + MAX_HOOKS);
+        }
+        hooks.sort(java.util.Comparator.comparingInt(Hook::order));
         List<Section> routes = root.sections("route");
         if (classes.isEmpty()) {
             errors.add(null, "no class; write [[class]] with a name, an effect and times");
@@ -115,7 +127,7 @@
         RouteTable table = new RouteReader(errors, listenerNames, classes, tenants, pools.keySet()).table(
                 root.sections("host"), routes, keys);
         root.end();
-        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, pools, table);
+        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table);
     }
 
     private Site site(Section s) {
@@ -253,6 +265,42 @@
         return names.stream().sorted().toList();
     }
 
+    private Hook hook(String path, Section s, Set<String> names) {
+        String name = name(s, names, "hook");
+        String text = s.text("module");
+        Path module = Path.of("");
+        try {
+            Path parent = Path.of(path).toAbsolutePath().getParent();
+            module = parent == null ? Path.of(text) : parent.resolve(text);
+        } catch (java.nio.file.InvalidPathException e) {
+            s.error("module", "module is no path of a file");
+        }
+        String digest = s.text("sha256", null);
+        if (digest != null && !digest.matches("[0-9a-f]{64}")) {
+            s.error("sha256", "sha256 is 64 lower-case hexadecimal digits");
+        }
+        Set<String> from = new HashSet<>();
+        for (String l : s.texts("listener")) {
+            from.add(l);
+            if (!listenerNames.contains(l)) {
+                s.error("listener", "there is no listener '" + l + "'; there are: " + String.join(", ", sorted(listenerNames)));
+            }
+        }
+        double fuel = s.number("fuel", 200_000, 1000, 1e9);
+        HookModule.Limits limits = new HookModule.Limits(s.integer("memory_pages", 16, 1, 1024), (long) fuel,
+                (long) s.number("load_fuel", 10_000_000, 1000, 1e10), s.number("time_ms", 50, 1, 10_000),
+                s.flag("compiled", true));
+        Hook hook = new Hook(name, path + ":" + s.at("name").line() + ":" + s.at("name").column(), module, digest, from,
+                s.integer("order", 0, -1_000_000, 1_000_000), limits, s.oneOf("on_failure", "skip", "skip", "refuse").equals("refuse"),
+                s.number("refuse_ms", 100, 1, HOUR_MS), s.integer("queue", 256, 1, 65_536), s.number("breaker_share", 0.5, 0, 1),
+                s.number("breaker_off_ms", 5000, 1, HOUR_MS), s.text("config", ""));
+        if (hook.config().length() > MAX_CONFIG) {
+            s.error("config", "config has more than " + MAX_CONFIG + " characters");
+        }
+        s.end();
+        return hook;
+    }
+
     private void pool(Section s) {
         String name = name(s, new HashSet<>(pools.keySet()), "pool");
         List<Server> servers = new ArrayList<>();
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -162,7 +162,14 @@
             fresh.values().forEach(Listener::close);
             throw ConfigException.of(faults);
         }
-        loop.submit(() -> commit(file, fresh)).sync();
+        List<HookRunner> hooks;
+        try {
+            hooks = Hooks.load(file);
+        } catch (ConfigException e) {
+            fresh.values().forEach(Listener::close);
+            throw e;
+        }
+        loop.submit(() -> commit(file, fresh, hooks)).sync();
     }
 
     private static String reason(Throwable cause) {
@@ -182,7 +189,7 @@
                 keyed, () -> idPrefix + Long.toHexString(ids.incrementAndGet()));
     }
 
-    private void commit(DaemonFile file, Map<String, Listener> fresh) {
+    private void commit(DaemonFile file, Map<String, Listener> fresh, List<HookRunner> hooks) {
         double now = core.now();
         Generation before = router.generation();
         figures(file);
@@ -197,7 +204,11 @@
                 pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births));
             }
         }
-        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants())));
+        hooks.forEach(h -> {
+            h.log(core);
+            h.begin();
+        });
+        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants()), hooks));
         if (before != null) {
             older.add(before);
             for (PoolRunner p : before.pools.values()) {
@@ -296,7 +307,12 @@
             l.drain();
             return l.empty();
         });
-        older.removeIf(g -> g.inHand == 0);
+        older.removeIf(g -> {
+            if (g.inHand == 0) {
+                g.end();
+            }
+            return g.inHand == 0;
+        });
         if (leavingPools.isEmpty()) {
             return;
         }
@@ -351,7 +367,9 @@
         loop.submit(() -> {
             if (router.generation() != null) {
                 router.generation().pools.values().forEach(p -> p.dispatcher.stop());
+                router.generation().end();
             }
+            older.forEach(Generation::end);
         }).syncUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
--- a/src/main/java/damsonworks/daemon/Generation.java
+++ b/src/main/java/damsonworks/daemon/Generation.java
@@ -1,9 +1,11 @@
 package damsonworks.daemon;
 
 import damsonworks.config.DaemonFile;
+import damsonworks.hooks.HookRules;
 import damsonworks.proxy.Intake;
 import damsonworks.routes.Route;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,14 +15,29 @@
     final DaemonFile file;
     final Map<String, PoolRunner> pools;
     final Intake intake;
+    final HookRules rules;
+    /** The hooks of each listener, in order. */
+    final Map<String, List<HookRunner>> hooks = new HashMap<>();
+    private final List<HookRunner> runners;
+    private final Map<String, Route> byName = new HashMap<>();
     /** Requests in hand that came under it. */
     int inHand;
     private final Map<Route, List<PoolRunner>> chains = new IdentityHashMap<>();
 
-    Generation(DaemonFile file, Map<String, PoolRunner> pools, Intake intake) {
+    Generation(DaemonFile file, Map<String, PoolRunner> pools, Intake intake, List<HookRunner> runners) {
         this.file = file;
         this.pools = pools;
         this.intake = intake;
+        this.runners = runners;
+        file.routes().routes().forEach(r -> byName.put(r.name(), r));
+        rules = new HookRules(file.classes(), file.tenants().stream().map(t -> t.name()).toList(), byName.keySet());
+        for (DaemonFile.Listen l : file.listeners()) {
+            List<HookRunner> own = runners.stream().filter(h -> h.spec.listeners().isEmpty()
+                    || h.spec.listeners().contains(l.name())).toList();
+            if (!own.isEmpty()) {
+                hooks.put(l.name(), own);
+            }
+        }
         for (Route r : file.routes().routes()) {
             if (r.action() instanceof Route.ToPools to) {
                 List<PoolRunner> chain = new ArrayList<>();
@@ -35,6 +52,16 @@
         return chains.get(r);
     }
 
+    /** No request will come any more: its hooks end. */
+    void end() {
+        runners.forEach(HookRunner::stop);
+    }
+
+    /** The route of this name. */
+    Route route(String name) {
+        return byName.get(name);
+    }
+
     /** Whether a request may still come to this pool under this file. */
     boolean uses(PoolRunner pool) {
         return pools.get(pool.name) == pool;
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/HookRunner.java
@@ -0,0 +1,183 @@
+package damsonworks.daemon;
+
+import damsonworks.config.DaemonFile;
+import damsonworks.hooks.HookBreaker;
+import damsonworks.hooks.HookCall;
+import damsonworks.hooks.HookException;
+import damsonworks.hooks.HookInstance;
+import damsonworks.hooks.HookModule;
+import damsonworks.hooks.HookOrders;
+import damsonworks.proxy.Core;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * A hook at work: its own thread with an instance of its module, and a queue of bounded length, so that no hook waits for
+ * another and none for the event loop. A call that is not done in time is answered as failed whatever it still does.
+ */
+final class HookRunner {
+    /** Deep enough for any honest hook; a module that recurses without end runs into it. */
+    private static final long STACK_BYTES = 512 << 10;
+    private static final long START_SECONDS = 10;
+
+    final DaemonFile.Hook spec;
+    final HookBreaker breaker;
+    private final HookModule module;
+    private final ArrayBlockingQueue<Task> queue;
+    private final Thread worker;
+    private volatile boolean stopping;
+    private HookInstance instance;
+
+    /** Where a call's end goes, on the event loop, once. */
+    interface Ended {
+        /** Orders, or why there are none; {@code run} tells whether the hook was called at all. */
+        void ended(HookOrders orders, String failure, boolean run);
+    }
+
+    /** One call: waits, runs, or is over; whoever gets it to its end first tells of it. */
+    private final class Task implements Runnable {
+        final HookCall call;
+        final Ended ended;
+        /** Set before the worker can see the task. */
+        Ended finish;
+        private final AtomicReference<String> state = new AtomicReference<>("waits");
+
+        Task(HookCall call, Ended ended) {
+            this.call = call;
+            this.ended = ended;
+        }
+
+        /** On the event loop: its time is over. */
+        @Override
+        public void run() {
+            String was = state.getAndSet("over");
+            if (was.equals("runs")) {
+                worker.interrupt();
+            }
+            if (!was.equals("over")) {
+                ended.ended(null, was.equals("runs") ? "it took longer than it may" : "it waited too long for its turn",
+                        was.equals("runs"));
+            }
+        }
+    }
+
+    private HookRunner(DaemonFile.Hook spec, HookModule module, HookInstance first) {
+        this.spec = spec;
+        this.module = module;
+        instance = first;
+        breaker = new HookBreaker(spec.breakerShare(), spec.breakerOffMs());
+        queue = new ArrayBlockingQueue<>(spec.queue());
+        worker = new Thread(null, this::work, "hook " + spec.name(), STACK_BYTES);
+        worker.setDaemon(true);
+    }
+
+    /** Loads and starts a hook; not on the event loop. {@code on_load} has a thread of its own that is not waited for long. */
+    static HookRunner start(DaemonFile.Hook spec, byte[] bytes) throws HookException {
+        HookModule module = HookModule.load(bytes, spec.limits(), spec.config());
+        HookInstance[] first = new HookInstance[1];
+        HookException[] failed = new HookException[1];
+        CountDownLatch done = new CountDownLatch(1);
+        Thread starter = new Thread(null, () -> {
+            try {
+                first[0] = new HookInstance(module, System::currentTimeMillis);
+            } catch (HookException e) {
+                failed[0] = e;
+            } finally {
+                done.countDown();
+            }
+        }, "hook " + spec.name() + " starts", STACK_BYTES);
+        starter.setDaemon(true);
+        starter.start();
+        try {
+            if (!done.await(START_SECONDS, TimeUnit.SECONDS)) {
+                starter.interrupt();
+                throw new HookException("it is not started after " + START_SECONDS + " s");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new HookException("interrupted");
+        }
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+        return new HookRunner(spec, module, first[0]);
+    }
+
+    void begin() {
+        worker.start();
+    }
+
+    /** Hands a call in; false if the queue is full. On the event loop, where the end comes, too. */
+    boolean call(EventLoop loop, HookCall call, double withinMs, Ended ended) {
+        Task task = new Task(call, ended);
+        ScheduledFuture<?> timer = loop.schedule(task, Math.max(1, Math.round(withinMs * 1000)), TimeUnit.MICROSECONDS);
+        task.finish = (orders, failure, run) -> loop.execute(() -> {
+            timer.cancel(false);
+            ended.ended(orders, failure, run);
+        });
+        if (!queue.offer(task)) {
+            timer.cancel(false);
+            return false;
+        }
+        return true;
+    }
+
+    private void work() {
+        while (!stopping) {
+            Task task;
+            try {
+                task = queue.take();
+            } catch (InterruptedException e) {
+                continue; // the watch of a call that has just ended, or the end of all
+            }
+            if (!task.state.compareAndSet("waits", "runs")) {
+                continue;
+            }
+            HookOrders orders = null;
+            String failure = null;
+            try {
+                if (instance == null) {
+                    instance = new HookInstance(module, System::currentTimeMillis);
+                }
+                HookInstance.Result r = instance.call(task.call);
+                orders = r.orders();
+                logged(r.log());
+            } catch (HookException e) {
+                failure = e.getMessage();
+                logged(instance == null ? List.of() : instance.lastLog());
+                instance = null; // what it has left behind is in no known state
+            } catch (RuntimeException | Error e) {
+                failure = "the host failed: " + HookRunner.text(e);
+                instance = null;
+            }
+            if (task.state.compareAndSet("runs", "over")) {
+                task.finish.ended(orders, failure, true);
+            }
+            Thread.interrupted(); // its watch may have come late
+        }
+    }
+
+    private static String text(Throwable e) {
+        return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+    }
+
+    private volatile java.util.function.Consumer<String> log = line -> { };
+
+    void log(Core core) {
+        log = line -> core.loop().execute(() -> core.log(line));
+    }
+
+    private void logged(List<String> lines) {
+        lines.forEach(l -> log.accept("hook " + spec.name() + ": " + l));
+    }
+
+    void stop() {
+        stopping = true;
+        worker.interrupt();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/HookedRequest.java
@@ -0,0 +1,159 @@
+package damsonworks.daemon;
+
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.hooks.HookCall;
+import damsonworks.hooks.HookOrders;
+import damsonworks.proxy.Command;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.RequestHandler;
+import damsonworks.proxy.Responder;
+import damsonworks.routes.Route;
+import java.util.List;
+
+/**
+ * A request that hooks look at before it is routed, one after another. Whatever they do, it goes on or is refused in time:
+ * a hook has its own time and at most half of what the client still waits.
+ */
+final class HookedRequest implements RequestHandler.Handle {
+    /** What a hook may take of the time that is left. */
+    private static final double PART = 0.5;
+
+    private final Core core;
+    private final Router router;
+    private final Generation generation;
+    private final List<HookRunner> hooks;
+    private final String listener;
+    private final Responder responder;
+    private final int sentClass;
+    private Command command;
+    private Route named;
+    private int at;
+    private boolean gone;
+    private RequestHandler.Handle routed;
+
+    HookedRequest(Core core, Router router, Generation generation, List<HookRunner> hooks, String listener,
+            Command command, Responder responder) {
+        this.core = core;
+        this.router = router;
+        this.generation = generation;
+        this.hooks = hooks;
+        this.listener = listener;
+        this.command = command;
+        this.responder = responder;
+        sentClass = command.serviceClass();
+        generation.inHand++;
+    }
+
+    RequestHandler.Handle start() {
+        next();
+        return this;
+    }
+
+    private void next() {
+        while (at < hooks.size()) {
+            HookRunner hook = hooks.get(at++);
+            double now = core.now();
+            double left = command.dueMs() - now;
+            if (left < 2) {
+                refuse(hook.spec.refuseMs());
+                return;
+            }
+            if (!hook.breaker.call(now)) {
+                if (failed(hook)) {
+                    return;
+                }
+                continue;
+            }
+            ServiceClass kind = generation.file.classes().get(command.serviceClass());
+            String tenant = generation.file.tenants().isEmpty() ? ""
+                    : generation.file.tenants().get(command.tenant()).name();
+            HookCall call = new HookCall(command.key(), kind.name(), tenant, command.write(), command.repeat(), (long) left);
+            boolean taken = hook.call(core.loop(), call, Math.min(hook.spec.limits().timeMs(), left * PART),
+                    (orders, failure, run) -> ended(hook, orders, failure, run));
+            if (taken) {
+                return;
+            }
+            hook.breaker.notRun();
+            if (failed(hook)) {
+                return;
+            }
+        }
+        over();
+        routed = router.route(generation, listener, named, command, responder);
+    }
+
+    /** Where a hook fails: true if that ends the request. */
+    private boolean failed(HookRunner hook) {
+        if (hook.spec.refuse()) {
+            refuse(hook.spec.refuseMs());
+            return true;
+        }
+        return false;
+    }
+
+    private void note(HookRunner hook, double now, boolean failure, String why) {
+        if (hook.breaker.ended(now, failure)) {
+            core.log("hook " + hook.spec.name() + " is switched off for " + Math.round(hook.spec.breakerOffMs())
+                    + " ms, as too many calls fail; the last: " + why);
+        }
+    }
+
+    private void ended(HookRunner hook, HookOrders orders, String failure, boolean run) {
+        double now = core.now();
+        double left = command.dueMs() - now;
+        String why = failure != null ? failure : generation.rules.refused(orders, sentClass, (long) Math.max(0, left));
+        if (run) {
+            note(hook, now, why != null, why);
+        } else {
+            hook.breaker.notRun();
+        }
+        if (gone) {
+            release();
+            return;
+        }
+        if (why != null) {
+            if (!failed(hook)) {
+                next();
+            }
+            return;
+        }
+        if (orders.note() != null) {
+            core.log("hook " + hook.spec.name() + ": " + orders.note());
+        }
+        if (orders.refuseMs() > 0) {
+            refuse(orders.refuseMs());
+            return;
+        }
+        if (orders.key() != null && !orders.key().equals(command.key())) {
+            command = command.moved(orders.key());
+        }
+        command.order(orders.serviceClass() == null ? command.serviceClass() : generation.rules.classIndex(orders.serviceClass()),
+                orders.tenant() == null ? command.tenant() : generation.rules.tenantIndex(orders.tenant()),
+                orders.remainingMs() > 0 ? now + orders.remainingMs() : command.dueMs());
+        named = orders.route() == null ? named : generation.route(orders.route());
+        next();
+    }
+
+    private void refuse(double afterMs) {
+        release();
+        responder.refused(afterMs);
+    }
+
+    private void release() {
+        over();
+        core.closeId(command);
+        command.release(core);
+    }
+
+    private void over() {
+        generation.inHand--;
+    }
+
+    @Override
+    public void gone() {
+        gone = true;
+        if (routed != null) {
+            routed.gone();
+        }
+    }
+}
--- a/src/main/java/damsonworks/daemon/Router.java
+++ b/src/main/java/damsonworks/daemon/Router.java
@@ -6,6 +6,7 @@
 import damsonworks.proxy.Responder;
 import damsonworks.routes.Route;
 import damsonworks.routes.Subject;
+import java.util.List;
 
 /** Takes the requests of all listeners and sends each on its route. */
 final class Router {
@@ -38,9 +39,16 @@
             responder.rejected(fault);
             return null;
         }
+        List<HookRunner> hooks = g.hooks.get(listener);
+        return hooks != null ? new HookedRequest(core, this, g, hooks, listener, command, responder).start()
+                : route(g, listener, null, command, responder);
+    }
+
+    /** Sends a request on its route, or on the one that a hook has named. */
+    RequestHandler.Handle route(Generation g, String listener, Route named, Command command, Responder responder) {
         Subject s = g.file.keys().subject(listener, command.key(), command.serviceClass(), command.tenant(),
                 command.write());
-        Route route = s == null ? null : g.file.routes().find(s);
+        Route route = s == null ? null : named != null ? named : g.file.routes().find(s);
         if (route != null && route.action() instanceof Route.ToPools) {
             return to(g, s, route, command, responder);
         }
--- a/src/main/java/damsonworks/proxy/Command.java
+++ b/src/main/java/damsonworks/proxy/Command.java
@@ -68,6 +68,30 @@
         return c;
     }
 
+    /** The same request for another key, in this one's place: the value goes over to it. */
+    public Command moved(String other) {
+        Command c = withKey(other);
+        if (value != null) {
+            value.release();
+            value = null;
+        }
+        c.reserved = reserved;
+        reserved = 0;
+        return c;
+    }
+
+    /** Another class, tenant and end than the intake has found. */
+    public void order(int toClass, int toTenant, double toDueMs) {
+        serviceClass = toClass;
+        tenant = toTenant;
+        dueMs = toDueMs;
+    }
+
+    /** Whether the client says that it has sent this before. */
+    public boolean repeat() {
+        return repeat;
+    }
+
     public String key() {
         return key;
     }
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -59,6 +59,15 @@
                 "damsonworks.nginx.importer..", "damsonworks.routes..", "damsonworks.placement..").check(ALL);
     }
 
+    @Test
+    void hooksKnowNoSocketsFilesOrThreadsAndWebAssemblyIsKnownToThemAlone() {
+        noClasses().that().resideInAPackage("damsonworks.hooks..").should().dependOnClassesThat().resideInAnyPackage("io.netty..",
+                "java.net..", "java.nio.file..", "java.util.concurrent..", "damsonworks.proxy..", "damsonworks.daemon..",
+                "damsonworks.config..", "damsonworks.cli..").check(ALL);
+        noClasses().that().resideOutsideOfPackage("damsonworks.hooks..").should().dependOnClassesThat().resideInAPackage(
+                "com.dylibso.chicory..").check(ALL);
+    }
+
     @Test
     void frontsKnowNoConnectionsToServers() {
         noClasses().that().haveSimpleNameStartingWith("ClientConnection").or().haveSimpleNameStartingWith("OpenMeta")
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/HooksTest.java
@@ -0,0 +1,129 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import damsonworks.config.ConfigException;
+import damsonworks.standin.LoadClient;
+import damsonworks.standin.LoadClient.Ask;
+import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInOrigin;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Hooks in the daemon: what they order, and hostile ones on one listener beside normal traffic on another. */
+class HooksTest {
+    private static final Path HOSTILE = Path.of("src/test/resources/hooks").toAbsolutePath();
+    private static final Path KIT = Path.of("hooks").toAbsolutePath();
+
+    @TempDir
+    private Path dir;
+
+    private static String hook(Path module, String keys) {
+        return "[[hook]]\nname = \"h\"\nmodule = \"" + module + "\"\n" + keys + "\n";
+    }
+
+    private static String file(StandInFleet fleet, String hook) {
+        return DaemonRig.LIMITS + DaemonRig.CLASSES + DaemonRig.MAIN + DaemonRig.listener("hostile", "127.0.0.1:0") + hook
+                + DaemonRig.pool("a", fleet, "", fleet.nodes.get(0), fleet.nodes.get(1)) + DaemonRig.route("all", "", "a");
+    }
+
+    private static Ask ask(int i) {
+        String key = "page/" + i % 100;
+        return i % 4 == 0 ? new Ask("s/" + i, "c=submit", "submit-" + i, null)
+                : i % 4 == 1 ? new Ask("p/" + i, "c=publish,k=publish-" + i, "publish-" + i, null)
+                : new Ask(key, "c=page", null, null);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"spin", "recurse", "trap", "divide", "grow", "grow-touch", "pointer", "negative", "long", "alloc-far", "utf8",
+        "long-key", "space-key", "control-key", "empty-key", "lower", "unknown-class", "unknown-route", "unknown-tenant", "later",
+        "twice", "unknown-order", "cut", "refuse", "rekey", "unsafe", "logs", "log-far", "config-far", "alternates", "burns", "state",
+        "sometimes", "steals-fuel", "copies"})
+    void aHostileHookHarmsNoOtherRequestAndItsOwnGetOneAnswerEach(String name) throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        String rule = name.hashCode() % 2 == 0 ? "skip" : "refuse";
+        String keys = "listener = \"hostile\"\nqueue = 8\nrefuse_ms = 1\nbreaker_off_ms = 20\non_failure = \"" + rule + "\"";
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet, hook(HOSTILE.resolve(name + ".wasm"), keys)))) {
+            int total = 400;
+            CompletableFuture<LoadClient.Account> hostile = new LoadClient(fleet.loop(), rig.daemon.address("hostile"), total,
+                    HooksTest::ask).start(4, 8);
+            CompletableFuture<LoadClient.Account> normal = new LoadClient(fleet.loop(), rig.daemon.address("main"), total,
+                    i -> new Ask("n/" + i, "c=page", null, StandInOrigin.value("n/" + i))).start(4, 4);
+            LoadClient.Account n = normal.get(100, TimeUnit.SECONDS);
+            assertThat(n.faults).isEmpty();
+            assertThat(n.answered()).isEqualTo(total);
+            assertThat(n.failed).isZero();
+            LoadClient.Account h = hostile.get(100, TimeUnit.SECONDS);
+            assertThat(h.faults).isEmpty();
+            assertThat(h.answered()).isEqualTo(total);
+            assertThat(h.refusedWithoutTime).isZero();
+            assertThat(fleet.ledger.repeated()).isZero();
+            while (rig.daemon.inHand() > 0) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Test
+    void ordersAreCarriedOut() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        String more = DaemonRig.CLASSES.isEmpty() ? "" : "[[tenant]]\nname = \"red\"\n[[tenant]]\nname = \"blue\"\n";
+        String hooks = more + "[[hook]]\nname = \"keys\"\nmodule = \"" + KIT.resolve("key-schemes.wasm") + "\"\n[[hook]]\nname = \"tenants\"\n"
+                + "module = \"" + KIT.resolve("tenant-list.wasm") + "\"\nlistener = [\"main\"]\norder = -1\nconfig = \"blue\"\n";
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet, hooks)); DaemonRig.Talk talk = rig.talk()) {
+            talk.say("mg A:7/vi v\r\n");
+            assertThat(talk.lines(2)).containsExactly("VA 17", "value of sub/7/vi");
+            talk.say("mg C|vi|7 v Pt=red\r\n");
+            assertThat(talk.lines(2)).containsExactly("VA 17", "value of sub/7/vi");
+            assertThat(talk.say("mg A:7/vi v Pt=blue\r\n").line()).startsWith("SERVER_ERROR busy ");
+            assertThat(talk.say("ms b-8-vi 3 Pc=submit\r\nabc\r\n").line()).isEqualTo("HD");
+        }
+    }
+
+    @Test
+    void aModuleThatDoesNotLoadIsToldWithItsPlaceAndTheOldOneStays() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        String good = file(fleet, hook(KIT.resolve("key-schemes.wasm"), ""));
+        try (DaemonRig rig = new DaemonRig(fleet, good); DaemonRig.Talk talk = rig.talk()) {
+            for (String[] c : new String[][] {{"wasi", "imports wasi_snapshot_preview1.fd_write"}, {"spin-load", "used up its fuel"},
+                {"nosuch", "there is no file"}, {"abi-2", "ABI version 2"}}) {
+                assertThatThrownBy(() -> rig.load(file(fleet, hook(HOSTILE.resolve(c[0] + ".wasm"), ""))))
+                        .isInstanceOfSatisfying(ConfigException.class, e -> assertThat(e.errors()).singleElement().satisfies(
+                                l -> assertThat(l).matches("rig:[0-9]+:1: hook h does not load: .*").contains(c[1])));
+            }
+            Path huge = dir.resolve("huge.wasm");
+            Files.write(huge, new byte[64 << 20]);
+            assertThatThrownBy(() -> rig.load(file(fleet, hook(huge, "")))).isInstanceOf(ConfigException.class);
+            String other = hook(KIT.resolve("key-schemes.wasm"), "sha256 = \"" + "0".repeat(64) + "\"");
+            assertThatThrownBy(() -> rig.load(file(fleet, other))).isInstanceOfSatisfying(ConfigException.class,
+                    e -> assertThat(e.errors().get(0)).contains("has the SHA-256 "));
+            assertThat(talk.say("mg b-7-vi v\r\n").lines(2)).containsExactly("VA 17", "value of sub/7/vi");
+        }
+    }
+
+    @Test
+    void modulesAreReplacedUnderLoadAndNoRequestIsLost() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        String[] files = {file(fleet, hook(KIT.resolve("key-schemes.wasm"), "")), file(fleet, hook(HOSTILE.resolve("burns.wasm"), "")),
+            file(fleet, ""), file(fleet, hook(HOSTILE.resolve("alternates.wasm"), ""))};
+        try (DaemonRig rig = new DaemonRig(fleet, files[0])) {
+            int total = 8000;
+            CompletableFuture<LoadClient.Account> load = new LoadClient(fleet.loop(), rig.daemon.address("main"), total,
+                    HooksTest::ask).start(4, 8);
+            for (int i = 1; i <= 40 || !load.isDone(); i++) {
+                rig.load(files[i % files.length]);
+            }
+            LoadClient.Account a = load.get(100, TimeUnit.SECONDS);
+            assertThat(a.faults).isEmpty();
+            assertThat(a.answered()).isEqualTo(total);
+            assertThat(fleet.ledger.repeated()).isZero();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/hooks/HookInstanceTest.java
@@ -0,0 +1,150 @@
+package damsonworks.hooks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Modules one by one, without a daemon: what loads, what a call may cost, what comes of hostile ones. */
+class HookInstanceTest {
+    private static final Path HOSTILE = Path.of("src/test/resources/hooks");
+    private static final Path KIT = Path.of("hooks");
+    private static final HookCall CALL = new HookCall("A:7/vi", "page", "red", false, false, 500);
+
+    private static HookModule.Limits limits(boolean compiled) {
+        return new HookModule.Limits(16, 200_000, 1_000_000, 1000, compiled);
+    }
+
+    private static byte[] bytes(Path dir, String name) throws Exception {
+        return Files.readAllBytes(dir.resolve(name + ".wasm"));
+    }
+
+    private static HookInstance start(byte[] module, String config, boolean compiled) throws HookException {
+        return new HookInstance(HookModule.load(module, limits(compiled), config), () -> 42);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void theKitDoesWhatItSays(boolean compiled) throws Exception {
+        HookInstance keys = start(bytes(KIT, "key-schemes"), "", compiled);
+        for (String[] c : new String[][] {{"A:7/vi", "sub/7/vi"}, {"b-7-vi", "sub/7/vi"}, {"C|vi|7", "sub/7/vi"}, {"C|vi", null},
+            {"other", null}, {"A:", null}}) {
+            HookOrders o = keys.call(new HookCall(c[0], "page", "red", false, false, 500)).orders();
+            assertThat(o.key()).as(c[0]).isEqualTo(c[1]);
+        }
+        HookInstance classes = start(bytes(KIT, "class-by-suffix"), ".vtt=page\n.post=submit\n", compiled);
+        assertThat(classes.call(new HookCall("x.post", "page", "", true, false, 1)).orders().serviceClass()).isEqualTo("submit");
+        assertThat(classes.call(new HookCall("x.vtt", "page", "", true, false, 1)).orders().serviceClass()).isEqualTo("page");
+        assertThat(classes.call(new HookCall("vtt", "page", "", true, false, 1)).orders()).isEqualTo(HookOrders.NONE);
+        HookInstance tenants = start(bytes(KIT, "tenant-list"), "blue\nred", compiled);
+        assertThat(tenants.call(CALL).orders().refuseMs()).isEqualTo(1000);
+        assertThat(tenants.call(new HookCall("k", "page", "re", false, false, 5)).orders()).isEqualTo(HookOrders.NONE);
+    }
+
+    @Test
+    void builtModulesBelongToTheirSources() throws Exception {
+        int seen = 0;
+        for (Path dir : List.of(KIT, HOSTILE)) {
+            try (Stream<Path> files = Files.list(dir)) {
+                for (Path wat : files.filter(f -> f.toString().endsWith(".wat")).toList()) {
+                    byte[] module = Files.readAllBytes(Path.of(wat.toString().replace(".wat", ".wasm")));
+                    byte[] digest = MessageDigest.getInstance("SHA-256").digest(Files.readAllBytes(wat));
+                    assertThat(Arrays.copyOfRange(module, module.length - 32, module.length)).as(wat + ": run hooks/build.mjs")
+                            .isEqualTo(digest);
+                    seen++;
+                }
+            }
+        }
+        assertThat(seen).isGreaterThan(40);
+    }
+
+    @Test
+    void fuelIsTheSameHoweverAModuleIsRun() throws Exception {
+        for (String name : List.of("key-schemes", "tenant-list", "class-by-suffix")) {
+            HookInstance compiled = start(bytes(KIT, name), ".vtt=page\nred", true);
+            HookInstance interpreted = start(bytes(KIT, name), ".vtt=page\nred", false);
+            for (String key : List.of("A:7/vi", "b-123456-vi", "x.vtt", "")) {
+                HookCall call = new HookCall(key, "page", "red", true, false, 9);
+                long fuel = compiled.call(call).fuel();
+                assertThat(fuel).isEqualTo(interpreted.call(call).fuel()).isBetween(10L, 5000L);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"spin | used up its fuel", "recurse | too deep;used up its fuel", "trap | trapped", "divide | trapped",
+        "pointer | out of its memory;trapped", "negative | bytes; at most", "long | bytes; at most", "alloc-far | out of its memory;trapped",
+        "utf8 | no UTF-8", "twice | comes twice", "unknown-order | not known", "cut | ends too early", "logs | used up its fuel",
+        "log-far | trapped;out of its memory", "config-far | trapped;out of its memory", "steals-fuel | used up its fuel",
+        "copies | used up its fuel"})
+    void hostileCallsFail(String name, String why) throws Exception {
+        for (boolean compiled : new boolean[] {true, false}) {
+            HookInstance hook = start(bytes(HOSTILE, name), "x", compiled);
+            assertThatThrownBy(() -> hook.call(CALL)).as(name).isInstanceOf(HookException.class)
+                    .satisfies(e -> assertThat(why.split(";")).anyMatch(w -> e.getMessage().contains(w.trim())));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"spin-load | fuel", "start-spin | can't be started", "wasi | imports wasi_snapshot_preview1.fd_write",
+        "wrong-import | imports coralbay.log (i64)->()", "abi-2 | ABI version 2", "wrong-type | on_request is (i32)->(i64)",
+        "much-memory | 2000 pages", "big-table | 10000000 elements", "no-load | on_load returned 7", "no-memory | memory"})
+    void hostileModulesDoNotLoad(String name, String why) throws Exception {
+        for (boolean compiled : new boolean[] {true, false}) {
+            byte[] module = bytes(HOSTILE, name);
+            assertThatThrownBy(() -> start(module, "", compiled)).as(name).isInstanceOf(HookException.class)
+                    .hasMessageContaining(why);
+        }
+    }
+
+    @Test
+    void whatIsNoModuleDoesNotLoad() throws Exception {
+        byte[] whole = bytes(KIT, "key-schemes");
+        for (int n = 0; n < whole.length - 50; n++) {
+            byte[] cut = Arrays.copyOf(whole, n);
+            boolean compiled = n % 2 == 0;
+            assertThatThrownBy(() -> start(cut, "", compiled)).as("cut at " + n).isInstanceOf(HookException.class);
+        }
+        assertThatThrownBy(() -> start("#!/bin/sh\n".getBytes(StandardCharsets.US_ASCII), "", true)).hasMessageContaining(
+                "no WebAssembly module");
+        assertThatThrownBy(() -> start(new byte[64 << 20], "", true)).hasMessageContaining("at most");
+        java.util.SplittableRandom random = new java.util.SplittableRandom(5);
+        for (int i = 0; i < 3000; i++) {
+            byte[] bent = whole.clone();
+            bent[8 + random.nextInt(bent.length - 60)] = (byte) random.nextInt();
+            try {
+                start(bent, "", i % 4 == 0).call(CALL);
+            } catch (HookException e) {
+                assertThat(e.getMessage()).doesNotContain("\n");
+            }
+        }
+    }
+
+    @Test
+    void growingEndsAtTheBoundAndLogLinesAreBounded() throws Exception {
+        assertThat(start(bytes(HOSTILE, "grow-touch"), "", true).call(CALL).orders()).isEqualTo(HookOrders.NONE);
+        assertThat(start(bytes(HOSTILE, "grow"), "", true).call(CALL).orders()).isEqualTo(HookOrders.NONE);
+        HookInstance logs = start(bytes(HOSTILE, "logs"), "", true);
+        assertThatThrownBy(() -> logs.call(CALL)).isInstanceOf(HookException.class);
+        assertThat(logs.lastLog()).hasSize(HookInstance.MAX_LOG_LINES).allMatch(l -> l.length() <= 200);
+    }
+
+    @Test
+    void importsAndOrdersAreWhatTheAbiSays() throws Exception {
+        assertThat(HookModule.OFFERED).isEqualTo(Map.of("coralbay.log", "(i32,i32)->()", "coralbay.now_ms", "()->(i64)",
+                "coralbay.count", "()->(i64)", "coralbay.config_length", "()->(i32)", "coralbay.config_read", "(i32)->()"));
+        assertThat(new HookCall("ab", "c", "t", true, true, 258).bytes()).containsExactly(1, 3, 2, 1, 0, 0, 2, 0, 'a', 'b', 1, 0, 'c', 1,
+                0, 't');
+    }
+}
--- /dev/null
+++ b/src/test/resources/hooks/grow.wat
@@ -0,0 +1,9 @@
+;; grows its memory to the limit
+(module
+  
+  (memory (export "memory") 1)
+  
+  (func (export "abi_version") (result i32) i32.const 1)
+  (func (export "alloc") (param i32) (result i32) i32.const 1024)
+  (func (export "on_request") (param i32 i32) (result i64) (loop (br_if 0 (i32.ne (memory.grow (i32.const 1)) (i32.const -1)))) i64.const 0)
+)
--- /dev/null
+++ b/src/test/resources/hooks/spin-load.wat
@@ -0,0 +1,10 @@
+;; spins in on_load
+(module
+  
+  (memory (export "memory") 1)
+  
+  (func (export "abi_version") (result i32) i32.const 1)
+  (func (export "alloc") (param i32) (result i32) i32.const 1024)
+  (func (export "on_load") (result i32) (loop (br 0)) i32.const 0)
+  (func (export "on_request") (param i32 i32) (result i64) i64.const 0)
+)
--- /dev/null
+++ b/src/test/resources/hooks/unsafe.wat
@@ -0,0 +1,10 @@
+;; tags everything with an unsafe class
+(module
+  
+  (memory (export "memory") 1)
+  
+  (func (export "abi_version") (result i32) i32.const 1)
+  (func (export "alloc") (param i32) (result i32) i32.const 1024)
+  (data (i32.const 8192) "\02\06\00\73\75\62\6d\69\74")
+  (func (export "on_request") (param i32 i32) (result i64) i64.const 35184372088841)
+)
