Tell hooks of answers, bind them to routes, and measure what they cost and harm

on_answer tells a module how each request was answered; nothing waits for it. A hook may be bound to routes.

--- a/src/main/java/damsonworks/bench/BenchCommand.java
+++ b/src/main/java/damsonworks/bench/BenchCommand.java
@@ -14,7 +14,7 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers or import; else all.")
+    @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers, import or hooks; else all.")
     private String only;
 
     @Option(names = "--seconds", paramLabel = "S", defaultValue = "3", description = "Length of each run of the hop.")
@@ -41,6 +41,9 @@
         if (only == null || only.equals("import")) {
             new ImportBench(out).run(rounds);
         }
+        if (only == null || only.equals("hooks")) {
+            new HookBench(out).run(rounds, seconds);
+        }
         return choices.sink() == 42 ? 1 : 0;
     }
 }
--- /dev/null
+++ b/src/main/java/damsonworks/bench/HookBench.java
@@ -0,0 +1,278 @@
+package damsonworks.bench;
+
+import com.sun.management.ThreadMXBean;
+import damsonworks.config.DaemonFileReader;
+import damsonworks.daemon.Daemon;
+import damsonworks.hooks.HookCall;
+import damsonworks.hooks.HookException;
+import damsonworks.hooks.HookInstance;
+import damsonworks.hooks.HookModule;
+import damsonworks.proxy.Transport;
+import damsonworks.routes.KeyPattern;
+import damsonworks.routes.KeyRewrite;
+import damsonworks.routes.Route;
+import damsonworks.routes.RouteTable;
+import damsonworks.routes.Subject;
+import damsonworks.standin.Ledger;
+import damsonworks.standin.LoadClient;
+import damsonworks.standin.StandInNode;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.PrintWriter;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.IntToLongFunction;
+
+/** What an honest hook costs, and what hostile ones on one listener do to traffic on another. Run beside {@code hooks/}. */
+final class HookBench {
+    private static final Path KIT = Path.of("hooks");
+    private static final Path HOSTILE = Path.of("src/test/resources/hooks");
+    private static final List<String> SUITE = List.of("spin", "recurse", "trap", "grow", "grow-touch", "pointer", "long", "utf8", "logs",
+            "lower", "unknown-route", "alternates", "burns", "state", "sometimes", "copies");
+    private static final int KEYS = 1000;
+
+    private final PrintWriter out;
+    private long sink;
+
+    HookBench(PrintWriter out) {
+        this.out = out;
+    }
+
+    void run(int rounds, double seconds) throws Exception {
+        if (!Files.isDirectory(KIT) || !Files.isDirectory(HOSTILE)) {
+            out.println("hooks: run this in the repository, beside " + KIT + " and " + HOSTILE);
+            return;
+        }
+        cost();
+        reloads();
+        hostile(rounds, seconds);
+    }
+
+    // ---- an honest one
+
+    private void cost() throws Exception {
+        HookCall[] calls = new HookCall[1024];
+        Subject[] subjects = new Subject[1024];
+        for (int i = 0; i < 1024; i++) {
+            String key = i % 3 == 0 ? "A:" + i + "/vi" : i % 3 == 1 ? "b-" + i + "-vi" : "C|vi|" + i;
+            calls[i] = new HookCall(key, "page", "", false, false, 500);
+            subjects[i] = new Subject("main", key, 0, 0, false);
+        }
+        RouteTable table = new RouteTable(List.of(rule(0, "^A:(.*)$", "sub/$1"), rule(1, "^b-([^-]*)-(.*)$", "sub/$1/$2"),
+                rule(2, "^C\\|([^|]*)\\|(.*)$", "sub/$2/$1")));
+        byte[] module = Files.readAllBytes(KIT.resolve("key-schemes.wasm"));
+        HookInstance compiled = instance(module, true);
+        HookInstance interpreted = instance(module, false);
+        out.printf("%-34s %22s %12s%n", "key mapping", "ns", "garbage B");
+        time("hook, compiled", i -> order(compiled, calls[i & 1023]));
+        time("hook, interpreted", i -> order(interpreted, calls[i & 1023]));
+        time("route rule", i -> table.find(subjects[i & 1023]).poolKey(subjects[i & 1023]).length());
+    }
+
+    private static Route rule(int position, String regex, String replace) {
+        KeyPattern p = new KeyPattern(regex);
+        return new Route("r" + position, 0, position, Set.of(), null, null, p, Set.of(), Set.of(), null, null,
+                new KeyRewrite(null, p, replace, null), new Route.ToPools(List.of("a")));
+    }
+
+    private static HookInstance instance(byte[] module, boolean compiled) throws HookException {
+        return new HookInstance(HookModule.load(module, new HookModule.Limits(16, 200_000, 1_000_000, 1000, compiled), ""),
+                System::currentTimeMillis);
+    }
+
+    private static long order(HookInstance hook, HookCall call) {
+        try {
+            return hook.call(call).orders().key().length();
+        } catch (HookException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void time(String what, IntToLongFunction call) {
+        int turns = 20_000;
+        double[] ns = new double[9];
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long me = Thread.currentThread().getId();
+        long bytes = 0;
+        for (int r = -4; r < ns.length; r++) {
+            bytes = threads.getThreadAllocatedBytes(me);
+            long at = System.nanoTime();
+            for (int i = 0; i < turns; i++) {
+                sink += call.applyAsLong(i);
+            }
+            if (r >= 0) {
+                ns[r] = (System.nanoTime() - at) / (double) turns;
+            }
+            bytes = threads.getThreadAllocatedBytes(me) - bytes;
+        }
+        Arrays.sort(ns);
+        out.printf("%-34s %22s %12d%n", what, String.format("%.0f (%.0f-%.0f)", ns[4], ns[0], ns[8]), bytes / turns);
+        out.flush();
+    }
+
+    // ---- reloads
+
+    /** A thousand reloads, each with its modules compiled anew, while requests go through them. */
+    private void reloads() throws Exception {
+        MultiThreadIoEventLoopGroup nodes = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        MultiThreadIoEventLoopGroup clients = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        Path file = Files.createTempFile("hooks", ".toml");
+        try (StandInNode node = StandInNode.start(nodes.next(), new Ledger())) {
+            StringBuilder t = new StringBuilder(file(node, false));
+            for (String h : new String[] {"key-schemes", "class-by-suffix", "tenant-list"}) {
+                t.append("[[hook]]\nname = \"").append(h).append("\"\nmodule = \"").append(KIT.resolve(h + ".wasm").toAbsolutePath())
+                        .append("\"\n");
+            }
+            Files.writeString(file, t);
+            try (Daemon daemon = Daemon.start(DaemonFileReader.read(file), 1)) {
+                AtomicBoolean over = new AtomicBoolean();
+                EventLoop loop = clients.next();
+                long[] counts = new long[2];
+                Thread load = new Thread(() -> {
+                    while (!over.get()) {
+                        try {
+                            LoadClient.Account a = new LoadClient(loop, daemon.address("main"), 500, i -> new LoadClient.Ask("A:" + i
+                                    + "/vi", "", null, null)).start(2, 2).get(60, TimeUnit.SECONDS);
+                            counts[0] += a.answered();
+                            counts[1] += a.lost + 500 - a.answered();
+                        } catch (Exception e) {
+                            counts[1] += 500;
+                        }
+                    }
+                }, "clients");
+                load.start();
+                out.printf("%-10s %14s %16s %10s%n", "reloads", "heap MB", "metaspace MB", "threads");
+                for (int i = 0; i <= 1000; i++) {
+                    if (i % 250 == 0) {
+                        System.gc();
+                        out.printf("%-10d %14.1f %16.1f %10d%n", i, used("heap"), used("Metaspace"), Thread.activeCount());
+                        out.flush();
+                    }
+                    daemon.reload(file);
+                }
+                over.set(true);
+                load.join();
+                out.println("requests meanwhile " + counts[0] + ", lost " + counts[1]);
+            }
+        } finally {
+            Files.delete(file);
+            nodes.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            clients.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static double used(String what) {
+        if (what.equals("heap")) {
+            return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() / 1e6;
+        }
+        return ManagementFactory.getMemoryPoolMXBeans().stream().filter(p -> p.getName().equals(what)).mapToDouble(
+                p -> p.getUsage().getUsed() / 1e6).sum();
+    }
+
+    // ---- hostile ones
+
+    private static String file(StandInNode node, boolean hooks) {
+        StringBuilder t = new StringBuilder("[[class]]\nname = \"page\"\neffect = \"safe\"\naim_ms = 250\ndeadline_ms = 1000\n"
+                + "[[class]]\nname = \"submit\"\neffect = \"unsafe\"\naim_ms = 250\ndeadline_ms = 1000\n");
+        for (String l : new String[] {"main", "calm", "hostile"}) {
+            t.append("[[listen]]\nname = \"").append(l).append("\"\naddress = \"127.0.0.1:0\"\nopen = true\nclass = \"page\"\n"
+                    + "write_class = \"submit\"\n");
+        }
+        for (String h : hooks ? SUITE : List.<String>of()) {
+            t.append("[[hook]]\nname = \"").append(h).append("\"\nmodule = \"").append(HOSTILE.resolve(h + ".wasm").toAbsolutePath())
+                    .append("\"\nlistener = \"hostile\"\nqueue = 16\n");
+        }
+        return t + "[[pool]]\nname = \"a\"\nnodes = \"plain\"\n[[pool.server]]\nname = \"n\"\ndial = \"" + node.dial()
+                + "\"\n[[route]]\nname = \"all\"\npools = [\"a\"]\n";
+    }
+
+    /**
+     * One daemon, one set of clients on its main listener, asking without a pause. Windows of time turn about in which the other
+     * clients ask a listener without hooks, one without hooks again, or the one with all of the suite.
+     */
+    private void hostile(int rounds, double seconds) throws Exception {
+        MultiThreadIoEventLoopGroup nodes = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        MultiThreadIoEventLoopGroup measured = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        MultiThreadIoEventLoopGroup others = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        try (StandInNode node = StandInNode.start(nodes.next(), new Ledger());
+                Daemon daemon = Daemon.start(DaemonFileReader.parse("bench", file(node, true)), 1)) {
+            for (int i = 0; i < KEYS; i++) {
+                node.store("key/" + i, new byte[100]);
+            }
+            String[] listeners = {"calm", "calm", "hostile"};
+            double[][] p50 = new double[3][rounds];
+            double[][] p99 = new double[3][rounds];
+            double[][] perSecond = new double[3][rounds];
+            long[] other = new long[2];
+            HopBench.load(measured.next(), daemon.address("main"), 4, daemon.threadId(), 4); // warm
+            for (int r = 0; r < rounds; r++) {
+                for (int k = 0; k < 3; k++) {
+                    int which = (k + r) % 3;
+                    HopBench.Run run = window(daemon, listeners[which], measured.next(), others.next(), seconds, other);
+                    p50[which][r] = run.micros().getMean();
+                    p99[which][r] = run.micros().getValueAtPercentile(99);
+                    perSecond[which][r] = run.perSecond();
+                }
+            }
+            out.printf("%d windows of %.1f s each; requests of the other clients %d, lost %d%n", rounds, seconds, other[0], other[1]);
+            out.printf("%-12s %26s %26s %26s%n", "others ask", "mean us", "p99 us", "requests/s");
+            for (int k = 0; k < 3; k++) {
+                out.printf("%-12s %26s %26s %26s%n", k == 2 ? "16 hostile" : k == 1 ? "calm again" : "calm", spread(p50[k]),
+                        spread(p99[k]), spread(perSecond[k]));
+            }
+            double[] noise = new double[rounds];
+            double[] ratio = new double[rounds];
+            for (int r = 0; r < rounds; r++) {
+                noise[r] = p50[1][r] / p50[0][r];
+                ratio[r] = p50[2][r] / ((p50[0][r] + p50[1][r]) / 2);
+            }
+            out.println("mean, calm again to calm: " + ratio(noise) + "; hostile to calm: " + ratio(ratio));
+        } finally {
+            nodes.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            measured.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            others.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static String spread(double[] values) {
+        double[] v = values.clone();
+        Arrays.sort(v);
+        return String.format("%.0f (%.0f-%.0f)", v[v.length / 2], v[v.length / 4], v[v.length * 3 / 4]);
+    }
+
+    private static String ratio(double[] values) {
+        double[] v = values.clone();
+        Arrays.sort(v);
+        return String.format("%.3f (quartiles %.3f, %.3f)", v[v.length / 2], v[v.length / 4], v[v.length * 3 / 4]);
+    }
+
+    private static HopBench.Run window(Daemon daemon, String listener, EventLoop mine, EventLoop others, double seconds, long[] count)
+            throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        Thread other = new Thread(() -> {
+            while (!over.get()) {
+                try {
+                    // A write in ten: unsafe, and perhaps refused, never lost.
+                    LoadClient.Account a = new LoadClient(others, daemon.address(listener), 200, i -> i % 10 == 0
+                            ? new LoadClient.Ask("w/" + i, "", "write-" + i, null)
+                            : new LoadClient.Ask("key/" + i, "", null, null)).start(2, 1).get(60, TimeUnit.SECONDS);
+                    count[0] += a.answered();
+                    count[1] += a.lost + 200 - a.answered();
+                } catch (Exception e) {
+                    count[1] += 200;
+                }
+            }
+        }, "other clients");
+        other.start();
+        HopBench.Run r = HopBench.load(mine, daemon.address("main"), 4, daemon.threadId(), seconds);
+        over.set(true);
+        other.join();
+        return r;
+    }
+}
--- a/src/main/java/damsonworks/bench/HopBench.java
+++ b/src/main/java/damsonworks/bench/HopBench.java
@@ -39,7 +39,7 @@
         this.seconds = seconds;
     }
 
-    private record Run(double perSecond, double cpuUs, double bytes, Histogram micros) { }
+    record Run(double perSecond, double cpuUs, double bytes, Histogram micros) { }
 
     void run(int rounds) throws Exception {
         MultiThreadIoEventLoopGroup nodes = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
@@ -77,7 +77,7 @@
                 + "\"\n[[route]]\nname = \"all\"\npools = [\"a\"]\n";
     }
 
-    private static Run load(EventLoop loop, SocketAddress to, int inHand, long thread, double seconds) throws Exception {
+    static Run load(EventLoop loop, SocketAddress to, int inHand, long thread, double seconds) throws Exception {
         int connections = Math.min(inHand, 16);
         CountDownLatch ended = new CountDownLatch(connections);
         Histogram micros = new Histogram(60_000_000L, 3);
--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -91,11 +91,12 @@
      * @param module path of the WebAssembly module
      * @param sha256 what it must be; null: not checked
      * @param listeners whose requests it gets; empty: all
+     * @param routes whose requests it gets, by the routes' names; empty: all
      * @param refuse whether a request is refused where it fails; else it goes on as it was
      * @param queue calls that may wait
      * @param breakerShare of calls that may fail before it is switched off
      */
-    public record Hook(String name, String at, Path module, String sha256, Set<String> listeners, int order,
+    public record Hook(String name, String at, Path module, String sha256, Set<String> listeners, Set<String> routes, int order,
             HookModule.Limits limits, boolean refuse, double refuseMs, int queue, double breakerShare, double breakerOffMs,
             String config) { }
 
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -126,6 +126,15 @@
         fallbacks();
         RouteTable table = new RouteReader(errors, listenerNames, classes, tenants, pools.keySet()).table(
                 root.sections("host"), routes, keys);
+        Set<String> routeNames = new HashSet<>();
+        table.routes().forEach(r -> routeNames.add(r.name()));
+        for (Section h : root.sections("hook")) {
+            for (String r : h.texts("route")) {
+                if (!routeNames.contains(r)) {
+                    h.error("route", "there is no route '" + r + "'; there are: " + String.join(", ", sorted(routeNames)));
+                }
+            }
+        }
         root.end();
         return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table);
     }
@@ -291,7 +300,7 @@
                 (long) s.number("load_fuel", 10_000_000, 1000, 1e10), s.number("time_ms", 50, 1, 10_000),
                 s.flag("compiled", true));
         Hook hook = new Hook(name, path + ":" + s.at("name").line() + ":" + s.at("name").column(), module, digest, from,
-                s.integer("order", 0, -1_000_000, 1_000_000), limits, s.oneOf("on_failure", "skip", "skip", "refuse").equals("refuse"),
+                Set.copyOf(s.texts("route")), s.integer("order", 0, -1_000_000, 1_000_000), limits, s.oneOf("on_failure", "skip", "skip", "refuse").equals("refuse"),
                 s.number("refuse_ms", 100, 1, HOUR_MS), s.integer("queue", 256, 1, 65_536), s.number("breaker_share", 0.5, 0, 1),
                 s.number("breaker_off_ms", 5000, 1, HOUR_MS), s.text("config", ""));
         if (hook.config().length() > MAX_CONFIG) {
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/AnswerTap.java
@@ -0,0 +1,75 @@
+package damsonworks.daemon;
+
+import damsonworks.hooks.HookCall.Answer;
+import damsonworks.proxy.Responder;
+import io.netty.buffer.ByteBuf;
+import java.util.function.Consumer;
+
+/** Hands an answer on and tells of what kind it was, once. */
+final class AnswerTap implements Responder {
+    private final Responder client;
+    private final Consumer<Answer> told;
+
+    AnswerTap(Responder client, Consumer<Answer> told) {
+        this.client = client;
+        this.told = told;
+    }
+
+    @Override
+    public void value(ByteBuf value) {
+        told.accept(Answer.SERVED);
+        client.value(value);
+    }
+
+    @Override
+    public void receipt(String receipt) {
+        told.accept(Answer.SERVED);
+        client.receipt(receipt);
+    }
+
+    @Override
+    public void miss() {
+        told.accept(Answer.MISSING);
+        client.miss();
+    }
+
+    @Override
+    public void refused(double retryAfterMs) {
+        told.accept(Answer.REFUSED);
+        client.refused(retryAfterMs);
+    }
+
+    @Override
+    public void failed() {
+        told.accept(Answer.FAILED);
+        client.failed();
+    }
+
+    @Override
+    public void rejected(String why) {
+        told.accept(Answer.REJECTED);
+        client.rejected(why);
+    }
+
+    @Override
+    public void begin(int length, Flow source) {
+        client.begin(length, source);
+    }
+
+    @Override
+    public void part(ByteBuf part) {
+        client.part(part);
+    }
+
+    @Override
+    public void end() {
+        told.accept(Answer.SERVED);
+        client.end();
+    }
+
+    @Override
+    public void breakOff() {
+        told.accept(Answer.FAILED);
+        client.breakOff();
+    }
+}
--- a/src/main/java/damsonworks/daemon/HookRunner.java
+++ b/src/main/java/damsonworks/daemon/HookRunner.java
@@ -30,6 +30,7 @@
     private final HookModule module;
     private final ArrayBlockingQueue<Task> queue;
     private final Thread worker;
+    private final boolean wantsAnswers;
     private volatile boolean stopping;
     private HookInstance instance;
 
@@ -47,9 +48,15 @@
         Ended finish;
         private final AtomicReference<String> state = new AtomicReference<>("waits");
 
-        Task(HookCall call, Ended ended) {
+        /** Null for a request. */
+        final HookCall.Answer answer;
+        final long elapsedMs;
+
+        Task(HookCall call, Ended ended, HookCall.Answer answer, long elapsedMs) {
             this.call = call;
             this.ended = ended;
+            this.answer = answer;
+            this.elapsedMs = elapsedMs;
         }
 
         /** On the event loop: its time is over. */
@@ -70,6 +77,7 @@
         this.spec = spec;
         this.module = module;
         instance = first;
+        wantsAnswers = first.wantsAnswers();
         breaker = new HookBreaker(spec.breakerShare(), spec.breakerOffMs());
         queue = new ArrayBlockingQueue<>(spec.queue());
         worker = new Thread(null, this::work, "hook " + spec.name(), STACK_BYTES);
@@ -114,7 +122,7 @@
 
     /** Hands a call in; false if the queue is full. On the event loop, where the end comes, too. */
     boolean call(EventLoop loop, HookCall call, double withinMs, Ended ended) {
-        Task task = new Task(call, ended);
+        Task task = new Task(call, ended, null, 0);
         ScheduledFuture<?> timer = loop.schedule(task, Math.max(1, Math.round(withinMs * 1000)), TimeUnit.MICROSECONDS);
         task.finish = (orders, failure, run) -> loop.execute(() -> {
             timer.cancel(false);
@@ -127,6 +135,18 @@
         return true;
     }
 
+    /** Tells the module of an answer, if it asks for that and there is room; nothing waits for it. */
+    void answered(HookCall call, HookCall.Answer answer, long elapsedMs) {
+        Task task = new Task(call, (o, f, r) -> { }, answer, elapsedMs);
+        task.finish = task.ended;
+        queue.offer(task);
+    }
+
+    /** Whether the module is to be told of answers. */
+    boolean wantsAnswers() {
+        return wantsAnswers;
+    }
+
     private void work() {
         while (!stopping) {
             Task task;
@@ -144,9 +164,13 @@
                 if (instance == null) {
                     instance = new HookInstance(module, System::currentTimeMillis);
                 }
-                HookInstance.Result r = instance.call(task.call);
-                orders = r.orders();
-                logged(r.log());
+                if (task.answer != null) {
+                    logged(instance.answered(task.call, task.answer, task.elapsedMs));
+                } else {
+                    HookInstance.Result r = instance.call(task.call);
+                    orders = r.orders();
+                    logged(r.log());
+                }
             } catch (HookException e) {
                 failure = e.getMessage();
                 logged(instance == null ? List.of() : instance.lastLog());
--- a/src/main/java/damsonworks/daemon/HookedRequest.java
+++ b/src/main/java/damsonworks/daemon/HookedRequest.java
@@ -8,7 +8,10 @@
 import damsonworks.proxy.RequestHandler;
 import damsonworks.proxy.Responder;
 import damsonworks.routes.Route;
+import damsonworks.routes.Subject;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A request that hooks look at before it is routed, one after another. Whatever they do, it goes on or is refused in time:
@@ -25,6 +28,8 @@
     private final String listener;
     private final Responder responder;
     private final int sentClass;
+    /** What each of those that want to be told of the answer was asked. */
+    private final Map<HookRunner, HookCall> asked = new IdentityHashMap<>(2);
     private Command command;
     private Route named;
     private int at;
@@ -39,7 +44,7 @@
         this.hooks = hooks;
         this.listener = listener;
         this.command = command;
-        this.responder = responder;
+        this.responder = hooks.stream().anyMatch(HookRunner::wantsAnswers) ? new AnswerTap(responder, this::answered) : responder;
         sentClass = command.serviceClass();
         generation.inHand++;
     }
@@ -54,6 +59,9 @@
             HookRunner hook = hooks.get(at++);
             double now = core.now();
             double left = command.dueMs() - now;
+            if (!hook.spec.routes().isEmpty() && !applies(hook)) {
+                continue;
+            }
             if (left < 2) {
                 refuse(hook.spec.refuseMs());
                 return;
@@ -71,6 +79,9 @@
             boolean taken = hook.call(core.loop(), call, Math.min(hook.spec.limits().timeMs(), left * PART),
                     (orders, failure, run) -> ended(hook, orders, failure, run));
             if (taken) {
+                if (hook.wantsAnswers()) {
+                    asked.put(hook, call);
+                }
                 return;
             }
             hook.breaker.notRun();
@@ -82,6 +93,19 @@
         routed = router.route(generation, listener, named, command, responder);
     }
 
+    /** Whether the request would go on one of the hook's routes as it is now. */
+    private boolean applies(HookRunner hook) {
+        Subject s = generation.file.keys().subject(listener, command.key(), command.serviceClass(), command.tenant(),
+                command.write());
+        Route r = named != null ? named : s == null ? null : generation.file.routes().find(s);
+        return r != null && hook.spec.routes().contains(r.name());
+    }
+
+    private void answered(HookCall.Answer answer) {
+        long elapsed = Math.round(core.now() - command.arrivedMs());
+        asked.forEach((hook, call) -> hook.answered(call, answer, elapsed));
+    }
+
     /** Where a hook fails: true if that ends the request. */
     private boolean failed(HookRunner hook) {
         if (hook.spec.refuse()) {
--- a/src/main/java/damsonworks/hooks/HookCall.java
+++ b/src/main/java/damsonworks/hooks/HookCall.java
@@ -14,6 +14,17 @@
     /** The version of this form and of all else that module and host agree on. */
     public static final int ABI = 1;
 
+    /** What a client was told; the number is the place here, from 0. */
+    public enum Answer { SERVED, MISSING, REFUSED, FAILED, REJECTED }
+
+    /** The request, and behind it the answer (u8) and the milliseconds that it took (u32). */
+    byte[] bytes(Answer answer, long elapsedMs) {
+        byte[] request = bytes();
+        ByteBuffer b = ByteBuffer.allocate(request.length + 5).order(ByteOrder.LITTLE_ENDIAN);
+        b.put(request).put((byte) answer.ordinal()).putInt((int) Math.max(0, Math.min(Integer.MAX_VALUE, elapsedMs)));
+        return b.array();
+    }
+
     byte[] bytes() {
         byte[] k = key.getBytes(StandardCharsets.UTF_8);
         byte[] c = serviceClass.getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/damsonworks/hooks/HookInstance.java
+++ b/src/main/java/damsonworks/hooks/HookInstance.java
@@ -26,6 +26,8 @@
     private final Instance instance;
     private final ExportFunction alloc;
     private final ExportFunction onRequest;
+    /** Null where the module has none. */
+    private final ExportFunction onAnswer;
     private List<String> log = new ArrayList<>();
     private long counter;
     private long fuelUsed;
@@ -49,6 +51,7 @@
                     module.limits.memoryPages())).build();
             alloc = function("alloc", "(i32)->(i32)");
             onRequest = function("on_request", "(i32,i32)->(i64)");
+            onAnswer = exports("on_answer") ? function("on_answer", "(i32,i32)->()") : null;
             long version = function("abi_version", "()->(i32)").apply()[0];
             if (version != HookCall.ABI) {
                 throw new HookException("it is of ABI version " + version + "; " + HookCall.ABI + " is spoken here");
@@ -116,6 +119,28 @@
                 })).build();
     }
 
+    /** Whether it wants to be told of answers. */
+    public boolean wantsAnswers() {
+        return onAnswer != null;
+    }
+
+    /** Runs {@code on_answer}; its lines of the log. After an exception this instance is not to be used again. */
+    public List<String> answered(HookCall call, HookCall.Answer answer, long elapsedMs) throws HookException {
+        log = new ArrayList<>();
+        instance.global(module.fuelGlobal).setValue(module.limits.fuel());
+        try {
+            byte[] bytes = call.bytes(answer, elapsedMs);
+            int at = (int) alloc.apply(bytes.length)[0];
+            instance.memory().write(at, bytes);
+            onAnswer.apply(at, bytes.length);
+            return log;
+        } catch (ChicoryException | StackOverflowError | OutOfMemoryError | AssertionError | LinkageError e) {
+            throw new HookException(why(e));
+        } catch (RuntimeException e) {
+            throw new HookException(HookOrders.clean(String.valueOf(e.getMessage())));
+        }
+    }
+
     /** Runs {@code on_request}. After an exception this instance is not to be used again. */
     public Result call(HookCall call) throws HookException {
         log = new ArrayList<>();
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -166,6 +166,10 @@
         assertThatThrownBy(() -> DaemonFileReader.parse("f", bad)).isInstanceOfSatisfying(ConfigException.class,
                 e -> assertThat(e.errors()).containsExactly("f:" + (lines + 5) + ":1: " + e.errors().get(0).split(": ", 2)[1])
                         .allMatch(l -> l.contains("there is no pool 'none'")));
+        // A line that looks like a table's head where a part could end.
+        String nested = text + "[[route]]\nname = \"n\"\n" + "# long\n".repeat(10_000) + "pools = [\n[1]\n]\n";
+        assertThatThrownBy(() -> DaemonFileReader.parse("f", nested)).isInstanceOfSatisfying(ConfigException.class,
+                e -> assertThat(e.errors()).anyMatch(l -> l.contains("pools holds something that is no text")));
         String twice = "[site]\nname = \"a\"\n" + text + "[site]\nname = \"b\"\n";
         assertThatThrownBy(() -> DaemonFileReader.parse("f", twice)).isInstanceOfSatisfying(ConfigException.class,
                 e -> assertThat(e.errors()).containsExactly("f:" + (lines + 3) + ":1: site previously defined at line 1"));
--- a/src/test/java/damsonworks/daemon/HooksTest.java
+++ b/src/test/java/damsonworks/daemon/HooksTest.java
@@ -45,7 +45,7 @@
     @ValueSource(strings = {"spin", "recurse", "trap", "divide", "grow", "grow-touch", "pointer", "negative", "long", "alloc-far", "utf8",
         "long-key", "space-key", "control-key", "empty-key", "lower", "unknown-class", "unknown-route", "unknown-tenant", "later",
         "twice", "unknown-order", "cut", "refuse", "rekey", "unsafe", "logs", "log-far", "config-far", "alternates", "burns", "state",
-        "sometimes", "steals-fuel", "copies"})
+        "sometimes", "steals-fuel", "copies", "answers"})
     void aHostileHookHarmsNoOtherRequestAndItsOwnGetOneAnswerEach(String name) throws Exception {
         StandInFleet fleet = new StandInFleet(2);
         String rule = name.hashCode() % 2 == 0 ? "skip" : "refuse";
@@ -87,6 +87,19 @@
         }
     }
 
+    @Test
+    void aHookOfARouteIsCalledForThatRouteAlone() throws Exception {
+        StandInFleet fleet = new StandInFleet(2);
+        String hooks = "[[hook]]\nname = \"keys\"\nroute = \"rivals\"\nmodule = \"" + KIT.resolve("key-schemes.wasm") + "\"\n";
+        String file = file(fleet, hooks) + DaemonRig.route("rivals", "prefix = \"A:\"", "a");
+        try (DaemonRig rig = new DaemonRig(fleet, file); DaemonRig.Talk talk = rig.talk()) {
+            assertThat(talk.say("mg A:7/vi v\r\n").lines(2)).containsExactly("VA 17", "value of sub/7/vi");
+            assertThat(talk.say("mg b-7-vi v\r\n").lines(2)).containsExactly("VA 15", "value of b-7-vi");
+        }
+        assertThatThrownBy(() -> new DaemonRig(fleet, file(fleet, hooks))).isInstanceOfSatisfying(ConfigException.class,
+                e -> assertThat(e.errors().get(0)).contains("there is no route 'rivals'"));
+    }
+
     @Test
     void aModuleThatDoesNotLoadIsToldWithItsPlaceAndTheOldOneStays() throws Exception {
         StandInFleet fleet = new StandInFleet(2);
--- a/src/test/java/damsonworks/hooks/HookInstanceTest.java
+++ b/src/test/java/damsonworks/hooks/HookInstanceTest.java
@@ -131,6 +131,17 @@
         }
     }
 
+    @Test
+    void answersAreTold() throws Exception {
+        HookInstance answers = start(bytes(HOSTILE, "answers"), "", true);
+        assertThat(answers.wantsAnswers()).isTrue();
+        assertThat(answers.answered(CALL, HookCall.Answer.SERVED, 7)).containsExactly("served");
+        assertThat(answers.answered(CALL, HookCall.Answer.REFUSED, 7)).containsExactly("refuse");
+        assertThat(start(bytes(HOSTILE, "idle"), "", true).wantsAnswers()).isFalse();
+        assertThat(new HookCall("", "", "", false, false, 0).bytes(HookCall.Answer.FAILED, 258)).containsExactly(1, 0, 0, 0, 0, 0, 0, 0,
+                0, 0, 0, 0, 3, 2, 1, 0, 0);
+    }
+
     @Test
     void growingEndsAtTheBoundAndLogLinesAreBounded() throws Exception {
         assertThat(start(bytes(HOSTILE, "grow-touch"), "", true).call(CALL).orders()).isEqualTo(HookOrders.NONE);
