--- a/src/main/java/damsonworks/bench/HookBench.java
+++ b/src/main/java/damsonworks/bench/HookBench.java
@@ -50,6 +50,7 @@
             return;
         }
         cost();
+        hop(rounds, seconds);
         reloads();
         hostile(rounds, seconds);
     }
@@ -116,6 +117,47 @@
         out.flush();
     }
 
+    /** The whole hop with a hook and without, window by window in one daemon. */
+    private void hop(int rounds, double seconds) throws Exception {
+        MultiThreadIoEventLoopGroup nodes = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        MultiThreadIoEventLoopGroup clients = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        try (StandInNode node = StandInNode.start(nodes.next(), new Ledger())) {
+            for (int i = 0; i < KEYS; i++) {
+                node.store("key/" + i, new byte[100]);
+            }
+            String text = file(node, false) + "[[hook]]\nname = \"keys\"\nlistener = \"calm\"\nqueue = 1024\nmodule = \""
+                    + KIT.resolve("key-schemes.wasm").toAbsolutePath() + "\"\n";
+            try (Daemon daemon = Daemon.start(DaemonFileReader.parse("bench", text), 1)) {
+                for (int inHand : new int[] {1, 128}) {
+                    double[][] cpu = new double[2][rounds];
+                    double[][] rate = new double[2][rounds];
+                    double[][] mean = new double[2][rounds];
+                    for (String l : new String[] {"main", "calm"}) {
+                        HopBench.load(clients.next(), daemon.address(l), inHand, daemon.threadId(), 2);
+                    }
+                    for (int r = 0; r < rounds; r++) {
+                        for (int k = 0; k < 2; k++) {
+                            int which = (k + r) % 2;
+                            HopBench.Run run = HopBench.load(clients.next(), daemon.address(which == 0 ? "main" : "calm"), inHand,
+                                    daemon.threadId(), seconds);
+                            cpu[which][r] = run.cpuUs();
+                            rate[which][r] = run.perSecond();
+                            mean[which][r] = run.micros().getMean();
+                        }
+                    }
+                    for (int k = 0; k < 2; k++) {
+                        out.printf("%-8d %-12s requests/s %s, mean us %s, loop's CPU us %s%n", inHand, k == 0 ? "no hook" : "with a hook",
+                                spread(rate[k]), spread(mean[k]), spread(cpu[k]));
+                    }
+                    out.flush();
+                }
+            }
+        } finally {
+            nodes.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            clients.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     // ---- reloads
 
     /** A thousand reloads, each with its modules compiled anew, while requests go through them. */
--- a/src/test/java/damsonworks/hooks/HookInstanceTest.java
+++ b/src/test/java/damsonworks/hooks/HookInstanceTest.java
@@ -10,6 +10,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -131,6 +133,33 @@
         }
     }
 
+    /** For what fuel does not see: a call with fuel without end is ended by the interrupt of its thread. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCallThatTakesTooLongIsInterrupted(boolean compiled) throws Exception {
+        HookModule module = HookModule.load(bytes(HOSTILE, "spin"), new HookModule.Limits(16, Long.MAX_VALUE, 1_000_000, 20, compiled),
+                "");
+        HookInstance hook = new HookInstance(module, () -> 42);
+        CountDownLatch running = new CountDownLatch(1);
+        AtomicReference<String> why = new AtomicReference<>();
+        Thread t = new Thread(() -> {
+            running.countDown();
+            try {
+                hook.call(CALL);
+            } catch (HookException e) {
+                why.set(e.getMessage());
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+        running.await();
+        while (t.isAlive()) {
+            t.interrupt(); // the call may not have begun
+            t.join(10);
+        }
+        assertThat(why.get()).isEqualTo("it took longer than 20.0 ms");
+    }
+
     @Test
     void answersAreTold() throws Exception {
         HookInstance answers = start(bytes(HOSTILE, "answers"), "", true);
