Test what bulk instructions cost and that no module reaches its fuel

Two mutations of the meter survived: bulk instructions taking no more than others, and a module naming the global that counts.

--- a/src/test/java/damsonworks/hooks/HookInstanceTest.java
+++ b/src/test/java/damsonworks/hooks/HookInstanceTest.java
@@ -160,6 +160,23 @@
         assertThat(why.get()).isEqualTo("it took longer than 20.0 ms");
     }
 
+    /** The global that counts is added behind the module's own: it must not be able to name it. */
+    @Test
+    void noModuleReachesTheCounter() throws Exception {
+        byte[] module = bytes(HOSTILE, "steals-fuel");
+        int set = -1;
+        for (int i = 8; i < module.length - 1; i++) {
+            set = module[i] == 0x24 && module[i + 1] == 0 ? i : set;
+        }
+        assertThat(set).as("its global.set 0").isPositive();
+        for (int op : new int[] {0x24, 0x23}) {
+            byte[] bent = module.clone();
+            bent[set] = (byte) op;
+            bent[set + 1] = 1;
+            assertThatThrownBy(() -> start(bent, "", true)).hasMessageContaining("there is no global 1");
+        }
+    }
+
     @Test
     void answersAreTold() throws Exception {
         HookInstance answers = start(bytes(HOSTILE, "answers"), "", true);
@@ -173,7 +190,9 @@
 
     @Test
     void growingEndsAtTheBoundAndLogLinesAreBounded() throws Exception {
-        assertThat(start(bytes(HOSTILE, "grow-touch"), "", true).call(CALL).orders()).isEqualTo(HookOrders.NONE);
+        HookInstance.Result touch = start(bytes(HOSTILE, "grow-touch"), "", true).call(CALL);
+        assertThat(touch.orders()).isEqualTo(HookOrders.NONE);
+        assertThat(touch.fuel()).as("growing costs 4096, filling 65,536 bytes as much").isBetween(8192L, 8300L);
         assertThat(start(bytes(HOSTILE, "grow"), "", true).call(CALL).orders()).isEqualTo(HookOrders.NONE);
         HookInstance logs = start(bytes(HOSTILE, "logs"), "", true);
         assertThatThrownBy(() -> logs.call(CALL)).isInstanceOf(HookException.class);
