Keep a late interrupt from ending a hook's next call, test imported writes

Read again: the watch of a call that had just ended could interrupt the next one of the same hook; both sides hold a lock now. Imported methods were tested for reads alone. Two fields that nothing read are gone.

--- a/src/main/java/damsonworks/daemon/HookRunner.java
+++ b/src/main/java/damsonworks/daemon/HookRunner.java
@@ -62,9 +62,12 @@
         /** On the event loop: its time is over. */
         @Override
         public void run() {
-            String was = state.getAndSet("over");
-            if (was.equals("runs")) {
-                worker.interrupt();
+            String was;
+            synchronized (worker) { // so that the next call is not interrupted in this one's place
+                was = state.getAndSet("over");
+                if (was.equals("runs")) {
+                    worker.interrupt();
+                }
             }
             if (!was.equals("over")) {
                 ended.ended(null, was.equals("runs") ? "it took longer than it may" : "it waited too long for its turn",
@@ -179,10 +182,14 @@
                 failure = "the host failed: " + HookRunner.text(e);
                 instance = null;
             }
-            if (task.state.compareAndSet("runs", "over")) {
+            boolean first;
+            synchronized (worker) {
+                first = task.state.compareAndSet("runs", "over");
+                Thread.interrupted(); // its watch may have come late
+            }
+            if (first) {
                 task.finish.ended(orders, failure, true);
             }
-            Thread.interrupted(); // its watch may have come late
         }
     }
 
--- a/src/main/java/damsonworks/hooks/HookInstance.java
+++ b/src/main/java/damsonworks/hooks/HookInstance.java
@@ -30,7 +30,6 @@
     private final ExportFunction onAnswer;
     private List<String> log = new ArrayList<>();
     private long counter;
-    private long fuelUsed;
 
     /**
      * What a call came to.
@@ -157,8 +156,7 @@
             }
             HookOrders orders = length == 0 ? HookOrders.NONE : HookOrders.read(instance.memory().readBytes((int) (packed >>> 32),
                     length));
-            fuelUsed = module.limits.fuel() - instance.global(module.fuelGlobal).getValue();
-            return new Result(orders, log, fuelUsed);
+            return new Result(orders, log, module.limits.fuel() - instance.global(module.fuelGlobal).getValue());
         } catch (ChicoryException | StackOverflowError | OutOfMemoryError | AssertionError | LinkageError e) {
             throw new HookException(why(e));
         } catch (IndexOutOfBoundsException e) {
--- a/src/main/java/damsonworks/nginx/ConfLexer.java
+++ b/src/main/java/damsonworks/nginx/ConfLexer.java
@@ -18,8 +18,6 @@
     private int lineStart;
     /** Of the last word. */
     String word;
-    /** Whether the last word stood in quotes. */
-    boolean quoted;
     private int tokenLine;
     private int tokenColumn;
 
@@ -122,7 +120,6 @@
                     + "' behind a closing quote; white space, ; or { must follow");
         }
         word = out.toString();
-        quoted = true;
     }
 
     private void plainWord() throws ConfException {
@@ -145,7 +142,6 @@
             bound(out);
         }
         word = out.toString();
-        quoted = false;
     }
 
     /** Other escapes stay as they are: they are the regular expressions'. */
--- a/src/test/java/damsonworks/nginx/importer/ImporterTest.java
+++ b/src/test/java/damsonworks/nginx/importer/ImporterTest.java
@@ -170,6 +170,19 @@
         assertThat(explained(f, "/a/1", false)).doesNotContain("pool=u");
     }
 
+    @Test
+    void methodsBecomeReadsAndWrites() throws Exception {
+        DaemonFile f = file(run(site("location / { if ($request_method !~ ^(GET|HEAD)$) { proxy_pass http://v; } proxy_pass http://u; }\n"
+                + "location /doc/ { if ($request_method = POST) { return 405; } proxy_pass http://u; }\n"
+                + "location /ro/ { limit_except GET { deny all; } proxy_pass http://u; }")));
+        assertThat(explained(f, "/x", true)).contains(" pool=v ");
+        assertThat(explained(f, "/x", false)).contains(" pool=u ");
+        for (String key : List.of("/doc/x", "/ro/x")) {
+            assertThat(explained(f, key, true)).contains("answer=failed");
+            assertThat(explained(f, key, false)).contains(" pool=u ");
+        }
+    }
+
     @Test
     void movingToCarpIsComputed() throws Exception {
         assertThat(run(site("location / { proxy_pass http://u; }")).report().notes()).anyMatch(n -> n.matches(
