Don't lose a cold server for good to a trial that its limit turned away

Cause: a shunned server is tried by one request at a time, and the trial was noted before the cold limit was asked. Where that said no, nothing was sent, so no end could clear the trial and the server stayed out until it restarted. It needs a failure while the server is cold, which a busy machine makes of slow connects. The limit is asked first now. Ruled out: a lost connection event and the daemon's births, which the test's own clock showed in order. Not taken: clearing the trial where choose() returns nothing, as a second place that must know of it.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -578,16 +578,17 @@
         if (s.failures == 0 || s.probed && !s.trial) {
             return warmEnough(now, f, s);
         }
-        if (now < s.shunnedUntil || s.trial || !f.safe || f.attempts > 0 || trials < 1) {
+        // A trial that a cold server's limit turns away has no end that could clear it, and s would stay out.
+        if (now < s.shunnedUntil || s.trial || !f.safe || f.attempts > 0 || trials < 1
+                || !cfg.mayProbe() && !warmEnough(now, f, s)) {
             return false;
         }
         trials--;
         s.trial = true;
         if (cfg.mayProbe()) {
             out.probe(s.id);
-            return false;
         }
-        return warmEnough(now, f, s);
+        return !cfg.mayProbe();
     }
 
     private boolean warmEnough(double now, Flight f, Server s) {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -498,6 +498,34 @@
         assertThat(rig.last().server()).isEqualTo(2);
     }
 
+    /** A trial that a cold server's limit turns away is none: it would be out for good. */
+    @Test
+    void aTrialOfAColdServerThatWasNotSentDoesNotKeepItOut() {
+        Rig rig = new Rig(Rig.withoutProbes(Rig.settings(true, false, true, Group.ALL))).fleet(8);
+        rig.change(Rig.member(2, State.READY, rig.now));
+        int id = 1;
+        for (long key = 1; rig.placed.isEmpty() || rig.last().server() != 2; key++) {
+            rig.read(id++, key);
+        }
+        rig.end(rig.last(), Outcome.CONNECT_FAILED, true, 0);
+        rig.now += 1100; // shunned no more, still cold: most of its keys are not for it yet
+        for (long key = 1; key <= 400; key++) {
+            int sent = rig.placed.size();
+            rig.read(id++, key);
+            if (rig.placed.size() > sent) {
+                rig.end(rig.last(), rig.last().server() == 2 ? Outcome.CONNECT_FAILED : Outcome.OK, true, 0);
+            }
+            rig.now += 10;
+        }
+        rig.now += 16_000; // warm, and shunned no more
+        rig.placed.clear();
+        for (long key = 1; key <= 400; key++) {
+            rig.read(id++, key);
+            rig.end(rig.last(), Outcome.OK);
+        }
+        assertThat(rig.placed.stream().filter(p -> p.server() == 2).count()).isGreaterThan(20);
+    }
+
     /** A trial that the crowd's throttle turns away is none: the server must not wait for its end for good. */
     @Test
     void aTrialThatWasNotSentDoesNotKeepItsServerOut() {
