Add a control address, standby, and handing the listening socket to the next version

Operators must send clients away and call them back, and start a new version beside the running one. - lifecycle.Lifecycle decides, free of I/O: what `mn` is told, whether new connections are taken, which standing ones end. Ends are spread by each connection's place. Not taken: closing all at once, which sends every client to the others in one moment; and a list in the order of age, which needs the list. - control.Door and Calls: HTTP/1.1 on the proxy's own loop, one call a connection, 24 callers, the oldest makes room. Not taken: a thread of its own, as the loop answers within milliseconds and state then needs no locks. - handover.Handover passes the listening socket over a Unix socket in $TMPDIR. Not taken: SO_REUSEPORT alone (kept where nobody gives a socket), as what stands in the old process's queue is reset when it closes it. - Long answers: a head that came in pieces was cut at the first pause of 0.3 s; buffers ran out of direct memory (traced: OutOfMemoryError at 20 MB ended connections in the middle of an answer). Reads are 16 KiB at most, what waits for a client shrinks with the number of long answers, caches of freed buffers are small, clients' values 10 MB. An attempt keeps off a connection on which a long answer is on its way.

--- /dev/null
+++ b/src/main/java/damsonworks/control/Calls.java
@@ -0,0 +1,52 @@
+package damsonworks.control;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * The operators' calls and what each answers, apart from how they come. Paths are exact; a query string is not looked
+ * at.
+ *
+ * @param takesClients whether this process takes clients now
+ * @param state its state in a word
+ * @param standby sends clients away; false where that can't be had
+ * @param active takes clients again; false where that can't be had
+ */
+public record Calls(BooleanSupplier takesClients, Supplier<String> state, BooleanSupplier standby,
+        BooleanSupplier active) {
+
+    /**
+     * An answer: 2xx is yes, 4xx and 5xx no.
+     *
+     * @param text one line of ASCII without its end
+     * @param allow the method to use instead, or null
+     */
+    public record Answer(int code, String text, String allow) {
+        public Answer(int code, String text) {
+            this(code, text, null);
+        }
+    }
+
+    /** Carries a call out. */
+    public Answer call(String method, String uri) {
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        String needed = switch (path) {
+            case "/status" -> "GET";
+            case "/standby", "/active" -> "POST";
+            default -> null;
+        };
+        if (needed == null) {
+            return new Answer(404, "the calls are GET /status, POST /standby and POST /active");
+        }
+        if (!needed.equals(method)) {
+            return new Answer(405, "use " + needed + " " + path, needed);
+        }
+        boolean yes = switch (path) {
+            case "/status" -> takesClients.getAsBoolean();
+            case "/standby" -> standby.getAsBoolean();
+            default -> active.getAsBoolean();
+        };
+        return yes ? new Answer(200, state.get()) : new Answer(503, state.get());
+    }
+}
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.ArrayDeque;
@@ -22,9 +23,12 @@
     private static final double STALLED_MS = 10_000;
     /** A client asks as soon as it has connected; one that has not by then is owed a close within 3 s. */
     private static final double SILENT_MS = 2000;
+    /** What a connection that has been taken may need to bring its first command on a busy machine. */
+    private static final double FIRST_MS = 500;
 
     private final Core core;
     private final Front front;
+    private final double place;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come; the value is null if there's no room. */
@@ -49,8 +53,11 @@
     interface Front {
         RequestHandler handler();
 
-        /** Whether connections are to end between requests. */
-        boolean draining();
+        /** Whether this connection is to end between requests. */
+        boolean ends(ClientConnection client);
+
+        /** Whether clients that ask are told to come. */
+        boolean takesClients();
 
         void left(ClientConnection client);
 
@@ -58,9 +65,20 @@
         OpenMeta open();
     }
 
-    ClientConnection(Core core, Front front) {
+    /** @param place from 0 to under 1, by which connections that are to end are spread */
+    ClientConnection(Core core, Front front, double place) {
         this.core = core;
         this.front = front;
+        this.place = place;
+    }
+
+    double place() {
+        return place;
+    }
+
+    /** Whether it has asked something, or has had the time to. */
+    boolean heard(double now) {
+        return asked || now - acceptedMs > FIRST_MS;
     }
 
     @Override
@@ -128,7 +146,7 @@
 
     private void command(String line) throws MetaCodec.SyntaxException {
         if (line.equals("mn")) {
-            say("MN\r\n");
+            say(front.takesClients() ? "MN\r\n" : "SERVER_ERROR standby\r\n");
             return;
         }
         if (front.open() != null) {
@@ -280,6 +298,7 @@
         private boolean whole;
         /** Holds back the rest of a long answer. */
         private Flow source;
+        private boolean streaming;
 
         Slot(String echo, boolean receipts) {
             this.echo = echo;
@@ -337,6 +356,9 @@
         @Override
         public void begin(int length, Flow flow) {
             source = flow;
+            int most = core.streamOpened();
+            streaming = true;
+            ctx.channel().config().setWriteBufferWaterMark(new WriteBufferWaterMark(most / 2, most));
             part(MetaCodec.text(ctx.alloc(), "VA " + length + echo + "\r\n"));
         }
 
@@ -356,7 +378,7 @@
 
         @Override
         public void end() {
-            source = null;
+            ended();
             if (!finished) {
                 part(MetaCodec.text(ctx.alloc(), "\r\n"));
             }
@@ -368,9 +390,17 @@
         /** Only the connection's end tells the client that the value is not whole. */
         @Override
         public void breakOff() {
-            source = null;
+            ended();
             close();
         }
+
+        private void ended() {
+            source = null;
+            if (streaming) {
+                streaming = false;
+                core.streamClosed();
+            }
+        }
     }
 
     private void flushAnswers() {
@@ -389,7 +419,7 @@
         }
         if (wrote) {
             activeMs = core.now();
-            if (closing || front.draining()) {
+            if (closing || front.ends(this)) {
                 ctx.flush();
             } else if (!flushing) {
                 flushing = true;
@@ -397,7 +427,7 @@
             }
         }
         regulate();
-        if (slots.isEmpty() && (closing || front.draining() && idle())) {
+        if (slots.isEmpty() && (closing || front.ends(this) && idle())) {
             finish();
         }
     }
@@ -460,7 +490,7 @@
             }
             if (e.source != null) {
                 e.source.hold(false);
-                e.source = null;
+                e.ended();
             }
             if (e.handle != null) {
                 e.handle.gone();
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -21,7 +21,7 @@
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
         int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
-        InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
+        InetSocketAddress peersAll, InetSocketAddress control, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
         double idleCloseMs, int streamsPerConnection) {
 
     /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
@@ -51,7 +51,7 @@
                 Addresses.of(need(json, "listen").getAsString()), Addresses.of(need(json, "discovery").getAsString()),
                 Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
                 (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
-                optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
+                optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"), optionalAddress(json, "control"),
                 json.has("known") ? json.getAsJsonObject("known") : null, parser.settings(), parser.list("zones"),
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
                 Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
--- a/src/main/java/damsonworks/proxy/Core.java
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -16,8 +16,14 @@
  */
 public final class Core {
     private static final int MAX_LOG_LINES = 300;
+    /** A part of what the platform's command line lets buffers take; the rest is for what is being read and written. */
+    private static final long MAX_VALUES = 10 << 20;
     private static final double CLOSES_PER_SECOND = 10;
     private static final double CLOSES_SAVED = 10;
+    /** What of one long answer may wait for its client; the fewer there are the more, so that all have room. */
+    private static final int MAX_STREAM = 64 << 10;
+    private static final int MIN_STREAM = 8 << 10;
+    private static final int MIN_STREAM_BYTES = 1 << 20;
 
     final EventLoop loop;
     final Servers servers;
@@ -35,6 +41,9 @@
     private double closes = CLOSES_SAVED;
     private double closesAtMs;
     private int upstreamCount;
+    /** Long answers on their way, and what may wait for their clients in all. */
+    private int streams;
+    private final long streamBytes;
     private int logLines;
     private long valueBytes;
 
@@ -52,13 +61,14 @@
         this.upstream = upstream;
         this.maxValueBytes = maxValueBytes;
         this.maxUpstream = maxUpstream;
+        streamBytes = Math.max(MIN_STREAM_BYTES, maxValueBytes / 2);
         timers = new Timers(loop);
         servers = new Servers(this);
     }
 
     /** As the platform's configuration bounds it. */
     static Core of(EventLoop loop, Config config, Class<? extends Channel> upstream) {
-        return new Core(loop, upstream, (long) config.memoryMb() << 20 >> 3, config.sockets() / 3, false);
+        return new Core(loop, upstream, Math.min((long) config.memoryMb() << 20 >> 3, MAX_VALUES), config.sockets() / 3, false);
     }
 
     /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
@@ -97,7 +107,8 @@
 
     Bootstrap bootstrap(double connectTimeoutMs) {
         Bootstrap bootstrap = new Bootstrap().group(loop).channel(upstream)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeoutMs);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeoutMs)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, Transport.reads());
         if (upstream == Transport.BEST.socket()) {
             bootstrap.option(ChannelOption.TCP_NODELAY, true);
         }
@@ -117,6 +128,16 @@
         valueBytes -= bytes;
     }
 
+    /** A long answer begins. @return how many bytes of it may wait for its client */
+    int streamOpened() {
+        streams++;
+        return (int) Math.max(MIN_STREAM, Math.min(MAX_STREAM, streamBytes / streams));
+    }
+
+    void streamClosed() {
+        streams--;
+    }
+
     /** Whether a connection may be closed for the sake of one attempt; where no second copies are allowed it must. */
     boolean mayClose(boolean secondCopies) {
         double now = now();
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -1,11 +1,14 @@
 package damsonworks.proxy;
 
+import damsonworks.lifecycle.Lifecycle;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.unix.UnixChannelOption;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -22,8 +25,12 @@
     private RequestHandler handler;
     private OpenMeta open;
     private Channel channel;
+    /** Connections whose place is under this end between requests. */
+    private double endsUnder;
+    private boolean takesClients = true;
     private boolean draining;
     private boolean held;
+    private long accepted;
 
     /** @param open what stock clients' commands are given; null for the platform's clients */
     public Listener(Core core, Clients clients, RequestHandler handler, OpenMeta open) {
@@ -55,19 +62,42 @@
 
     /** Binds; connections are taken from then on. Its future's channel has the address. */
     public ChannelFuture bind(SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(core.loop).channel(Transport.BEST.server())
-                .option(ChannelOption.AUTO_READ, !held).option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        return bind(address, false);
+    }
+
+    /** @param shared whether another process may listen at the same address, which then shares its connections */
+    ChannelFuture bind(SocketAddress address, boolean shared) {
+        ServerBootstrap bootstrap = bootstrap().channel(Transport.BEST.server())
+                .option(ChannelOption.AUTO_READ, !held).option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true);
+        if (shared && Transport.BEST.server() == EpollServerSocketChannel.class) {
+            bootstrap.option(UnixChannelOption.SO_REUSEPORT, true);
+        }
+        return opened(bootstrap.bind(address));
+    }
+
+    /** Takes connections off a socket that listens already, and that another process may have, too. */
+    ChannelFuture adopt(int descriptor) {
+        return opened(bootstrap().channelFactory(() -> new EpollServerSocketChannel(descriptor)).register());
+    }
+
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap().group(core.loop)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.reads())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel connection) {
-                        ClientConnection client = new ClientConnection(core, Listener.this);
+                        ClientConnection client = new ClientConnection(core, Listener.this, Lifecycle.place(accepted++));
                         connection.pipeline().addLast(client);
                         own.add(client);
                         clients.accepted(client);
                     }
-                }).bind(address);
+                });
+    }
+
+    private ChannelFuture opened(ChannelFuture bound) {
         channel = bound.channel();
         core.loop.execute(() -> clients.add(this));
         return bound;
@@ -91,18 +121,41 @@
 
     /** Takes no new connections; those that are there end between requests. To be called until it is empty. */
     public void drain() {
+        stopListening();
+        end(1);
+    }
+
+    /** Takes no new connections. */
+    void stopListening() {
         if (!draining) {
             draining = true;
-            channel.close();
+            // Another process may have the same socket. Then closing ours would not take it out of our selector.
+            channel.deregister().addListener(f -> channel.close());
             clients.remove(this);
         }
+    }
+
+    /** Whether this process says that it takes clients. */
+    void takesClients(boolean yes) {
+        takesClients = yes;
+    }
+
+    /** Connections of a place under this end between requests. To be called again until they have. */
+    void end(double under) {
+        endsUnder = under;
+        double now = core.now();
         for (ClientConnection c : new ArrayList<>(own)) {
-            if (c.idle()) {
+            if (ends(c) && c.idle() && (draining || c.heard(now))) {
                 c.finish();
             }
         }
     }
 
+    /** The socket's descriptor; -1 where the kind of channel has none to give. */
+    int descriptor() {
+        return channel instanceof EpollServerSocketChannel c ? c.fd().intValue() : -1;
+    }
+
     public boolean empty() {
         return own.isEmpty();
     }
@@ -118,8 +171,13 @@
     }
 
     @Override
-    public boolean draining() {
-        return draining;
+    public boolean ends(ClientConnection client) {
+        return client.place() < endsUnder;
+    }
+
+    @Override
+    public boolean takesClients() {
+        return takesClients;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Operations.java
@@ -0,0 +1,113 @@
+package damsonworks.proxy;
+
+import damsonworks.control.Calls;
+import damsonworks.control.Door;
+import damsonworks.handover.Handover;
+import damsonworks.lifecycle.Lifecycle;
+import damsonworks.lifecycle.Lifecycle.State;
+import io.netty.channel.EventLoop;
+import io.netty.channel.epoll.Epoll;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What operators do with a running proxy: ask it whether it takes clients, send them away and call them back, and start
+ * its next version beside it. Loaded only where a control address is configured.
+ */
+final class Operations {
+    /** Descriptors that the door and a successor's line need. */
+    static final int DESCRIPTORS = Door.MAX_CALLERS + 8;
+    /** A process with part of a core may be halted for some time; a new one has 6 s in all. */
+    private static final long TAKE_MS = 1500;
+    private static final long LOOK_MS = 20;
+
+    private final EventLoop loop;
+    private final Core core;
+    private final Lifecycle lifecycle;
+    private final Listener listener;
+    private final Door door;
+    private Handover handover;
+    private Future<?> looking;
+
+    private Operations(EventLoop loop, Core core, Lifecycle lifecycle, Listener listener) {
+        this.loop = loop;
+        this.core = core;
+        this.lifecycle = lifecycle;
+        this.listener = listener;
+        door = new Door(loop, Transport.BEST.server(), new Calls(() -> lifecycle.state() == State.ACTIVE,
+                () -> lifecycle.state().name().toLowerCase(Locale.ROOT), this::standby, this::active));
+    }
+
+    /**
+     * Takes clients, from a running process at the same address if there is one, and then calls of operators.
+     *
+     * @param folder one that this process shares with its next version
+     */
+    static Operations start(EventLoop loop, Core core, Lifecycle lifecycle, Listener listener, InetSocketAddress listen,
+            InetSocketAddress control, Path folder) throws InterruptedException {
+        Operations o = new Operations(loop, core, lifecycle, listener);
+        Path path = Handover.path(folder, listen.getPort());
+        Handover.Taken taken = Epoll.isAvailable() ? Handover.take(loop, path, TAKE_MS) : null;
+        if (taken != null) {
+            listener.adopt(taken.descriptor()).sync();
+        } else {
+            listener.bind(listen, true).sync();
+        }
+        if (listener.descriptor() >= 0) {
+            try {
+                o.handover = Handover.offer(loop, path, listener.descriptor(), taken == null ? null : taken.line());
+            } catch (IOException | RuntimeException e) {
+                core.log("a next version will have a queue of its own: " + e.getMessage());
+            }
+        }
+        try {
+            o.door.bind(control).sync();
+        } catch (Exception e) {
+            throw new IllegalStateException("control " + control + ": " + e.getMessage(), e);
+        }
+        return o;
+    }
+
+    InetSocketAddress address() {
+        return door.address();
+    }
+
+    boolean hasSuccessor() {
+        return handover != null && handover.hasSuccessor();
+    }
+
+    private boolean standby() {
+        boolean yes = lifecycle.standby(core.now());
+        if (yes && looking == null) {
+            looking = loop.scheduleWithFixedDelay(this::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+        return yes;
+    }
+
+    private boolean active() {
+        boolean yes = lifecycle.active();
+        look();
+        return yes;
+    }
+
+    private void look() {
+        listener.takesClients(lifecycle.takesClients());
+        listener.end(lifecycle.share(core.now()));
+        if (lifecycle.state() != State.STANDBY && looking != null) {
+            looking.cancel(false);
+            looking = null;
+        }
+    }
+
+    /** The process ends: no further call is taken, and the next version asks somebody else. */
+    void close() {
+        door.close();
+        if (handover != null) {
+            handover.close();
+        }
+    }
+}
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.unix.UnixChannelOption;
 import java.net.InetSocketAddress;
 
 /** Messages between the proxies of a tier: datagrams that come late or not at all. */
@@ -28,8 +30,11 @@
         this.receiver = receiver;
         if (config.settings().peers() && config.peerListen() != null) {
             // What is sent before the socket is bound is lost without a word, so this waits for it.
-            channel = new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler())
-                    .bind(config.peerListen()).awaitUninterruptibly().channel();
+            Bootstrap bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler());
+            if (config.control() != null && Transport.BEST.datagram() == EpollDatagramChannel.class) {
+                bootstrap.option(UnixChannelOption.SO_REUSEPORT, true); // the next version has the same address
+            }
+            channel = bootstrap.bind(config.peerListen()).awaitUninterruptibly().channel();
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,15 +1,16 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.lifecycle.Lifecycle;
+import damsonworks.lifecycle.Lifecycle.Periods;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
-    /** Connections still come so long after SIGTERM, with some room for a slow machine. */
-    private static final double LISTEN_ON_MS = 500;
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final long SWEEP_MS = 250;
@@ -23,6 +24,9 @@
     private final DiscoveryClient discovery;
     private final Clients clients;
     private final Listener listener;
+    private final Lifecycle lifecycle = new Lifecycle(Periods.USUAL);
+    /** Null where no control address is configured. */
+    private final Operations operations;
 
     private Proxy(Config config, boolean warm) throws InterruptedException {
         this.config = config;
@@ -32,7 +36,8 @@
         core = Core.of(loop, config, Transport.BEST.socket());
         dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
         peers = new PeerSocket(loop, config, dispatcher::heard);
-        clients = new Clients(core, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
+        clients = new Clients(core, Math.max(16, config.sockets() - config.sockets() / 3
+                - OWN_DESCRIPTORS - (config.control() == null ? 0 : Operations.DESCRIPTORS)));
         discovery = new DiscoveryClient(loop, DiscoveryClient.Source.of(config), dispatcher);
         loop.submit(() -> {
             dispatcher.start(discovery, peers);
@@ -40,7 +45,13 @@
             loop.scheduleWithFixedDelay(clients::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).syncUninterruptibly();
         listener = new Listener(core, clients, new SinglePool(core, dispatcher), null);
-        listener.bind(config.listen()).sync();
+        if (config.control() == null) {
+            listener.bind(config.listen()).sync();
+            operations = null;
+        } else {
+            operations = Operations.start(loop, core, lifecycle, listener, config.listen(), config.control(),
+                    Path.of(System.getenv().getOrDefault("TMPDIR", "/tmp")));
+        }
     }
 
     /** Runs a proxy by the configuration that the environment names, until SIGTERM. */
@@ -96,6 +107,10 @@
         return listener.address();
     }
 
+    InetSocketAddress controlAddress() {
+        return operations.address();
+    }
+
     InetSocketAddress peerAddress() {
         return peers.address();
     }
@@ -107,14 +122,31 @@
     // ---- the end
 
     void drain() {
-        new DrainLoop(loop, core, LISTEN_ON_MS, () -> {
-            listener.drain();
-            return listener.empty();
-        }).run(() -> config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0));
+        new DrainLoop(loop, core, 0, this::drained).run(() -> {
+            lifecycle.leave(core.now(), operations != null && operations.hasSuccessor());
+            return Math.max(Periods.USUAL.listenOnMs(), Periods.USUAL.leaveSpreadMs())
+                    + config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+        });
+        if (operations != null) {
+            loop.submit(operations::close).syncUninterruptibly();
+        }
+    }
+
+    private boolean drained() {
+        double now = core.now();
+        listener.takesClients(lifecycle.takesClients());
+        if (!lifecycle.listens(now)) {
+            listener.stopListening();
+        }
+        listener.end(lifecycle.share(now));
+        return !lifecycle.listens(now) && listener.empty();
     }
 
     /** Ends at once; for tests. */
     void close() {
+        if (operations != null) {
+            loop.submit(operations::close).syncUninterruptibly();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/damsonworks/proxy/Transport.java
+++ b/src/main/java/damsonworks/proxy/Transport.java
@@ -1,7 +1,9 @@
 package damsonworks.proxy;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollDatagramChannel;
@@ -29,12 +31,20 @@
         Class<? extends Channel> datagram, Class<? extends ServerChannel> localServer,
         Class<? extends Channel> localSocket) {
 
+    /** The most that one read takes off a socket: each connection that is being read needs as much. */
+    private static final int MAX_READ = 16 << 10;
+
     public static final Transport BEST = Epoll.isAvailable()
             ? new Transport(EpollIoHandler.newFactory(), EpollServerSocketChannel.class, EpollSocketChannel.class,
                     EpollDatagramChannel.class, EpollServerDomainSocketChannel.class, EpollDomainSocketChannel.class)
             : new Transport(NioIoHandler.newFactory(), NioServerSocketChannel.class, NioSocketChannel.class,
                     NioDatagramChannel.class, NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
 
+    /** How much each connection reads at once, by what has come before. Each connection needs one of its own. */
+    static RecvByteBufAllocator reads() {
+        return new AdaptiveRecvByteBufAllocator(256, 2048, MAX_READ);
+    }
+
     SocketAddress local(Path path) {
         return socket == EpollSocketChannel.class ? new DomainSocketAddress(path.toFile())
                 : UnixDomainSocketAddress.of(path);
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -100,7 +100,7 @@
 
     void closeIdle(double sinceMs) {
         for (UpstreamConnection c : List.copyOf(connections)) {
-            if (c.depth() == 0 && c.idleSinceMs() <= sinceMs) {
+            if (c.empty() && c.idleSinceMs() <= sinceMs) {
                 c.close();
             }
         }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -22,6 +22,9 @@
     /** A server pauses for 0.1 s at most within an answer; one that stops for this long will not go on. */
     private static final double STALLED_MS = 3000;
 
+    /** How many short answers a long one stands for in the choice of a connection. */
+    private static final int LONG = 1000;
+
     /** Three times the longest pause: a short answer that has stopped for this long has been cut off. */
     private static final double CUT_MS = 300;
 
@@ -80,8 +83,13 @@
         return connected;
     }
 
+    /** Attempts on it. Behind a long answer one waits for a client to take it, which may last for seconds. */
     int depth() {
-        return attempts.size();
+        return begun ? attempts.size() + LONG : attempts.size();
+    }
+
+    boolean empty() {
+        return attempts.isEmpty();
     }
 
     double idleSinceMs() {
@@ -223,6 +231,8 @@
     /** A long answer begins; false if nobody waits for it, so that it is to be dropped. */
     boolean begin(int length) {
         begun = true;
+        // Its head may have come in pieces. The short answers' patience would cut it at the first pause.
+        partial = false;
         progressMs = upstream.core().now();
         Attempt attempt = attempts.peek();
         return attempt.owner.begin(attempt, length);
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -60,7 +60,7 @@
         Listener front = new Listener(core, new Clients(core, 16), new SinglePool(core, dispatcher), null);
         SocketAddress node = listen("n", Node::new);
         SocketAddress origin = listen("o", Origin::new);
-        SocketAddress proxy = listen("p", () -> new ClientConnection(core, front));
+        SocketAddress proxy = listen("p", () -> new ClientConnection(core, front, 0));
         int originKind = config.settings().originKind();
         List<DiscoveryClient.Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
                 host(2, Math.max(0, originKind), origin));
--- /dev/null
+++ b/src/test/java/damsonworks/control/DoorTest.java
@@ -0,0 +1,121 @@
+package damsonworks.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The operators' door on loopback: right calls, wrong ones, half ones and none. */
+@Timeout(60)
+class DoorTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final AtomicBoolean active = new AtomicBoolean(true);
+    private Door door;
+
+    @BeforeEach
+    void open() throws InterruptedException {
+        door = new Door(group.next(), NioServerSocketChannel.class, new Calls(active::get, () -> active.get() ? "active" : "standby",
+                () -> {
+                    active.set(false);
+                    return true;
+                }, () -> {
+                    active.set(true);
+                    return true;
+                }));
+        door.bind(new InetSocketAddress("127.0.0.1", 0)).sync();
+    }
+
+    @AfterEach
+    void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Socket caller() throws IOException {
+        Socket s = new Socket(InetAddress.getByName("127.0.0.1"), door.address().getPort());
+        s.setSoTimeout(30_000);
+        return s;
+    }
+
+    /** All that is answered, up to the end that the door makes. */
+    private static String answer(Socket s) throws IOException {
+        return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    private String call(String text) throws IOException {
+        try (Socket s = caller()) {
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return answer(s);
+        }
+    }
+
+    private static String head(String line) {
+        return line + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+
+    @Test
+    void theThreeCallsAreAnsweredOneAConnection() throws Exception {
+        assertThat(call(head("GET /status"))).startsWith("HTTP/1.1 200 ").contains("connection: close").endsWith("\r\n\r\nactive\n");
+        assertThat(call(head("POST /standby"))).startsWith("HTTP/1.1 200 ").endsWith("standby\n");
+        assertThat(call(head("GET /status?x=1"))).startsWith("HTTP/1.1 503 ").endsWith("standby\n");
+        assertThat(call("POST /active HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")).startsWith("HTTP/1.1 200 ");
+        assertThat(call(head("GET /status") + head("POST /standby"))).startsWith("HTTP/1.1 200 ");
+        assertThat(active).as("a second call on one connection is not carried out").isTrue();
+    }
+
+    @Test
+    void whatIsNoCallIsAnsweredWithAnErrorAndCarriesNothingOut() throws Exception {
+        assertThat(call(head("GET /standby"))).startsWith("HTTP/1.1 405 ").contains("allow: POST").contains("use POST /standby");
+        assertThat(call(head("POST /status"))).startsWith("HTTP/1.1 405 ").contains("allow: GET");
+        assertThat(call(head("POST /standby/"))).startsWith("HTTP/1.1 404 ").contains("GET /status");
+        assertThat(call(head("GET /" + "x".repeat(5000)))).startsWith("HTTP/1.1 400 ");
+        assertThat(call("POST /standby HTTP/1.1\r\nX: " + "y".repeat(9000) + "\r\n\r\n")).startsWith("HTTP/1.1 400 ");
+        assertThat(call("POST /standby HTTP/1.1\r\nContent-Length: 999999\r\n\r\n")).startsWith("HTTP/1.1 413 ");
+        assertThat(call("\0\1\2\3 nonsense\r\n\r\n")).startsWith("HTTP/1.1 400 ");
+        assertThat(active).isTrue();
+    }
+
+    @Test
+    void aCallInPiecesIsHeardAndHalfOfOneOrNoneIsTold() throws Exception {
+        try (Socket pieces = caller(); Socket half = caller(); Socket silent = caller()) {
+            for (char c : head("GET /status").toCharArray()) {
+                pieces.getOutputStream().write(c);
+                pieces.getOutputStream().flush();
+            }
+            assertThat(answer(pieces)).startsWith("HTTP/1.1 200 ");
+            half.getOutputStream().write("POST /standby HTTP/1.1\r\nHo".getBytes());
+            assertThat(answer(half)).startsWith("HTTP/1.1 408 ");
+            assertThat(answer(silent)).startsWith("HTTP/1.1 408 ");
+        }
+        assertThat(active).isTrue();
+    }
+
+    @Test
+    void callersThatSayNothingMakeRoomForCallsOldestFirst() throws Exception {
+        List<Socket> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 3 * Door.MAX_CALLERS; i++) {
+                silent.add(caller());
+            }
+            assertThat(call(head("GET /status"))).startsWith("HTTP/1.1 200 ");
+            assertThat(silent.get(0).getInputStream().read()).isNegative();
+        } finally {
+            for (Socket s : silent) {
+                s.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/OperationsTest.java
@@ -0,0 +1,86 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.standin.ScriptedServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Standby and back on a proxy's own sockets, while requests are open. */
+@Timeout(60)
+class OperationsTest {
+    private static Fleet fleet() {
+        Fleet fleet = new Fleet();
+        fleet.config.addProperty("control", "127.0.0.1:0");
+        return fleet;
+    }
+
+    private static String call(Fleet fleet, String line) throws IOException {
+        try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), fleet.proxy.controlAddress().getPort())) {
+            s.getOutputStream().write((line + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes());
+            return new String(s.getInputStream().readAllBytes()).substring(9, 12);
+        }
+    }
+
+    @Test
+    void standbySaysNoEndsConnectionsBetweenRequestsAndLosesNone() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                go.await();
+                c.say("VA 5 O" + ScriptedServer.id(line) + " h1\r\nhello\r\n");
+            }
+        });
+        try (Fleet fleet = fleet().node(node).start(); Fleet.Client idle = fleet.client(); Fleet.Client busy = fleet.client();
+                Fleet.Client half = fleet.client()) {
+            assertThat(call(fleet, "GET /status")).isEqualTo("200");
+            assertThat(idle.say("mn\r\n").line()).isEqualTo("MN");
+            half.say("mn\r\nm");
+            assertThat(half.line()).isEqualTo("MN");
+            busy.read("1");
+            node.next();
+            assertThat(call(fleet, "POST /standby")).isEqualTo("200");
+            assertThat(call(fleet, "GET /status")).isEqualTo("503");
+            assertThat(idle.ended()).isTrue();
+            half.say("n\r\n"); // a command that had been begun is still answered
+            assertThat(half.line()).isEqualTo("SERVER_ERROR standby");
+            assertThat(half.ended()).isTrue();
+            // Whoever has not heard is served all the same, and sent away after.
+            try (Fleet.Client late = fleet.client()) {
+                late.read("2");
+                go.countDown();
+                assertThat(late.line()).isEqualTo("VA 5 O2");
+                assertThat(late.line()).isEqualTo("hello");
+                assertThat(late.ended()).isTrue();
+            }
+            assertThat(busy.line()).isEqualTo("VA 5 O1");
+            assertThat(busy.line()).isEqualTo("hello");
+            assertThat(busy.ended()).isTrue();
+            assertThat(call(fleet, "POST /active")).isEqualTo("200");
+            assertThat(call(fleet, "GET /status")).isEqualTo("200");
+            try (Fleet.Client back = fleet.client()) {
+                assertThat(back.say("mn\r\n").line()).isEqualTo("MN");
+                assertThat(back.read("3").line()).isEqualTo("VA 5 O3");
+                assertThat(back.line()).isEqualTo("hello");
+                assertThat(back.say("mn\r\n").line()).isEqualTo("MN");
+            }
+        }
+    }
+
+    @Test
+    void aConnectionThatHasNotAskedYetIsNotEndedAsSoonAsItIsTaken() throws Exception {
+        try (Fleet fleet = fleet().node("127.0.0.1:9").start(); Fleet.Client first = fleet.client()) {
+            assertThat(first.say("mn\r\n").line()).isEqualTo("MN");
+            call(fleet, "POST /standby");
+            assertThat(first.ended()).isTrue(); // all are to end by now or soon
+            try (Fleet.Client late = fleet.client()) {
+                assertThat(late.say("mn\r\n").line()).isEqualTo("SERVER_ERROR standby");
+                assertThat(late.ended()).isTrue();
+            }
+        }
+    }
+}
