Choose by what a connection has done which client makes room, keep fewer descriptors back

There was room for 32 clients, as 64 descriptors were kept for the program and 32 for the door; those that had begun a command were never made room of, and all that had not asked after 2 s were closed, slow writers with them. - limits.ConnectionRoom ranks, free of I/O: served and idle first, then those that have said nothing for 0.15 s, last those that have stopped in a command for 0.6 s; who is owed an answer or goes on writing stays.

--- a/src/main/java/damsonworks/control/Door.java
+++ b/src/main/java/damsonworks/control/Door.java
@@ -32,7 +32,7 @@
  */
 public final class Door {
     /** Callers at once. */
-    public static final int MAX_CALLERS = 24;
+    public static final int MAX_CALLERS = 8;
     /** From the connection to the end of its call, in milliseconds. */
     public static final int PATIENCE_MS = 2000;
     /** How long an answered caller may take to close, in milliseconds. */
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.limits.ConnectionRoom;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
@@ -24,6 +25,8 @@
     private static final double STALLED_MS = 10_000;
     /** A client asks as soon as it has connected; one that has not by then is owed a close within 3 s. */
     private static final double SILENT_MS = 2000;
+    /** One that has begun may take 2 s to write its first command. */
+    private static final double SLOW_MS = 2600;
     /** What a connection that has been taken may need to bring its first command on a busy machine. */
     private static final double FIRST_MS = 500;
 
@@ -60,6 +63,9 @@
         /** Whether clients that ask are told to come. */
         boolean takesClients();
 
+        /** Nothing is open on one any more. */
+        void idle(ClientConnection client);
+
         void left(ClientConnection client);
 
         /** What plain commands of stock clients are given; null where commands must be the platform's. */
@@ -94,8 +100,14 @@
         return slots.isEmpty() && incoming == null && actualReadableBytes() == 0;
     }
 
-    double activeMs() {
-        return activeMs;
+    /** How soon this one is to make room for another; negative: not at all. */
+    double room(double now) {
+        return ConnectionRoom.rank(idle(), asked, !slots.isEmpty() || unwritten(), now - activeMs);
+    }
+
+    private boolean unwritten() {
+        ChannelOutboundBuffer out = ctx.channel().unsafe().outboundBuffer();
+        return out != null && out.totalPendingWriteBytes() > 0;
     }
 
     /**
@@ -104,12 +116,12 @@
      * that waits for its answer is not stalled, as long as that may take.
      */
     boolean stalled(double now) {
-        return now - activeMs > STALLED_MS && (finished || awaitsClient()) || !asked && now - acceptedMs > SILENT_MS;
+        return now - activeMs > STALLED_MS && (finished || awaitsClient())
+                || !asked && now - acceptedMs > (idle() ? SILENT_MS : SLOW_MS);
     }
 
     private boolean awaitsClient() {
-        ChannelOutboundBuffer out = ctx.channel().unsafe().outboundBuffer();
-        return incoming != null || actualReadableBytes() > 0 && !readPaused || out != null && out.totalPendingWriteBytes() > 0;
+        return incoming != null || actualReadableBytes() > 0 && !readPaused || unwritten();
     }
 
     void close() {
@@ -443,6 +455,8 @@
         regulate();
         if (slots.isEmpty() && (closing || front.ends(this) && idle())) {
             finish();
+        } else if (wrote && slots.isEmpty()) {
+            front.idle(this);
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Clients.java
+++ b/src/main/java/damsonworks/proxy/Clients.java
@@ -37,18 +37,22 @@
         }
     }
 
-    /** Closes the connection that has stood idle longest, but for this one; false if none is idle. */
+    /** Closes the connection that is to make room first, but for this one; false if there is none. */
     private boolean makeRoom(ClientConnection but) {
-        ClientConnection oldest = null;
+        ClientConnection first = null;
+        double rank = 0;
+        double now = core.now();
         for (ClientConnection c : all) {
-            if (c != but && c.idle() && (oldest == null || c.activeMs() < oldest.activeMs())) {
-                oldest = c;
+            double r = c == but ? -1 : c.room(now);
+            if (r >= rank) {
+                first = c;
+                rank = r;
             }
         }
-        if (oldest != null) {
-            oldest.close();
+        if (first != null) {
+            first.close();
         }
-        return oldest != null;
+        return first != null;
     }
 
     void left(ClientConnection client) {
@@ -71,4 +75,11 @@
             makeRoom(null);
         }
     }
+
+    /** One connection has become idle: where clients wait to be accepted, it makes room at once. */
+    void idle() {
+        if (all.size() > max) {
+            makeRoom(null);
+        }
+    }
 }
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -180,6 +180,11 @@
         return takesClients;
     }
 
+    @Override
+    public void idle(ClientConnection client) {
+        clients.idle();
+    }
+
     @Override
     public void left(ClientConnection client) {
         own.remove(client);
--- a/src/main/java/damsonworks/proxy/Operations.java
+++ b/src/main/java/damsonworks/proxy/Operations.java
@@ -20,7 +20,7 @@
  */
 final class Operations {
     /** Descriptors that the door and a successor's line need. */
-    static final int DESCRIPTORS = Door.MAX_CALLERS + 8;
+    static final int DESCRIPTORS = Door.MAX_CALLERS + 4;
     /** A process with part of a core may be halted for some time; a new one has 6 s in all. */
     private static final long TAKE_MS = 1500;
     private static final long LOOK_MS = 20;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -11,8 +11,8 @@
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
-    /** Descriptors that the JVM, the listening socket, discovery and peers need. */
-    private static final int OWN_DESCRIPTORS = 64;
+    /** Descriptors that the JVM and its files, the listening socket, discovery and peers need: 41 were counted, and 4 come. */
+    private static final int OWN_DESCRIPTORS = 48;
     private static final long SWEEP_MS = 250;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
