--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -23,7 +23,7 @@
 import java.util.function.Supplier;
 
 final class WarmUp {
-    private static final int REQUESTS = 400;
+    private static final int REQUESTS = 150;
     private static final int DEPTH = 8;
     private static final int LIMIT_MS = 6000;
 
