Test what becomes of a request whose hook is in a call, and measure hostile hooks at an even load

New: HooksInCallTest, with a module that does as the key says. Each of these fails if its guard is taken out (tried, one by one): the clock ends a call that fuel does not, half of what the client still waits is the bound, a trap brings a new instance, a client that leaves during a call is not asked for; a module replaced in the middle of a call still has its orders carried out (a round counts only if the call outlived its file). The bench asked other clients as fast as they were answered, so hooked ones asked less and the rest gained. PacedClient asks at an even pace now, and medians are compared window by window with their 95% interval.

--- a/src/main/java/damsonworks/bench/HookBench.java
+++ b/src/main/java/damsonworks/bench/HookBench.java
@@ -16,6 +16,7 @@
 import damsonworks.standin.Ledger;
 import damsonworks.standin.LoadClient;
 import damsonworks.standin.StandInNode;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.PrintWriter;
@@ -36,6 +37,8 @@
     private static final List<String> SUITE = List.of("spin", "recurse", "trap", "grow", "grow-touch", "pointer", "long", "utf8", "logs",
             "lower", "unknown-route", "alternates", "burns", "state", "sometimes", "copies");
     private static final int KEYS = 1000;
+    /** The other clients' pace: the same load on the loop whatever their hooks do. */
+    private static final long OTHERS_MICROS = 400;
 
     private final PrintWriter out;
     private long sink;
@@ -142,7 +145,7 @@
                                     daemon.threadId(), seconds);
                             cpu[which][r] = run.cpuUs();
                             rate[which][r] = run.perSecond();
-                            mean[which][r] = run.micros().getMean();
+                            mean[which][r] = run.meanMicros();
                         }
                     }
                     for (int k = 0; k < 2; k++) {
@@ -236,7 +239,7 @@
 
     /**
      * One daemon, one set of clients on its main listener, asking without a pause. Windows of time turn about in which the other
-     * clients ask a listener without hooks, one without hooks again, or the one with all of the suite.
+     * clients, at an even pace, ask a listener without hooks, one without hooks again, or the one with all of the suite.
      */
     private void hostile(int rounds, double seconds) throws Exception {
         MultiThreadIoEventLoopGroup nodes = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
@@ -251,30 +254,31 @@
             double[][] p50 = new double[3][rounds];
             double[][] p99 = new double[3][rounds];
             double[][] perSecond = new double[3][rounds];
-            long[] other = new long[2];
+            long[][] other = new long[3][3];
             HopBench.load(measured.next(), daemon.address("main"), 4, daemon.threadId(), 4); // warm
             for (int r = 0; r < rounds; r++) {
                 for (int k = 0; k < 3; k++) {
                     int which = (k + r) % 3;
-                    HopBench.Run run = window(daemon, listeners[which], measured.next(), others.next(), seconds, other);
-                    p50[which][r] = run.micros().getMean();
-                    p99[which][r] = run.micros().getValueAtPercentile(99);
+                    PacedClient paced = new PacedClient(OTHERS_MICROS);
+                    Channel channel = paced.start(others.next(), daemon.address(listeners[which]));
+                    HopBench.Run run = HopBench.load(measured.next(), daemon.address("main"), 4, daemon.threadId(), seconds);
+                    PacedClient.Count count = paced.stop(channel);
+                    p50[which][r] = run.micros(50);
+                    p99[which][r] = run.micros(99);
                     perSecond[which][r] = run.perSecond();
+                    other[which][0] += count.asked();
+                    other[which][1] += count.answered();
+                    other[which][2] += count.leftOut();
                 }
             }
-            out.printf("%d windows of %.1f s each; requests of the other clients %d, lost %d%n", rounds, seconds, other[0], other[1]);
-            out.printf("%-12s %26s %26s %26s%n", "others ask", "mean us", "p99 us", "requests/s");
+            out.printf("%d windows of %.1f s each; others ask every %d us%n", rounds, seconds, OTHERS_MICROS);
+            out.printf("%-12s %22s %22s %28s %s%n", "others ask", "p50 us", "p99 us", "requests/s", "others: asked, unanswered, left out");
             for (int k = 0; k < 3; k++) {
-                out.printf("%-12s %26s %26s %26s%n", k == 2 ? "16 hostile" : k == 1 ? "calm again" : "calm", spread(p50[k]),
-                        spread(p99[k]), spread(perSecond[k]));
+                out.printf("%-12s %22s %22s %28s %d, %d, %d%n", k == 2 ? "16 hostile" : k == 1 ? "calm again" : "calm", spread(p50[k]),
+                        spread(p99[k]), spread(perSecond[k]), other[k][0], other[k][0] - other[k][1], other[k][2]);
             }
-            double[] noise = new double[rounds];
-            double[] ratio = new double[rounds];
-            for (int r = 0; r < rounds; r++) {
-                noise[r] = p50[1][r] / p50[0][r];
-                ratio[r] = p50[2][r] / ((p50[0][r] + p50[1][r]) / 2);
-            }
-            out.println("mean, calm again to calm: " + ratio(noise) + "; hostile to calm: " + ratio(ratio));
+            compare("p50", p50, rounds);
+            compare("requests/s", perSecond, rounds);
         } finally {
             nodes.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             measured.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -291,30 +295,20 @@
     private static String ratio(double[] values) {
         double[] v = values.clone();
         Arrays.sort(v);
-        return String.format("%.3f (quartiles %.3f, %.3f)", v[v.length / 2], v[v.length / 4], v[v.length * 3 / 4]);
+        // The median's own interval, 95%, by the ranks between which it lies (binomial); the quartiles tell of single windows.
+        int reach = (int) Math.ceil(0.98 * Math.sqrt(v.length));
+        return String.format("%.3f (95%% %.3f to %.3f; quartiles %.3f, %.3f)", v[v.length / 2], v[Math.max(0, v.length / 2 - reach)],
+                v[Math.min(v.length - 1, v.length / 2 + reach)], v[v.length / 4], v[v.length * 3 / 4]);
     }
 
-    private static HopBench.Run window(Daemon daemon, String listener, EventLoop mine, EventLoop others, double seconds, long[] count)
-            throws Exception {
-        AtomicBoolean over = new AtomicBoolean();
-        Thread other = new Thread(() -> {
-            while (!over.get()) {
-                try {
-                    // A write in ten: unsafe, and perhaps refused, never lost.
-                    LoadClient.Account a = new LoadClient(others, daemon.address(listener), 200, i -> i % 10 == 0
-                            ? new LoadClient.Ask("w/" + i, "", "write-" + i, null)
-                            : new LoadClient.Ask("key/" + i, "", null, null)).start(2, 1).get(60, TimeUnit.SECONDS);
-                    count[0] += a.answered();
-                    count[1] += a.lost + 200 - a.answered();
-                } catch (Exception e) {
-                    count[1] += 200;
-                }
-            }
-        }, "other clients");
-        other.start();
-        HopBench.Run r = HopBench.load(mine, daemon.address("main"), 4, daemon.threadId(), seconds);
-        over.set(true);
-        other.join();
-        return r;
+    /** Window by window, so that what drifts with the machine is in both. */
+    private void compare(String what, double[][] of, int rounds) {
+        double[] noise = new double[rounds];
+        double[] ratio = new double[rounds];
+        for (int r = 0; r < rounds; r++) {
+            noise[r] = of[1][r] / of[0][r];
+            ratio[r] = of[2][r] / Math.sqrt(of[0][r] * of[1][r]);
+        }
+        out.println(what + ", calm again to calm: " + ratio(noise) + "; hostile to calm: " + ratio(ratio));
     }
 }
--- a/src/main/java/damsonworks/bench/HopBench.java
+++ b/src/main/java/damsonworks/bench/HopBench.java
@@ -39,7 +39,16 @@
         this.seconds = seconds;
     }
 
-    record Run(double perSecond, double cpuUs, double bytes, Histogram micros) { }
+    record Run(double perSecond, double cpuUs, double bytes, Histogram nanos) {
+        /** A percentile of the answers' times in microseconds. */
+        double micros(double percentile) {
+            return nanos.getValueAtPercentile(percentile) / 1e3;
+        }
+
+        double meanMicros() {
+            return nanos.getMean() / 1e3;
+        }
+    }
 
     void run(int rounds) throws Exception {
         MultiThreadIoEventLoopGroup nodes = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
@@ -60,7 +69,7 @@
                     Run through = load(clients.next(), daemon.address("main"), inHand, thread, seconds);
                     out.printf("%-10d %8d %10.0f %9.0f %9.3f %9.2f %9.0f %9d%n", inHand, r, straight.perSecond,
                             through.perSecond, through.perSecond / straight.perSecond, through.cpuUs, through.bytes,
-                            through.micros.getValueAtPercentile(99));
+                            Math.round(through.micros(99)));
                     out.flush();
                 }
             }
@@ -80,7 +89,7 @@
     static Run load(EventLoop loop, SocketAddress to, int inHand, long thread, double seconds) throws Exception {
         int connections = Math.min(inHand, 16);
         CountDownLatch ended = new CountDownLatch(connections);
-        Histogram micros = new Histogram(60_000_000L, 3);
+        Histogram nanos = new Histogram(60_000_000_000L, 3);
         // A node says whether it was a hit, an open listener does not.
         int answer = (thread < 0 ? "VA 100 h1\r\n" : "VA 100\r\n").length() + VALUE + 2;
         Reader[] readers = new Reader[connections];
@@ -90,7 +99,7 @@
         long bytes = thread < 0 ? 0 : threads.getThreadAllocatedBytes(thread);
         long start = System.nanoTime();
         for (int i = 0; i < connections; i++) {
-            Reader reader = new Reader(inHand / connections, i, answer, end, micros, ended);
+            Reader reader = new Reader(inHand / connections, i, answer, end, nanos, ended);
             readers[i] = reader;
             new Bootstrap().group(loop).channel(Transport.BEST.socket()).option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<>() {
@@ -108,14 +117,14 @@
         for (Reader r : readers) {
             count += r.count;
         }
-        return new Run(count * 1e9 / wall, cpu / 1e3 / count, (double) bytes / count, micros);
+        return new Run(count * 1e9 / wall, cpu / 1e3 / count, (double) bytes / count, nanos);
     }
 
     /** Asks and counts; answers have a fixed length, so that the client costs little beside what is measured. */
     private static final class Reader extends ChannelInboundHandlerAdapter {
         private final int depth;
         private final long end;
-        private final Histogram micros;
+        private final Histogram nanos;
         private final CountDownLatch ended;
         private final byte[][] asks = new byte[KEYS][];
         private final long[] sentAt;
@@ -127,11 +136,11 @@
         private long count;
         private boolean over;
 
-        Reader(int depth, int offset, int answer, long end, Histogram micros, CountDownLatch ended) {
+        Reader(int depth, int offset, int answer, long end, Histogram nanos, CountDownLatch ended) {
             this.depth = depth;
             this.answer = answer;
             this.end = end;
-            this.micros = micros;
+            this.nanos = nanos;
             this.ended = ended;
             sentAt = new long[depth];
             next = offset * 37 % KEYS;
@@ -175,7 +184,7 @@
             ByteBuf buf = null;
             for (missing -= n; missing <= 0; missing += answer) {
                 count++;
-                micros.recordValue((now - sentAt[head]) / 1000);
+                nanos.recordValue(now - sentAt[head]);
                 head = (head + 1) % depth;
                 buf = buf != null ? buf : ctx.alloc().buffer();
                 ask(buf, now);
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/HooksInCallTest.java
@@ -0,0 +1,121 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.standin.StandInFleet;
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What becomes of a request whose hook is in a call: its time is over, its client leaves, its module is replaced or traps. */
+@Timeout(120)
+class HooksInCallTest {
+    private static final Path BY_KEY = Path.of("src/test/resources/hooks/by-key.wasm").toAbsolutePath();
+    /** So much that the clock ends every call before. */
+    private static final String FUEL = "fuel = 1e9\nbreaker_share = 1.0\n";
+
+    private static String file(StandInFleet fleet, String hookKeys) {
+        String hook = hookKeys == null ? "" : "[[hook]]\nname = \"h\"\nmodule = \"" + BY_KEY + "\"\n" + FUEL + hookKeys + "\n";
+        return DaemonRig.LIMITS + DaemonRig.CLASSES + DaemonRig.MAIN + hook
+                + DaemonRig.pool("a", fleet, "", fleet.nodes.get(0)) + DaemonRig.route("all", "", "a");
+    }
+
+    private static boolean running() {
+        return Thread.getAllStackTraces().entrySet().stream().anyMatch(e -> e.getKey().getName().equals("hook h")
+                && Arrays.stream(e.getValue()).anyMatch(f -> f.getMethodName().equals("call") && f.getClassName().endsWith("HookInstance")));
+    }
+
+    private static void awaitRunning() {
+        while (!running()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void aCallThatDoesNotEndIsEndedByTheClockAndItsFailureRuleHolds() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet, "time_ms = 20")); DaemonRig.Talk talk = rig.talk()) {
+            assertThat(talk.say("mg s1 v\r\n").lines(2)).containsExactly("VA 11", "value of s1");
+            // The thread is free again, and its next call has an instance that has seen none.
+            assertThat(talk.say("mg k v\r\n").lines(2)).containsExactly("VA 11", "value of n1");
+        }
+    }
+
+    @Test
+    void aCallMayTakeHalfOfWhatTheClientStillWaitsSoThatThereIsTimeToServeIt() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet, "time_ms = 10000")); DaemonRig.Talk talk = rig.talk()) {
+            // It would end after 3 s, within its own 10 and the client's 4; after 2 the request goes on without it.
+            assertThat(talk.say("mg l v Pd=4000\r\n").lines(2)).containsExactly("VA 10", "value of l");
+        }
+    }
+
+    @Test
+    void afterATrapTheNextCallHasANewInstance() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet, "time_ms = 10000")); DaemonRig.Talk talk = rig.talk()) {
+            assertThat(talk.say("mg a v\r\n").lines(2)).containsExactly("VA 11", "value of n1");
+            assertThat(talk.say("mg b v\r\n").lines(2)).containsExactly("VA 11", "value of n2");
+            assertThat(talk.say("mg t v\r\n").lines(2)).containsExactly("VA 10", "value of t");
+            assertThat(talk.say("mg c v\r\n").lines(2)).containsExactly("VA 11", "value of n1");
+        }
+    }
+
+    /** Whether the loop has dealt with all that came before, and the call still runs: only then has the test seen its case. */
+    private static boolean stillRunsAfterATurn(DaemonRig rig) {
+        rig.daemon.inHand();
+        return running();
+    }
+
+    @Test
+    void aClientThatLeavesDuringACallIsNotAskedFor() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        try (DaemonRig rig = new DaemonRig(fleet, file(fleet, "time_ms = 10000")); DaemonRig.Talk other = rig.talk()) {
+            for (int call = 1; call < 10; call += 2) { // the orders' digit tells the calls apart
+                fleet.nodes.get(0).store("n" + (call + 1), "kept".getBytes());
+                int before = fleet.nodes.get(0).commands();
+                DaemonRig.Talk leaver = rig.talk();
+                leaver.say("mg w v\r\n");
+                awaitRunning();
+                leaver.socket.shutdownOutput();
+                assertThat(leaver.line()).as("the daemon has seen the end").isNull();
+                boolean seen = stillRunsAfterATurn(rig);
+                leaver.close();
+                // This call waits for its turn behind the first, so that one's end has been dealt with when it is answered.
+                assertThat(other.say("mg x v\r\n").lines(2)).containsExactly("VA 4", "kept");
+                if (seen) {
+                    assertThat(fleet.nodes.get(0).commands()).isEqualTo(before + 1);
+                    return;
+                }
+            }
+            throw new AssertionError("the machine was too slow in every round");
+        }
+    }
+
+    @Test
+    void aModuleThatIsReplacedInACallEndsItAndItsOrdersHold() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        String with = file(fleet, "time_ms = 10000");
+        try (DaemonRig rig = new DaemonRig(fleet, with)) {
+            boolean seen = false;
+            for (int round = 0; round < 10 && !seen; round++) {
+                try (DaemonRig.Talk talk = rig.talk()) {
+                    talk.say("mg w v\r\n");
+                    awaitRunning();
+                    rig.load(file(fleet, null));
+                    seen = running();
+                    try (DaemonRig.Talk after = rig.talk()) {
+                        assertThat(after.say("mg k v\r\n").lines(2)).containsExactly("VA 10", "value of k");
+                    }
+                    assertThat(talk.lines(2)).containsExactly("VA 11", "value of n1");
+                }
+                while (Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().equals("hook h"))) {
+                    Thread.onSpinWait(); // its thread goes with the last request of its file
+                }
+                rig.load(with);
+            }
+            assertThat(seen).as("a round in which the call outlived its file").isTrue();
+        }
+    }
+}
