Test three versions in a row under load with the packaged program, and a taken control address

Need: the handover was tested with two event loops in one process and by hand; what counts is processes. JarIT starts three versions one after another at one address while clients connect without a pause, ends each by SIGTERM once the next says yes, and fails on any connection that is refused, reset or answered otherwise. A control address that is taken ends the start in one line that names it.

--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -14,6 +14,9 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -128,6 +131,104 @@
         }
     }
 
+    /** The first line of the control address's answer; empty where there is none yet. */
+    private static String call(int port, String line) {
+        try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            s.getOutputStream().write((line + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes());
+            return String.valueOf(new BufferedReader(new InputStreamReader(s.getInputStream())).readLine());
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private Path withControl(int port, int control) throws IOException {
+        Path file = folder.resolve("config-" + control + ".json");
+        return Files.writeString(file, Files.readString(Path.of("src/test/resources/config.json"))
+                .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"127.0.0.1:" + port + "\", \"control\": \"127.0.0.1:"
+                        + control + "\""));
+    }
+
+    private static void awaitYes(int control, Process process) throws IOException {
+        while (!call(control, "GET /status").contains(" 200 ")) {
+            if (!process.isAlive()) {
+                throw new AssertionError("ended: " + new String(process.getErrorStream().readAllBytes()));
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private static String asked(int port) throws IOException {
+        try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            s.getOutputStream().write("mn\r\n".getBytes());
+            return String.valueOf(new BufferedReader(new InputStreamReader(s.getInputStream())).readLine());
+        }
+    }
+
+    @Test
+    void theNextVersionTakesOverBesideTheRunningOneAndNoConnectionIsRefusedOrReset() throws Exception {
+        int port = freePort();
+        int[] control = {freePort(), freePort(), freePort()};
+        Process[] version = new Process[3];
+        AtomicReference<String> fault = new AtomicReference<>();
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger answered = new AtomicInteger();
+        Thread clients = new Thread(() -> {
+            while (!over.get() && fault.get() == null) {
+                try {
+                    String line = asked(port);
+                    if (line.equals("MN")) {
+                        answered.incrementAndGet();
+                    } else {
+                        fault.set("answered " + line);
+                    }
+                } catch (IOException e) {
+                    fault.set(e.toString());
+                }
+            }
+        });
+        try {
+            for (int v = 0; v < 3; v++) {
+                version[v] = start("serve", withControl(port, control[v]).toString());
+                awaitYes(control[v], version[v]);
+                if (v == 0) {
+                    clients.start();
+                    continue;
+                }
+                version[v - 1].destroy();
+                assertThat(version[v - 1].waitFor(60, TimeUnit.SECONDS)).isTrue();
+                int before = answered.get();
+                while (answered.get() < before + 50 && fault.get() == null) {
+                    Thread.onSpinWait(); // all by the new one
+                }
+            }
+            over.set(true);
+            clients.join();
+            assertThat(fault.get()).isNull();
+            assertThat(call(control[2], "POST /standby")).contains(" 200 ");
+            assertThat(asked(port)).isEqualTo("SERVER_ERROR standby");
+            assertThat(call(control[2], "POST /active")).contains(" 200 ");
+            assertThat(asked(port)).isEqualTo("MN");
+        } finally {
+            over.set(true);
+            for (Process p : version) {
+                if (p != null) {
+                    p.destroyForcibly();
+                }
+            }
+        }
+    }
+
+    @Test
+    void aControlAddressThatIsTakenIsToldByName() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            Process process = start("serve", withControl(freePort(), taken.getLocalPort()).toString());
+            String told = new String(process.getErrorStream().readAllBytes());
+            assertThat(told.lines().filter(l -> !l.startsWith("discovery"))).as(told).singleElement().asString()
+                    .contains("control").contains(":" + taken.getLocalPort());
+            assertThat(process.waitFor()).isEqualTo(1);
+        }
+    }
+
     private static void hangup(Process process) throws Exception {
         assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor()).isZero();
     }
