Leave no origin connection unread after an answer that was whole before there was room

Need, found on a second reading: a body of unknown length just over 64 KiB may end within the read that asks for room. It was served, but its connection stayed unread, so that the next request on it would time out; and room that came while such an answer went to its client began the short answers' patience of 0.3 s, which would have cut it. Reading now goes on when the gathered answer is let go of, and room that comes late changes nothing else.

--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -43,6 +43,8 @@
     /** Where a long body of unknown length stands: whether it has asked for room, and whether it has it. */
     private boolean asked;
     private boolean granted;
+    /** Reading is off until there is room. */
+    private boolean paused;
     private long missing;
     private boolean streamed;
     private boolean broken;
@@ -186,13 +188,16 @@
         if (!asked) {
             asked = true;
             // What comes waits with the system until there is room; the request's own deadline goes on.
+            paused = true;
             connection.read(false);
             connection.core().gatherBody(() -> {
                 if (!asked) {
                     connection.core().bodyDone(); // it has ended meanwhile
                 } else {
                     granted = true;
-                    connection.read(true);
+                    if (!feeding) { // else all of it came with the read that asked, and the next answer is not due yet
+                        goOn();
+                    }
                 }
             });
         }
@@ -264,10 +269,18 @@
         }
     }
 
+    private void goOn() {
+        if (paused) {
+            paused = false;
+            connection.read(true);
+        }
+    }
+
     /** Lets go of all that has been gathered. */
     private void forget() {
         feeding = false;
         asked = false;
+        goOn(); // an answer that was whole before there was room must not leave its connection unread
         if (granted) {
             granted = false;
             connection.core().bodyDone();
