Close the warm-up's connections without a word, and measure hooks against burning threads

Not the control address was at fault: when the warm-up closes its connections, one end may go with bytes unread, which resets the other; nothing handled that, so that Netty printed a stack trace at the start of a proxy, now and then.

Change: the warm-up's three handlers close what is reset. A test of 10,000 routes with an error in the last.

--- a/src/main/java/damsonworks/bench/HookBench.java
+++ b/src/main/java/damsonworks/bench/HookBench.java
@@ -37,6 +37,9 @@
     private static final List<String> SUITE = List.of("spin", "recurse", "trap", "grow", "grow-touch", "pointer", "long", "utf8", "logs",
             "lower", "unknown-route", "alternates", "burns", "state", "sometimes", "copies");
     private static final int KEYS = 1000;
+    /** Whom the other clients ask in each kind of window; in the last, threads burn what the hooks' threads did in theirs. */
+    private static final String[] LISTENERS = {"calm", "calm", "hostile", "calm"};
+    private static final String[] ASKED = {"calm", "calm again", "16 hostile", "calm, burning"};
     /** The other clients' pace: the same load on the loop whatever their hooks do. */
     private static final long OTHERS_MICROS = 400;
     private static final long MEASURED_MICROS = 150;
@@ -253,24 +256,29 @@
             for (int i = 0; i < KEYS; i++) {
                 node.store("key/" + i, new byte[100]);
             }
-            String[] listeners = {"calm", "calm", "hostile"};
-            double[][] p50 = new double[3][rounds];
-            double[][] p99 = new double[3][rounds];
-            double[][] perSecond = new double[3][rounds];
-            double[][] busy = new double[3][rounds];
-            double[][] hooksBusy = new double[3][rounds];
-            long[][] other = new long[3][3];
+            double[][] p50 = new double[4][rounds];
+            double[][] p99 = new double[4][rounds];
+            double[][] perSecond = new double[4][rounds];
+            double[][] busy = new double[4][rounds];
+            double[][] hooksBusy = new double[4][rounds];
+            long[][] other = new long[4][3];
+            double burn = 1;
             HopBench.load(measured.next(), daemon.address("main"), 4, daemon.threadId(), 4); // warm
             for (int r = 0; r < rounds; r++) {
-                for (int k = 0; k < 3; k++) {
-                    int which = (k + r) % 3;
+                for (int k = 0; k < 4; k++) {
+                    int which = (k + r) % 4;
                     PacedClient paced = new PacedClient(OTHERS_MICROS);
-                    Channel channel = paced.start(others.next(), daemon.address(listeners[which]));
+                    Channel channel = paced.start(others.next(), daemon.address(LISTENERS[which]));
+                    Burners burners = which == 3 ? new Burners(SUITE.size(), burn, OTHERS_MICROS) : null;
                     long hooksAt = hooksCpu();
                     HopBench.Run run = HopBench.load(measured.next(), daemon.address("main"), 4, daemon.threadId(), seconds);
                     hooksBusy[which][r] = (hooksCpu() - hooksAt) / 1e9 / seconds;
                     busy[which][r] = run.cpuUs() * run.perSecond() / 1e6;
                     PacedClient.Count count = paced.stop(channel);
+                    if (burners != null) {
+                        burners.close();
+                    }
+                    burn = which == 2 ? hooksBusy[2][r] : burn;
                     p50[which][r] = run.micros(50);
                     p99[which][r] = run.micros(99);
                     perSecond[which][r] = run.perSecond();
@@ -281,8 +289,8 @@
             }
             out.printf("%d windows of %.1f s each; others ask every %d us%n", rounds, seconds, OTHERS_MICROS);
             out.printf("%-12s %22s %22s %28s %s%n", "others ask", "p50 us", "p99 us", "requests/s", "others: asked, unanswered, left out");
-            for (int k = 0; k < 3; k++) {
-                out.printf("%-12s %22s %22s %28s %d, %d, %d%n", k == 2 ? "16 hostile" : k == 1 ? "calm again" : "calm", spread(p50[k]),
+            for (int k = 0; k < 4; k++) {
+                out.printf("%-12s %22s %22s %28s %d, %d, %d%n", ASKED[k], spread(p50[k]),
                         spread(p99[k]), spread(perSecond[k]), other[k][0], other[k][0] - other[k][1], other[k][2]);
             }
             out.printf("loop busy: calm %s, hostile %s; hooks' threads busy, hostile %s (processors)%n", part(busy[0]), part(busy[2]),
@@ -331,20 +339,26 @@
     /** The same with measured traffic that asks at an even pace, too, and leaves the loop time: what most installations see. */
     private void paced(Daemon daemon, MultiThreadIoEventLoopGroup measured, MultiThreadIoEventLoopGroup others, int rounds, double seconds)
             throws Exception {
-        String[] listeners = {"calm", "calm", "hostile"};
-        double[][] p50 = new double[3][rounds];
-        double[][] p99 = new double[3][rounds];
-        long[][] served = new long[3][2];
+        double[][] p50 = new double[4][rounds];
+        double[][] p99 = new double[4][rounds];
+        long[][] served = new long[4][2];
+        double burn = 1;
         for (int r = 0; r < rounds; r++) {
-            for (int k = 0; k < 3; k++) {
-                int which = (k + r) % 3;
+            for (int k = 0; k < 4; k++) {
+                int which = (k + r) % 4;
+                Burners burners = which == 3 ? new Burners(SUITE.size(), burn, OTHERS_MICROS) : null;
+                long hooksAt = hooksCpu();
                 PacedClient other = new PacedClient(OTHERS_MICROS);
                 PacedClient mine = new PacedClient(MEASURED_MICROS);
-                Channel otherChannel = other.start(others.next(), daemon.address(listeners[which]));
+                Channel otherChannel = other.start(others.next(), daemon.address(LISTENERS[which]));
                 Channel channel = mine.start(measured.next(), daemon.address("main"));
                 Thread.sleep(Math.round(seconds * 1000));
                 PacedClient.Count count = mine.stop(channel);
+                burn = which == 2 ? (hooksCpu() - hooksAt) / 1e9 / seconds : burn;
                 other.stop(otherChannel);
+                if (burners != null) {
+                    burners.close();
+                }
                 p50[which][r] = count.nanos().getValueAtPercentile(50) / 1e3;
                 p99[which][r] = count.nanos().getValueAtPercentile(99) / 1e3;
                 served[which][0] += count.asked() + count.leftOut();
@@ -352,8 +366,8 @@
             }
         }
         out.printf("%nmeasured traffic asks every %d us%n%-12s %22s %22s %s%n", MEASURED_MICROS, "others ask", "p50 us", "p99 us", "asked, served");
-        for (int k = 0; k < 3; k++) {
-            out.printf("%-12s %22s %22s %d, %d%n", k == 2 ? "16 hostile" : k == 1 ? "calm again" : "calm", spread(p50[k]), spread(p99[k]),
+        for (int k = 0; k < 4; k++) {
+            out.printf("%-12s %22s %22s %d, %d%n", ASKED[k], spread(p50[k]), spread(p99[k]),
                     served[k][0], served[k][1]);
         }
         compare("p50", p50, rounds);
@@ -363,10 +377,15 @@
     private void compare(String what, double[][] of, int rounds) {
         double[] noise = new double[rounds];
         double[] ratio = new double[rounds];
+        double[] burning = new double[rounds];
+        double[] own = new double[rounds];
         for (int r = 0; r < rounds; r++) {
             noise[r] = of[1][r] / of[0][r];
             ratio[r] = of[2][r] / Math.sqrt(of[0][r] * of[1][r]);
+            burning[r] = of[3][r] / Math.sqrt(of[0][r] * of[1][r]);
+            own[r] = of[2][r] / of[3][r];
         }
-        out.println(what + ", calm again to calm: " + ratio(noise) + "; hostile to calm: " + ratio(ratio));
+        out.println(what + ", calm again to calm: " + ratio(noise) + "; hostile to calm: " + ratio(ratio) + "; burning threads to calm: "
+                + ratio(burning) + "; hostile to burning threads: " + ratio(own));
     }
 }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -96,8 +96,19 @@
         return new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial);
     }
 
+    /**
+     * One end of a connection that lasts as long as the warm-up. The other end may go with bytes unread, which resets it:
+     * that is no fault, and nothing to tell anyone of.
+     */
+    abstract static class End extends ByteToMessageDecoder {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
     /** Answers reads; one in four is a miss. */
-    private static final class Node extends ByteToMessageDecoder {
+    private static final class Node extends End {
         @Override
         protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
             String line = MetaCodec.line(in);
@@ -110,7 +121,7 @@
         }
     }
 
-    private static final class Origin extends ByteToMessageDecoder {
+    private static final class Origin extends End {
         @Override
         protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
             String line = MetaCodec.line(in);
@@ -120,7 +131,7 @@
         }
     }
 
-    private final class Client extends ByteToMessageDecoder {
+    private final class Client extends End {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             for (int i = 0; i < DEPTH; i++) {
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -176,4 +176,18 @@
         assertThatThrownBy(() -> DaemonFileReader.parse("f", text + "x = = 1\n")).isInstanceOfSatisfying(
                 ConfigException.class, e -> assertThat(e.errors().get(0)).startsWith("f:" + (lines + 1) + ":5: "));
     }
+
+    /** Each route of ten thousand is checked, and what is wrong with the last is told at its own line. */
+    @Test
+    void tenThousandRoutesAreChecked() throws Exception {
+        StringBuilder text = new StringBuilder(GOOD);
+        for (int i = 0; i < 10_000; i++) {
+            text.append("[[route]]\nname = \"r").append(i).append("\"\nprefix = \"p").append(i).append("/\"\npools = [\"b\"]\n");
+        }
+        DaemonFile file = DaemonFileReader.parse("f", text.toString());
+        assertThat(file.routes().routes()).hasSize(10_001);
+        long lines = text.chars().filter(c -> c == '\n').count();
+        assertThat(errors(text + "[[route]]\nname = \"r17\"\nprefix = \"q\"\npools = [\"b\"]\n")).singleElement().asString()
+                .startsWith("f:" + (lines + 2) + ":1: ").contains("'r17' is there already");
+    }
 }
