Remember what a proxy learned of its servers: knowledge in the module, a memory file, the daemon

A pool that a new file replaces hands its knowledge to the next.

Not taken: an embedded store (its own log and recovery, for some kilobytes that are written whole), one checksum for all (one bad sector would cost everything), writing on the loop.

Measured: MemoryTest: a mute server is sent nothing more after a restart with the file, and is found out anew without it.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,5 +1,6 @@
 package damsonworks;
 
+import damsonworks.knowledge.Knowledge;
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
 import damsonworks.placement.Placement;
@@ -62,6 +63,8 @@
         int doubts;
         boolean trial;
         boolean probed;
+        /** Whether its failures are only remembered: this instance has seen none of its answers yet. */
+        boolean recalled;
 
         Server(int id) {
             this.id = id;
@@ -116,19 +119,45 @@
         /** Halving span: long enough for a hot key to show at a proxy with a few requests a second. */
         static final double SPAN_MS = 4000;
         static final int MIN_COUNT = 6;
+        static final int MOST_WIDE = 256;
         private final Map<Long, int[]> counts = new HashMap<>();
+        /** Those that were spread since the last halving: the ones worth telling a successor. */
+        private final Set<Long> wide = new HashSet<>();
         private double total;
+        /** Without what was remembered: more keys in all would make a hot one seem fair to a cold server. */
+        private double own;
         private double halvedAt;
 
         int seen(long key, double now) {
             while (now - halvedAt > SPAN_MS) {
                 halvedAt = counts.isEmpty() ? now : halvedAt + SPAN_MS;
                 total /= 2;
+                own /= 2;
                 counts.values().removeIf(c -> (c[0] /= 2) == 0);
+                wide.removeIf(k -> counts.getOrDefault(k, new int[1])[0] < MIN_COUNT);
             }
             total++;
+            own++;
             return ++counts.computeIfAbsent(key, k -> new int[1])[0];
         }
+
+        Knowledge.HotKeys told(int most) {
+            List<Knowledge.HotKey> keys = new ArrayList<>();
+            for (Long k : wide) {
+                int[] count = counts.get(k);
+                if (count != null) {
+                    keys.add(new Knowledge.HotKey(k, count[0]));
+                }
+            }
+            keys.sort((a, b) -> Integer.compare(b.count(), a.count()));
+            return new Knowledge.HotKeys(total, List.copyOf(keys.subList(0, Math.min(most, keys.size()))));
+        }
+
+        void recall(Knowledge.HotKeys told, double now) {
+            halvedAt = counts.isEmpty() ? now : halvedAt;
+            total += told.total();
+            told.keys().forEach(k -> counts.computeIfAbsent(k.key(), n -> new int[1])[0] += k.count());
+        }
     }
 
     /**
@@ -141,6 +170,9 @@
         static final double HEADROOM = 1.2;
         private double asked;
         private double answered;
+        /** What an earlier instance counted, fading alike. */
+        private double priorAsked;
+        private double priorAnswered;
         private double at;
 
         /** What is left of a count after this time. */
@@ -152,18 +184,36 @@
             double f = left(now - at);
             asked *= f;
             answered *= f;
+            priorAsked *= f;
+            priorAnswered *= f;
             at = now;
         }
 
-        /** The part of what is wanted that should not be sent. */
+        /** The part of what is wanted that should not be sent; what was recalled never makes it less. */
         double excess(double now) {
             fade(now);
+            return Math.max(excess(asked, answered), excess(asked + priorAsked, answered + priorAnswered));
+        }
+
+        private static double excess(double asked, double answered) {
             return (asked - HEADROOM * answered - 1) / (asked + 1);
         }
 
         double pressure(double now) {
             fade(now);
-            return Math.max(1, (asked + 1) / (answered + 1));
+            return Math.max(1, Math.max((asked + 1) / (answered + 1),
+                    (asked + priorAsked + 1) / (answered + priorAnswered + 1)));
+        }
+
+        Knowledge.Load told(double now) {
+            fade(now);
+            return new Knowledge.Load(asked + priorAsked, answered + priorAnswered);
+        }
+
+        void recall(double now, Knowledge.Load told) {
+            fade(now);
+            priorAsked += told.asked();
+            priorAnswered += told.answered();
         }
 
         void asked(double now) {
@@ -292,6 +342,45 @@
         rank();
     }
 
+    /** What this instance has learned, with at most so many hot keys. Spans count from now. */
+    public Knowledge knowledge(double now, int mostKeys) {
+        List<Knowledge.Server> told = new ArrayList<>();
+        for (Server s : servers.values()) {
+            if (s != origin && s.failures + s.doubts > 0) {
+                double left = Math.max(0, s.shunnedUntil - now);
+                told.add(new Knowledge.Server(s.id, s.member.bornMs(), s.failures, left, s.doubts));
+            }
+        }
+        return new Knowledge(told, new Knowledge.Pace(fetchMs, usualCost, pace, paceDeviation, 1),
+                throttle.told(now), crowd.told(now), hot.told(mostKeys));
+    }
+
+    /**
+     * Takes in what an earlier instance learned, for the servers on the list, after the list and before requests.
+     * It is advice: a server is left out no longer than this instance would leave it out itself, its next answer
+     * overrules what is remembered of it, and no cold server is sent more for it.
+     */
+    public void recall(double now, Knowledge known) {
+        for (Knowledge.Server k : known.servers()) {
+            Server s = servers.get(k.id());
+            if (s == null || s == origin || s.member.bornMs() != k.bornMs() || s.failures + s.doubts > 0) {
+                continue;
+            }
+            s.failures = k.failures();
+            s.doubts = k.doubts();
+            s.shunnedUntil = now + Math.min(k.shunnedForMs(), shunMs(k.failures() - 1));
+            s.recalled = k.failures() > 0;
+        }
+        Knowledge.Pace p = known.pace();
+        fetchMs += (p.fetchMs() - fetchMs) * p.weight();
+        pace += (p.usualMs() - pace) * p.weight();
+        paceDeviation += (p.deviationMs() - paceDeviation) * p.weight();
+        usualCost = usualCost > 0 || p.weight() == 0 ? usualCost : p.usualCost();
+        throttle.recall(now, known.fetches());
+        crowd.recall(now, known.crowd());
+        hot.recall(known.hot(), now);
+    }
+
     private void check(List<Member> members) {
         Set<Integer> seen = new HashSet<>();
         for (Member m : members) {
@@ -366,7 +455,7 @@
         f.toOrigin = cfg.aside() && request.write();
         if (!f.toOrigin && request.key() != 0) {
             f.seen = hot.seen(request.key(), now);
-            f.spread = spread(f.seen);
+            f.spread = spread(request.key(), f.seen);
         }
         advance(now, f, out);
     }
@@ -375,9 +464,12 @@
      * The draft sends all of a key to one member. A key that locally exceeds a server's fair part is
      * spread over as many of its top ranks as bring each under that, wherever it is as hot.
      */
-    private int spread(int seen) {
+    private int spread(long key, int seen) {
         int all = placement.spreadable();
         int n = seen < HotKeys.MIN_COUNT ? 1 : (int) Math.ceil(seen / hot.total * all);
+        if (n > 1 && hot.wide.size() < HotKeys.MOST_WIDE) {
+            hot.wide.add(key);
+        }
         return Math.max(1, Math.min(n, all));
     }
 
@@ -488,10 +580,15 @@
     private void suspect(double now, Server s) {
         s.trial = false;
         s.probed = false;
-        s.shunnedUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * (1 << Math.min(s.failures, 3));
+        s.shunnedUntil = now + shunMs(s.failures);
         s.failures++;
     }
 
+    /** How long a server is left out that has failed so often before. */
+    private double shunMs(int failures) {
+        return SHUN_CONNECTS * cfg.connectTimeoutMs() * (1 << Math.max(0, Math.min(failures, 3)));
+    }
+
     private boolean maySend(double now, Flight f, Server s) {
         if (f.out > 0 && !(cfg.secondCopies() && f.safe)) {
             return false;
@@ -550,6 +647,7 @@
         int count = want == 0 ? 0 : placement.top(f.key(), f.keyHash, want, top);
         int offset = f.spread > 1 ? random.nextInt(f.spread) : 0;
         Server untried = null;
+        boolean remembered = false;
         for (int i = 0; i < count; i++) {
             Server s = ranked[top[i < f.spread ? (i + offset) % f.spread : i]];
             if (tried(f, s) && s != f.missedAt) {
@@ -558,9 +656,11 @@
             if (untried == null && !cold(now, s)) {
                 untried = s;
             }
-            if (open(now, f, s, out)) {
+            // Without the memory of those before it, a cold server would not have been reached.
+            if (!(remembered && cold(now, s)) && open(now, f, s, out)) {
                 return s;
             }
+            remembered |= s.recalled;
         }
         return untried;
     }
@@ -601,7 +701,7 @@
         double age = now - s.member.bornMs();
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
-        boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
+        boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.own * s.share;
         return fair && Carp.lot(f.keyHash, s.hash) < ramp && admission.cold(now, s.member);
     }
 
@@ -688,6 +788,7 @@
     }
 
     private void learn(double now, Flight f, Server s, AttemptEnd end) {
+        s.recalled = false;
         if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
             doubts++;
         }
--- a/src/main/java/damsonworks/cli/RunCommand.java
+++ b/src/main/java/damsonworks/cli/RunCommand.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
@@ -23,6 +24,10 @@
     @Parameters(paramLabel = "FILE", description = "The daemon's file.")
     private Path file;
 
+    @Option(names = "--seed-from", paramLabel = "MEMORY", description = "A sibling's memory file: what it has learned counts for "
+            + "half, where this proxy remembers nothing itself.")
+    private Path seedFrom;
+
     @Override
     public Integer call() throws Exception {
         PrintWriter err = spec.commandLine().getErr();
@@ -32,7 +37,7 @@
         }
         Daemon daemon;
         try {
-            daemon = Daemon.start(f, new SecureRandom().nextLong());
+            daemon = Daemon.start(f, new SecureRandom().nextLong(), seedFrom);
         } catch (ConfigException e) {
             e.errors().forEach(err::println);
             return Cli.UNUSABLE;
--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -19,10 +19,11 @@
  * @param keys what keys are
  * @param hooks in the order in which they are called
  * @param pools by name, in the file's order
+ * @param memory null: what is learned ends with the process
  */
 public record DaemonFile(String path, Site site, KeyForm keys, Limits limits, List<ServiceClass> classes, List<Tenant> tenants,
         List<Listen> listeners, List<Hook> hooks, Map<String, Pool> pools,
-        RouteTable routes) {
+        RouteTable routes, Memory memory) {
 
     /**
      * What is true of the whole installation.
@@ -100,6 +101,16 @@
             HookModule.Limits limits, boolean refuse, double refuseMs, int queue, double breakerShare, double breakerOffMs,
             String config) { }
 
+    /**
+     * Where what the modules learn is kept.
+     *
+     * @param path the file; three more stand beside it
+     * @param periodMs between two writings, at the least
+     * @param keys hot keys of a pool that are kept, at most
+     * @param bytesPerSecond bound on what is written
+     */
+    public record Memory(Path path, double periodMs, int keys, double bytesPerSecond) { }
+
     /** A pool and those that follow it by its own {@code fallback}. */
     public List<String> chain(List<String> named) {
         List<String> chain = new ArrayList<>(named);
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -8,10 +8,12 @@
 import damsonworks.config.DaemonFile.Hook;
 import damsonworks.config.DaemonFile.Limits;
 import damsonworks.config.DaemonFile.Listen;
+import damsonworks.config.DaemonFile.Memory;
 import damsonworks.config.DaemonFile.Pool;
 import damsonworks.config.DaemonFile.Server;
 import damsonworks.config.DaemonFile.Site;
 import damsonworks.hooks.HookModule;
+import damsonworks.memory.MemoryFormat;
 import damsonworks.placement.NginxConsistentPlacement;
 import damsonworks.placement.Placements;
 import damsonworks.placement.ServerId;
@@ -113,6 +115,7 @@
             errors.add(null, hooks.size() + " hooks; at most " + MAX_HOOKS);
         }
         hooks.sort(java.util.Comparator.comparingInt(Hook::order));
+        Memory memory = memory(path, root.section("memory"));
         List<Section> routes = root.sections("route");
         if (classes.isEmpty()) {
             errors.add(null, "no class; write [[class]] with a name, an effect and times");
@@ -136,7 +139,7 @@
             }
         }
         root.end();
-        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table);
+        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table, memory);
     }
 
     private Site site(Section s) {
@@ -274,16 +277,31 @@
         return names.stream().sorted().toList();
     }
 
-    private Hook hook(String path, Section s, Set<String> names) {
-        String name = name(s, names, "hook");
-        String text = s.text("module");
-        Path module = Path.of("");
+    /** A path in the file is relative to the file's own directory. */
+    private static Path besideFile(String file, Section s, String key, String text) {
         try {
-            Path parent = Path.of(path).toAbsolutePath().getParent();
-            module = parent == null ? Path.of(text) : parent.resolve(text);
+            Path parent = Path.of(file).toAbsolutePath().getParent();
+            return parent == null ? Path.of(text) : parent.resolve(text);
         } catch (java.nio.file.InvalidPathException e) {
-            s.error("module", "module is no path of a file");
+            s.error(key, key + " is no path of a file");
+            return Path.of("");
+        }
+    }
+
+    private static Memory memory(String file, Section s) {
+        if (s == null) {
+            return null;
         }
+        Memory memory = new Memory(besideFile(file, s, "path", s.text("path")), s.number("period_ms", 2000, 50, HOUR_MS),
+                s.integer("keys", 256, 0, MemoryFormat.MAX_KEYS), s.number("bytes_per_second", 65_536, 1024, 1e9));
+        s.end();
+        return memory;
+    }
+
+    private Hook hook(String path, Section s, Set<String> names) {
+        String name = name(s, names, "hook");
+        String text = s.text("module");
+        Path module = besideFile(path, s, "module", text);
         String digest = s.text("sha256", null);
         if (digest != null && !digest.matches("[0-9a-f]{64}")) {
             s.error("sha256", "sha256 is 64 lower-case hexadecimal digits");
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
 import damsonworks.config.DaemonFileReader;
+import damsonworks.knowledge.Recollection;
 import damsonworks.limits.Births;
 import damsonworks.limits.ColdBudget;
 import damsonworks.proxy.Clients;
@@ -63,6 +64,7 @@
     private final List<Generation> older = new ArrayList<>();
     private final CountDownLatch ready = new CountDownLatch(1);
     private ColdBudget cold;
+    private volatile MemoryKeeper memory;
 
     /** A pool that no new request comes to. */
     private static final class Leaving {
@@ -87,7 +89,14 @@
 
     /** Starts; the exception says which listener could not be bound. */
     public static Daemon start(DaemonFile file, long seed) throws ConfigException, InterruptedException {
+        return start(file, seed, null);
+    }
+
+    /** The same with what a sibling has learned, for what this one remembers nothing of. {@code seedFrom} may be null. */
+    public static Daemon start(DaemonFile file, long seed, Path seedFrom) throws ConfigException, InterruptedException {
         Daemon daemon = new Daemon(file, seed);
+        daemon.memory = MemoryKeeper.open(file, daemon.core, daemon::snapshot);
+        daemon.memory.remember(seedFrom);
         try {
             daemon.load(file);
         } catch (ConfigException e) {
@@ -169,7 +178,12 @@
             fresh.values().forEach(Listener::close);
             throw e;
         }
+        if (!memory.fits(file)) {
+            memory.close(); // first: the new one may want the same path
+            memory = MemoryKeeper.open(file, core, this::snapshot);
+        }
         loop.submit(() -> commit(file, fresh, hooks)).sync();
+        memory.start();
     }
 
     private static String reason(Throwable cause) {
@@ -194,6 +208,9 @@
         Generation before = router.generation();
         figures(file);
         births(file, before, now);
+        if (before == null) {
+            memory.births(births, now);
+        }
         Map<String, PoolRunner> pools = new LinkedHashMap<>();
         for (DaemonFile.Pool p : file.pools().values()) {
             PoolRunner standing = before == null ? null : before.pools.get(p.name());
@@ -201,7 +218,8 @@
                 standing.apply(file);
                 pools.put(p.name(), standing);
             } else {
-                pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births));
+                pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births,
+                        standing == null ? memory.recollections(file, p) : MemoryKeeper.handOver(file, p, standing, now)));
             }
         }
         hooks.forEach(h -> {
@@ -359,6 +377,23 @@
             leave();
             return leavingListeners.isEmpty();
         }).run(() -> router.generation().file.classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0));
+        memory.finish();
+    }
+
+    /** All that is worth remembering, with at most so many hot keys a pool. */
+    private Recollection snapshot(int mostKeys) {
+        DaemonFile file = router.generation().file;
+        Map<String, Recollection.Pool> pools = new LinkedHashMap<>();
+        router.generation().pools.forEach((name, p) -> pools.put(name, p.learned(mostKeys)));
+        Map<Integer, String> addresses = MemoryKeeper.addresses(file);
+        List<Recollection.Birth> told = new ArrayList<>();
+        for (int server : births.known()) {
+            double born = births.of(server) == Births.UNUSED ? 0 : births.of(server);
+            if (addresses.containsKey(server) && (born > 0 || births.isDown(server))) {
+                told.add(new Recollection.Birth(server, addresses.get(server), born, births.isDown(server)));
+            }
+        }
+        return new Recollection(file.site().name(), file.site().me(), core.now(), 0, pools, told);
     }
 
     /** Ends at once. */
@@ -371,6 +406,7 @@
             }
             older.forEach(Generation::end);
         }).syncUninterruptibly();
+        memory.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/MemoryKeeper.java
@@ -0,0 +1,197 @@
+package damsonworks.daemon;
+
+import damsonworks.config.Addresses;
+import damsonworks.config.DaemonFile;
+import damsonworks.knowledge.Recollection;
+import damsonworks.limits.Births;
+import damsonworks.memory.MemoryFiles;
+import damsonworks.memory.MemoryWriter;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.DiscoveryClient;
+import damsonworks.proxy.Dispatcher;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+
+/**
+ * Keeps what the modules learn in a file, where one is configured, and gives it to modules that start. Reading is done before the daemon
+ * begins, writing on a thread of its own; the event loop only puts together what is to be written.
+ */
+final class MemoryKeeper {
+    /** What a last write may take at the end of the process; the clients have had their answers by then. */
+    private static final long FINISH_MS = 1000;
+    /** A sibling's knowledge is of the same servers, but not from where this proxy stands. */
+    static final double SIBLING_TRUST = 0.5;
+
+    private final DaemonFile.Memory spec;
+    private final Core core;
+    private final IntFunction<Recollection> snapshot;
+    /** Null where nothing is written. */
+    private final MemoryWriter writer;
+    private final MemoryFiles files;
+    /** Null: nothing is remembered. */
+    private Recollection remembered;
+    private double trust = 1;
+    private final DaemonFile file;
+    private Future<?> ticks;
+
+    private MemoryKeeper(DaemonFile file, Core core, IntFunction<Recollection> snapshot, MemoryFiles files) {
+        spec = file.memory();
+        this.file = file;
+        this.core = core;
+        this.snapshot = snapshot;
+        this.files = files;
+        MemoryFiles.Found found = files == null ? null : files.read();
+        if (found != null) {
+            found.notes().forEach(n -> core.log("memory: " + n));
+            use(found.content(), false, spec.path().toString());
+            if (found.older() && found.content() != null) {
+                core.log("memory: goes by the generation before the newest");
+            }
+        }
+        writer = files == null ? null : new MemoryWriter(files, spec.bytesPerSecond(), line -> core.loop().execute(() -> core.log(line)));
+    }
+
+    /**
+     * One for this file; what can't be used is told in the log, and the daemon runs without. Blocks.
+     *
+     * @param snapshot what is to be remembered, with at most so many hot keys a pool; called on the event loop
+     */
+    static MemoryKeeper open(DaemonFile file, Core core, IntFunction<Recollection> snapshot) {
+        DaemonFile.Memory spec = file.memory();
+        if (spec == null) {
+            return new MemoryKeeper(file, core, snapshot, null);
+        }
+        MemoryFiles files = MemoryFiles.at(spec.path());
+        String why;
+        try {
+            why = files.lock() ? null : "another process keeps its memory there; give each a path of its own";
+        } catch (IOException e) {
+            why = MemoryFiles.reason(e);
+        }
+        if (why != null) {
+            core.log("memory: can't use " + spec.path() + ": " + why + "; goes on without");
+        }
+        return new MemoryKeeper(file, core, snapshot, why == null ? files : null);
+    }
+
+    /** Whether it can go on under another file. */
+    boolean fits(DaemonFile other) {
+        return java.util.Objects.equals(spec, other.memory());
+    }
+
+    /** A sibling's memory, where there is none of one's own. Before the daemon begins; blocks. Null: none is given. */
+    void remember(Path sibling) {
+        if (sibling == null) {
+            return;
+        }
+        MemoryFiles.Found found = MemoryFiles.at(sibling).read();
+        found.notes().forEach(n -> core.log("memory: " + n));
+        if (remembered != null) {
+            core.log("memory: " + sibling + " is not needed, this proxy's own is there");
+        } else if (found.content() == null) {
+            core.log("memory: " + sibling + " has nothing that can be used");
+        } else {
+            use(found.content(), true, sibling.toString());
+        }
+    }
+
+    private void use(Recollection content, boolean another, String path) {
+        String unfit = content == null ? null : content.unfit(file.site().name(), file.site().me(), core.now(), another);
+        if (unfit != null) {
+            core.log("memory: " + path + " is not used: " + unfit);
+        } else if (content != null) {
+            remembered = content;
+            trust = another ? SIBLING_TRUST : 1;
+            core.log("memory: " + path + ", " + Math.round((core.now() - content.writtenMs()) / 1000) + " s old"
+                    + (another ? ", a sibling's" : ""));
+        }
+    }
+
+    /** What a pool's module is to be given; null: nothing. */
+    Dispatcher.Recollections recollections(DaemonFile of, DaemonFile.Pool pool) {
+        return remembered == null ? null : from(remembered, trust, of, pool);
+    }
+
+    /** What the module of a pool that is replaced hands to the one that takes its place. */
+    static Dispatcher.Recollections handOver(DaemonFile of, DaemonFile.Pool pool, PoolRunner from, double now) {
+        Recollection r = new Recollection(of.site().name(), of.site().me(), now, 0,
+                Map.of(pool.name(), from.learned(Integer.MAX_VALUE)), List.of());
+        return from(r, 1, of, pool);
+    }
+
+    private static Dispatcher.Recollections from(Recollection r, double trust, DaemonFile of, DaemonFile.Pool pool) {
+        String keyScheme = PoolSettings.keyScheme(of, pool);
+        return (now, servers) -> {
+            List<Recollection.Present> present = new ArrayList<>();
+            for (DiscoveryClient.Host h : servers) {
+                present.add(new Recollection.Present(h.member().id(), Addresses.text(h.dial()), h.member().bornMs()));
+            }
+            return r.left(pool.name(), keyScheme, now, trust, present);
+        };
+    }
+
+    /** Gives back what is remembered of starts. */
+    void births(Births to, double now) {
+        if (remembered != null) {
+            remembered.births(now, addresses(file)).forEach(b -> to.recall(b.id(), b.bornMs(), b.down(), now));
+        }
+    }
+
+    /** Where the servers that a file names stand. */
+    static Map<Integer, String> addresses(DaemonFile file) {
+        Map<Integer, String> addresses = new HashMap<>();
+        for (DaemonFile.Pool p : file.pools().values()) {
+            PoolSettings.all(p).stream().filter(s -> s.dial() != null).forEach(s -> addresses.put(s.id(), Addresses.text(s.dial())));
+        }
+        return addresses;
+    }
+
+    /** Begins to write, if it has not. */
+    void start() {
+        if (writer != null && ticks == null) {
+            ticks = core.loop().scheduleWithFixedDelay(() -> writer.offer(snapshot.apply(spec.keys())), Math.round(spec.periodMs()),
+                    Math.round(spec.periodMs()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Files written and bytes in all, for measurements. */
+    long[] written() {
+        return writer == null ? new long[2] : new long[] {writer.writes(), writer.bytes()};
+    }
+
+    /** Writes a last time. Not on the event loop. */
+    void finish() {
+        if (writer != null && ticks != null) {
+            ticks.cancel(false);
+            Recollection last = core.loop().submit(() -> snapshot.apply(spec.keys())).syncUninterruptibly().getNow();
+            try {
+                writer.finish(last, FINISH_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Ends without another write. Not on the event loop. */
+    void close() {
+        if (writer != null) {
+            if (ticks != null) {
+                ticks.cancel(false);
+            }
+            try {
+                writer.abandon();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        } else if (files != null) {
+            files.close();
+        }
+    }
+}
--- a/src/main/java/damsonworks/daemon/PoolRunner.java
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -3,7 +3,10 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.Settings;
+import damsonworks.config.Addresses;
 import damsonworks.config.DaemonFile;
+import damsonworks.knowledge.Knowledge;
+import damsonworks.knowledge.Recollection;
 import damsonworks.limits.Births;
 import damsonworks.limits.ColdBudget;
 import damsonworks.limits.PoolAdmission;
@@ -16,9 +19,12 @@
 import damsonworks.routes.KeyNumber;
 import damsonworks.routes.Route;
 import damsonworks.routes.Subject;
+import java.net.SocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.IntPredicate;
 
@@ -35,7 +41,8 @@
     private PoolGate gate;
     private KeyNumber number;
 
-    PoolRunner(Core core, DaemonFile file, DaemonFile.Pool spec, long seed, ColdBudget cold, Births births) {
+    PoolRunner(Core core, DaemonFile file, DaemonFile.Pool spec, long seed, ColdBudget cold, Births births,
+            Dispatcher.Recollections recollections) {
         name = spec.name();
         this.file = file;
         this.spec = spec;
@@ -47,6 +54,7 @@
         dispatcher = new Dispatcher(core, new Dispatcher.Pool(settings, seed, file.limits().idleCloseMs(),
                 spec.connections(), spec.originConnections(), spec.connections(), spec.streams(), spec.plainNodes(),
                 BackupPlacement.over(members -> PoolSettings.placement(this.spec).of(members), backups::contains), admission));
+        dispatcher.recall(recollections);
         if (spec.discovery() == null) {
             dispatcher.start(Dispatcher.ListSource.NONE);
             list();
@@ -136,6 +144,19 @@
         return spec.dedupGroup();
     }
 
+    /** What its module has learned, with at most so many hot keys. */
+    Recollection.Pool learned(int mostKeys) {
+        Knowledge k = dispatcher.knowledge(mostKeys);
+        Map<Integer, String> addresses = new HashMap<>();
+        for (Knowledge.Server s : k.servers()) {
+            SocketAddress dial = dispatcher.dial(s.id());
+            if (dial != null) {
+                addresses.put(s.id(), Addresses.text(dial));
+            }
+        }
+        return new Recollection.Pool(PoolSettings.keyScheme(file, spec), k, addresses);
+    }
+
     DaemonFile.Pool spec() {
         return spec;
     }
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -104,6 +104,11 @@
         };
     }
 
+    /** What the numbers of a pool's keys depend on. */
+    static String keyScheme(DaemonFile file, DaemonFile.Pool pool) {
+        return pool.placement() + " by " + (pool.placeBy() == null ? PlaceBy.KEY : pool.placeBy()) + ", keys " + file.keys();
+    }
+
     /** The file's pools for {@code explain}. */
     static Explain explain(DaemonFile file) {
         Map<String, Explain.PoolView> views = new LinkedHashMap<>();
--- a/src/main/java/damsonworks/limits/Births.java
+++ b/src/main/java/damsonworks/limits/Births.java
@@ -37,6 +37,31 @@
         down.retainAll(servers);
     }
 
+    /**
+     * What an earlier process knew of a start, or that the server was down when it looked last. It may make a server cold for longer,
+     * never warm sooner.
+     */
+    public void recall(int server, double bornMs, boolean wasDown, double now) {
+        if (bornMs > 0) {
+            born.merge(server, Math.min(bornMs, now), Math::max);
+        }
+        if (wasDown) {
+            down.add(server);
+        }
+    }
+
+    /** Servers of which a start is known, and those that are down. */
+    public Set<Integer> known() {
+        Set<Integer> known = new HashSet<>(born.keySet());
+        known.addAll(down);
+        return known;
+    }
+
+    /** Whether it refused connections when one was last tried. */
+    public boolean isDown(int server) {
+        return down.contains(server);
+    }
+
     /** It refused a connection. */
     public void refused(int server) {
         down.add(server);
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -9,6 +9,7 @@
 import damsonworks.RoutingApi.Request;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.knowledge.Knowledge;
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
 import damsonworks.placement.Placement;
@@ -16,6 +17,7 @@
 import damsonworks.proxy.Timers.Timer;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.collection.IntObjectHashMap;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +45,8 @@
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private Policy module;
     private ListSource discovery;
+    /** Null where nothing is remembered, and once it has been asked. */
+    private Recollections recollections;
     private PeerSocket peers;
     private Future<?> sweeper;
     private boolean busy;
@@ -68,6 +72,11 @@
         };
     }
 
+    /** What an earlier instance has learned of these servers; asked once, with the first list that has a server. */
+    public interface Recollections {
+        Knowledge of(double now, List<DiscoveryClient.Host> servers);
+    }
+
     /**
      * A pool's fixed figures.
      *
@@ -107,6 +116,22 @@
         sweeper = core.loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Hands the module what is remembered, once it knows its servers. Before the first list. */
+    public void recall(Recollections from) {
+        recollections = from;
+    }
+
+    /** What the module has learned, with at most so many hot keys. */
+    public Knowledge knowledge(int mostKeys) {
+        return module.knowledge(core.now(), mostKeys);
+    }
+
+    /** Where a server stands; null: it is not on the list. */
+    public SocketAddress dial(int server) {
+        Upstream u = upstreams.get(server);
+        return u == null ? null : u.dial;
+    }
+
     /** Ends at once. Connections to servers that no other pool holds are closed. */
     public void stop() {
         stopped = true;
@@ -231,6 +256,11 @@
             }
         }
         tell(() -> module.onList(core.now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this));
+        if (recollections != null && listed()) {
+            Recollections from = recollections;
+            recollections = null;
+            tell(() -> module.recall(core.now(), from.of(core.now(), hosts)));
+        }
     }
 
     private void forget(int id) {
--- a/src/main/java/damsonworks/routes/PlaceBy.java
+++ b/src/main/java/damsonworks/routes/PlaceBy.java
@@ -126,6 +126,12 @@
         return other instanceof PlaceBy p && p.text.equals(text);
     }
 
+    /** As it was written. */
+    @Override
+    public String toString() {
+        return text;
+    }
+
     @Override
     public int hashCode() {
         return text.hashCode();
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -11,7 +11,7 @@
 class ArchitectureTest {
     /** Free of I/O, clocks and randomness of their own. */
     private static final String[] DECISIONS = {"damsonworks.placement..", "damsonworks.limits..", "damsonworks.routes..", "damsonworks.lifecycle..",
-        "damsonworks.nginx.."};
+        "damsonworks.nginx..", "damsonworks.knowledge.."};
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("damsonworks");
 
@@ -75,6 +75,14 @@
                 "damsonworks.cli..", "damsonworks.standin..", "damsonworks.lifecycle..").check(ALL);
     }
 
+    @Test
+    void memoryFilesKnowNothingOfWhoRemembers() {
+        noClasses().that().resideInAPackage("damsonworks.memory..").should().dependOnClassesThat().resideInAnyPackage("io.netty..",
+                "damsonworks.proxy..", "damsonworks.daemon..", "damsonworks.config..", "damsonworks.cli..").check(ALL);
+        noClasses().that().haveSimpleName("MemoryFormat").should().dependOnClassesThat().resideInAnyPackage("java.nio.file..",
+                "java.util.concurrent..").check(ALL);
+    }
+
     @Test
     void frontsKnowNoConnectionsToServers() {
         noClasses().that().haveSimpleNameStartingWith("ClientConnection").or().haveSimpleNameStartingWith("OpenMeta")
