--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -189,7 +189,7 @@
             at = now;
         }
 
-        /** The part of what is wanted that should not be sent; what was recalled never makes it less. */
+        /** The part of what is wanted that should not be sent; what was recalled never lessens it. */
         double excess(double now) {
             fade(now);
             return Math.max(excess(asked, answered), excess(asked + priorAsked, answered + priorAnswered));
@@ -356,8 +356,8 @@
     }
 
     /**
-     * Takes in what an earlier instance learned, for the servers on the list, after the list and before requests.
-     * It is advice: a server is left out no longer than this instance would leave it out itself, its next answer
+     * Takes in what an earlier instance learned of the servers on the list; after the list, before requests. It
+     * is advice: a server is left out no longer than this instance would leave it out itself, its next answer
      * overrules what is remembered of it, and no cold server is sent more for it.
      */
     public void recall(double now, Knowledge known) {
