--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -356,9 +356,9 @@
     }
 
     /**
-     * Takes in what an earlier instance learned of the servers on the list; after the list, before requests. It
-     * is advice: a server is left out no longer than this instance would leave it out itself, its next answer
-     * overrules what is remembered of it, and no cold server is sent more for it.
+     * Takes in what an earlier instance learned of the servers on the list. After the list, before requests.
+     * It is advice: no server is left out for longer than this instance would leave it out itself, the next
+     * answer overrules what is remembered, and no cold server is sent more for it.
      */
     public void recall(double now, Knowledge known) {
         for (Knowledge.Server k : known.servers()) {
