--- a/src/main/java/damsonworks/knowledge/Recollection.java
+++ b/src/main/java/damsonworks/knowledge/Recollection.java
@@ -20,6 +20,8 @@
     static final double FUTURE_MS = 1000;
     /** Starts longer ago than this say nothing: no server is cold for so long. */
     static final double BIRTH_MS = 3_600_000;
+    /** Where more of the servers failed than this, the fault lay with the proxy or its network: nothing is said of servers. */
+    static final double MOST_FAILING = 0.7;
 
     /**
      * What a pool's module learned.
@@ -74,6 +76,9 @@
                 fitting.add(s);
             }
         }
+        if (fitting.stream().filter(s -> s.failures() > 0).count() > MOST_FAILING * servers.size()) {
+            fitting.clear();
+        }
         Knowledge k = p.knowledge();
         return Ageing.aged(new Knowledge(fitting, k.pace(), k.fetches(), k.crowd(),
                 p.placement().equals(placement) ? k.hot() : Knowledge.NONE.hot()), Math.max(0, now - writtenMs), trust);
--- a/src/main/java/damsonworks/memory/MemoryFormat.java
+++ b/src/main/java/damsonworks/memory/MemoryFormat.java
@@ -188,11 +188,11 @@
             }
             if (crc(bytes, from, SECTION_HEAD + size) != in.getInt(from + SECTION_HEAD + size)) {
                 faults.add("byte " + from + ": section " + (read + 1) + " is damaged");
-            } else if (kind == 0 || kind >= WRITTEN.length || version > WRITTEN[kind]) {
+            } else if (kind == 0 || kind >= WRITTEN.length || version == 0 || version > WRITTEN[kind]) {
                 skipped.add("byte " + from + ": section of kind " + kind + ", version " + version + ", of a newer program");
             } else {
                 try {
-                    content.section(kind, version, in.slice(from + SECTION_HEAD, size));
+                    content.take(kind, version, in.slice(from + SECTION_HEAD, size));
                 } catch (BufferUnderflowException | IllegalArgumentException | CharacterCodingException e) {
                     faults.add("byte " + from + ": section " + (read + 1) + " says nothing that can be: "
                             + (e.getMessage() == null ? "it ends early" : e.getMessage()));
@@ -251,62 +251,33 @@
             private String placement = "";
         }
 
-        void section(int kind, int version, ByteBuffer in) throws CharacterCodingException {
-            switch (kind) {
-                case IDENTITY -> {
-                    String name = text(in);
-                    int number = in.getInt();
-                    check(number >= 0, "number of a proxy below 0");
-                    site = name;
-                    me = number;
-                }
+        /** A section counts once all of it is known to be sound. */
+        void take(int kind, int version, ByteBuffer in) throws CharacterCodingException {
+            Runnable sound = switch (kind) {
+                case IDENTITY -> identity(in);
                 case SERVERS -> servers(version, in);
-                case PACE -> {
-                    Parts p = pool(in);
-                    Knowledge.Pace pace = new Knowledge.Pace(span(in), span(in), span(in), span(in), in.getDouble());
-                    check(pace.weight() >= 0 && pace.weight() <= 1, "weight " + pace.weight());
-                    p.pace = pace;
-                }
-                case LOAD -> {
-                    Parts p = pool(in);
-                    Knowledge.Load fetches = new Knowledge.Load(span(in), span(in));
-                    p.crowd = new Knowledge.Load(span(in), span(in));
-                    p.fetches = fetches;
-                }
-                case HOT_KEYS -> {
-                    Parts p = pool(in);
-                    String placement = text(in);
-                    double total = span(in);
-                    int n = count(in, 12, MAX_KEYS);
-                    List<Knowledge.HotKey> keys = new ArrayList<>(n);
-                    long sum = 0;
-                    for (int i = 0; i < n; i++) {
-                        Knowledge.HotKey k = new Knowledge.HotKey(in.getLong(), in.getInt());
-                        check(k.count() > 0, "a key with count " + k.count());
-                        sum += k.count();
-                        keys.add(k);
-                    }
-                    check(sum <= total, "keys that were asked for more often than all were");
-                    p.hot = new Knowledge.HotKeys(total, keys);
-                    p.placement = placement;
-                }
-                default -> {
-                    int n = count(in, 15, MAX_SERVERS);
-                    for (int i = 0; i < n; i++) {
-                        int id = in.getInt();
-                        double born = born(in);
-                        byte down = in.get();
-                        check(down == 0 || down == 1, "neither up nor down");
-                        births.add(new Recollection.Birth(id, text(in), born, down == 1));
-                    }
-                }
-            }
+                case PACE -> pace(in);
+                case LOAD -> load(in);
+                case HOT_KEYS -> hotKeys(in);
+                default -> births(in);
+            };
             check(!in.hasRemaining(), in.remaining() + " bytes too many");
+            sound.run();
+        }
+
+        private Runnable identity(ByteBuffer in) throws CharacterCodingException {
+            String name = text(in);
+            int number = in.getInt();
+            check(number >= 0, "number of a proxy below 0");
+            return () -> {
+                site = name;
+                me = number;
+            };
         }
 
         /** Version 1 had no addresses: such facts hold wherever the server stands. */
-        private void servers(int version, ByteBuffer in) throws CharacterCodingException {
-            Parts p = pool(in);
+        private Runnable servers(int version, ByteBuffer in) throws CharacterCodingException {
+            String pool = text(in);
             int n = count(in, version == 1 ? 24 : 26, MAX_SERVERS);
             List<Knowledge.Server> servers = new ArrayList<>(n);
             Map<Integer, String> addresses = new HashMap<>();
@@ -321,12 +292,63 @@
                     }
                 }
             }
-            p.servers = servers;
-            p.addresses.putAll(addresses);
+            return () -> {
+                pool(pool).servers = servers;
+                pool(pool).addresses.putAll(addresses);
+            };
         }
 
-        private Parts pool(ByteBuffer in) throws CharacterCodingException {
-            String name = text(in);
+        private Runnable pace(ByteBuffer in) throws CharacterCodingException {
+            String pool = text(in);
+            Knowledge.Pace pace = new Knowledge.Pace(span(in), span(in), span(in), span(in), in.getDouble());
+            check(pace.weight() >= 0 && pace.weight() <= 1, "weight " + pace.weight());
+            return () -> pool(pool).pace = pace;
+        }
+
+        private Runnable load(ByteBuffer in) throws CharacterCodingException {
+            String pool = text(in);
+            Knowledge.Load fetches = new Knowledge.Load(span(in), span(in));
+            Knowledge.Load crowd = new Knowledge.Load(span(in), span(in));
+            return () -> {
+                pool(pool).fetches = fetches;
+                pool(pool).crowd = crowd;
+            };
+        }
+
+        private Runnable hotKeys(ByteBuffer in) throws CharacterCodingException {
+            String pool = text(in);
+            String placement = text(in);
+            double total = span(in);
+            int n = count(in, 12, MAX_KEYS);
+            List<Knowledge.HotKey> keys = new ArrayList<>(n);
+            long sum = 0;
+            for (int i = 0; i < n; i++) {
+                Knowledge.HotKey k = new Knowledge.HotKey(in.getLong(), in.getInt());
+                check(k.count() > 0, "a key with count " + k.count());
+                sum += k.count();
+                keys.add(k);
+            }
+            check(sum <= total, "keys that were asked for more often than all were");
+            return () -> {
+                pool(pool).hot = new Knowledge.HotKeys(total, keys);
+                pool(pool).placement = placement;
+            };
+        }
+
+        private Runnable births(ByteBuffer in) throws CharacterCodingException {
+            int n = count(in, 15, MAX_SERVERS);
+            List<Recollection.Birth> read = new ArrayList<>(n);
+            for (int i = 0; i < n; i++) {
+                int id = in.getInt();
+                double born = born(in);
+                byte down = in.get();
+                check(down == 0 || down == 1, "neither up nor down");
+                read.add(new Recollection.Birth(id, text(in), born, down == 1));
+            }
+            return () -> births.addAll(read);
+        }
+
+        private Parts pool(String name) {
             return pools.computeIfAbsent(name, n -> new Parts());
         }
 
--- a/src/test/java/damsonworks/daemon/MemoryTest.java
+++ b/src/test/java/damsonworks/daemon/MemoryTest.java
@@ -3,19 +3,28 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import damsonworks.config.DaemonFileReader;
+import damsonworks.knowledge.Knowledge;
 import damsonworks.knowledge.Recollection;
 import damsonworks.memory.MemoryFiles;
 import damsonworks.memory.MemoryFormat;
+import damsonworks.placement.ServerId;
+import damsonworks.standin.ColdWatch;
+import damsonworks.standin.Demo;
 import damsonworks.standin.LoadClient;
 import damsonworks.standin.StandInFleet;
 import damsonworks.standin.StandInNode;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A daemon that remembers, before stand-ins. */
+@Timeout(120)
 class MemoryTest {
     /** Long enough that a mute server is still left out by the one that starts next, however slow the machine. */
     private static final String LIMITS = "[limits]\nconnect_timeout_ms = 10000\nmax_retry_after_ms = 5\n";
@@ -92,4 +101,210 @@
             assertThat(MemoryFiles.at(folder.resolve("memory.old")).read().content().generation()).isEqualTo(2);
         }
     }
+
+    private static int id(StandInNode node) {
+        return ServerId.of(DaemonRig.name(node));
+    }
+
+    /** A memory of pool a in which these are out, as the last daemon of this number would have left it. */
+    private void remember(Path path, int me, double writtenMs, double bornMs, int... bad) throws Exception {
+        List<Knowledge.Server> facts = new ArrayList<>();
+        for (int id : bad) {
+            facts.add(new Knowledge.Server(id, bornMs, 4, 80_000, 0));
+        }
+        MemoryFiles.at(path).write(new Recollection("coralbay", me, writtenMs, 0, Map.of("a", new Recollection.Pool("", new Knowledge(facts,
+                Knowledge.NONE.pace(), Knowledge.NONE.fetches(), Knowledge.NONE.crowd(), Knowledge.NONE.hot()), Map.of())), List.of()));
+    }
+
+    private int askedOf(StandInNode node, String text, Path seedFrom) throws Exception {
+        int before = node.commands();
+        try (Daemon daemon = Daemon.start(DaemonFileReader.parse("rig", text), 7, seedFrom)) {
+            LoadClient.Account a = ask(daemon, 400, 0);
+            assertThat(a.faults).isEmpty();
+            assertThat(a.answered()).isEqualTo(400);
+        }
+        return node.commands() - before;
+    }
+
+    @Test
+    void whatDoesNotFitIsNotUsed() throws Exception {
+        try (fleet) {
+            Path path = folder.resolve("memory");
+            StandInNode node = fleet.nodes.get(2);
+            double now = System.currentTimeMillis();
+            remember(path, 0, now, 0, id(node));
+            assertThat(askedOf(node, file(""), null)).as("its own, of now").isZero();
+            remember(path, 0, now + 86_400_000, 0, id(node));
+            assertThat(askedOf(node, file(""), null)).as("of tomorrow: the clock was set back").isPositive();
+            remember(path, 0, now - 365 * 86_400_000.0, 0, id(node));
+            assertThat(askedOf(node, file(""), null)).as("of last year").isPositive();
+            remember(path, 1, now, 0, id(node));
+            assertThat(askedOf(node, file(""), null)).as("of another proxy").isPositive();
+            remember(path, 0, now, 0, id(node));
+            assertThat(askedOf(node, "[site]\nname = \"other\"\n" + file(""), null)).as("of another site").isPositive();
+            remember(path, 0, now, now - 99_000, id(node));
+            assertThat(askedOf(node, file(""), null)).as("of another process there").isPositive();
+            Files.write(path, new byte[] {1, 2, 3});
+            Files.deleteIfExists(folder.resolve("memory.old"));
+            assertThat(askedOf(node, file(""), null)).as("no memory file at all").isPositive();
+        }
+    }
+
+    @Test
+    void aSiblingsMemoryIsAStartWhereThereIsNoneOfOnesOwn() throws Exception {
+        try (fleet) {
+            StandInNode node = fleet.nodes.get(2);
+            Path sibling = folder.resolve("sibling");
+            remember(sibling, 5, System.currentTimeMillis(), 0, id(node));
+            String without = file("").replaceAll("\\[memory]\npath.*\nperiod.*\n", "");
+            assertThat(without).doesNotContain("[memory]");
+            assertThat(askedOf(node, without, sibling)).isZero();
+            assertThat(askedOf(node, file(""), sibling)).isZero();
+            remember(folder.resolve("memory"), 0, System.currentTimeMillis(), 0);
+            assertThat(askedOf(node, file(""), sibling)).as("its own says nothing of that node").isPositive();
+            assertThat(askedOf(node, without, folder.resolve("none"))).isPositive();
+        }
+    }
+
+    @Test
+    void whereAllAreRememberedAsBadAllIsServed() throws Exception {
+        try (fleet) {
+            remember(folder.resolve("memory"), 0, System.currentTimeMillis(), 0, fleet.nodes.stream().mapToInt(MemoryTest::id).toArray());
+            try (Daemon daemon = daemon(file(""))) {
+                LoadClient.Account a = ask(daemon, 400, 0);
+                assertThat(a.faults).isEmpty();
+                assertThat(a.served).isEqualTo(400);
+            }
+            assertThat(fleet.nodes).as("none is left out").allMatch(n -> n.commands() > 0);
+        }
+    }
+
+    @Test
+    void theSecondProcessAtAPathRunsWithout() throws Exception {
+        try (fleet) {
+            try (Daemon first = daemon(file("")); Daemon second = daemon("[site]\ninstances = 2\nme = 1\n" + file(""))) {
+                assertThat(ask(first, 50, 0).faults).isEmpty();
+                assertThat(ask(second, 50, 0).faults).isEmpty();
+                second.drain();
+                first.drain();
+            }
+            assertThat(written().me()).isZero();
+        }
+    }
+
+    /** What it learned under one file it keeps under the next, though a class has changed and its pools are new ones. */
+    @Test
+    void aReloadThatReplacesAPoolHandsItsKnowledgeOn() throws Exception {
+        try (fleet) {
+            StandInNode mute = fleet.nodes.get(1);
+            mute.mute(true);
+            try (Daemon daemon = daemon(file(""))) {
+                assertThat(ask(daemon, 400, 0).faults).isEmpty();
+                int before = mute.commands();
+                assertThat(before).isPositive();
+                daemon.load(DaemonFileReader.parse("rig", file("").replace("aim_ms = 300", "aim_ms = 301")));
+                assertThat(ask(daemon, 400, 1000).faults).isEmpty();
+                assertThat(mute.commands()).isEqualTo(before);
+            }
+        }
+    }
+
+    @Test
+    void aDirectoryThatGoesCostsNothingButTheMemory() throws Exception {
+        try (fleet) {
+            Path gone = Files.createDirectory(folder.resolve("gone"));
+            String text = file("").replace(folder.resolve("memory").toString(), gone.resolve("memory").toString());
+            try (Daemon daemon = daemon(text)) {
+                awaitFile(gone.resolve("memory"));
+                // The daemon may be writing there at this very moment.
+                while (Files.exists(gone)) {
+                    try (var all = Files.list(gone)) {
+                        for (Path p : all.toList()) {
+                            Files.deleteIfExists(p);
+                        }
+                        Files.deleteIfExists(gone);
+                    } catch (java.nio.file.DirectoryNotEmptyException | java.nio.file.NoSuchFileException e) {
+                        // once more
+                    }
+                }
+                assertThat(ask(daemon, 100, 0).faults).isEmpty();
+                Files.createDirectory(gone);
+                assertThat(ask(daemon, 100, 100).faults).isEmpty();
+                awaitFile(gone.resolve("memory"));
+            }
+            String missing = file("").replace(folder.resolve("memory").toString(), folder.resolve("never/memory").toString());
+            try (Daemon daemon = daemon(missing)) {
+                assertThat(ask(daemon, 100, 0).faults).isEmpty();
+                daemon.drain();
+            }
+            assertThat(Files.exists(folder.resolve("never"))).isFalse();
+        }
+    }
+
+    private static void awaitFile(Path path) throws InterruptedException {
+        while (!Files.exists(path)) {
+            if (Thread.interrupted()) {
+                throw new InterruptedException(); // the test's time is over
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Discovery tells of starts: a node that restarted meanwhile is cold, whatever the file says of it and of all others. */
+    @Test
+    void aNodeThatRestartedMeanwhileIsColdAndStaysUnderItsMultipleWithTheWorstFile() throws Exception {
+        try (StandInFleet listed = new StandInFleet(6); fleet) {
+            StandInNode cold = listed.nodes.get(0);
+            ColdWatch watch = new ColdWatch(100, 0.3, 20_000, 300);
+            cold.watch(watch);
+            listed.restart(0);
+            // All others out but two, those of the file's limit; the cold one said to be the best, by an old start's account.
+            List<Knowledge.Server> facts = new ArrayList<>();
+            for (int i = 1; i < 5; i++) {
+                facts.add(new Knowledge.Server(i + 1, 0, 9, 1e9, 9));
+            }
+            facts.add(new Knowledge.Server(1, 0, 9, 1e9, 0)); // of the process before
+            MemoryFiles.at(folder.resolve("memory")).write(new Recollection("demo", 0, System.currentTimeMillis(), 0, Map.of("pages",
+                    new Recollection.Pool("carp by $key, keys TEXT", new Knowledge(facts, new Knowledge.Pace(1, 1, 1, 0, 1),
+                            new Knowledge.Load(0, 1e9), new Knowledge.Load(0, 1e9), new Knowledge.HotKeys(1e9, List.of())), Map.of())),
+                    List.of(new Recollection.Birth(1, cold.dial(), 1, false))));
+            String text = Demo.file(listed).replace("warm_up_ms = 2000", "warm_up_ms = 20000\nfall_ms = 300\n[limits]\n"
+                    + "unknown_capacity = 100\n[memory]\npath = \"" + folder.resolve("memory") + "\"\nperiod_ms = 50");
+            try (Daemon daemon = daemon(text)) {
+                for (int round = 0; round == 0 || watch.sent() < 30; round++) {
+                    int from = round * 2000;
+                    assertThat(new LoadClient(listed.loop(), daemon.address("main"), 2000, i -> DaemonRig.read("k/" + (from + i)))
+                            .start(8, 4).get(100, TimeUnit.SECONDS).faults).isEmpty();
+                }
+            }
+            assertThat(watch.worst()).isLessThan(3);
+        }
+    }
+
+    /** No list tells of starts here: one that was down when the last daemon ended has started since. */
+    @Test
+    void aServerThatWasDownWhenTheLastDaemonEndedIsColdToTheNext() throws Exception {
+        try (fleet) {
+            StandInNode node = fleet.nodes.get(3);
+            String text = "[site]\nwarm_up_ms = 3600000\n" + file("");
+            try (Daemon daemon = daemon(text)) {
+                node.kill();
+                assertThat(ask(daemon, 400, 0).faults).isEmpty();
+                daemon.drain();
+            }
+            assertThat(written().births()).anyMatch(b -> b.id() == id(node) && b.down());
+            node.revive();
+            try (Daemon daemon = daemon(text)) {
+                while (written().births().stream().noneMatch(b -> b.id() == id(node) && b.bornMs() > 0)) {
+                    assertThat(ask(daemon, 100, 0).faults).isEmpty();
+                }
+                daemon.drain();
+            }
+            double born = written().births().stream().filter(b -> b.id() == id(node)).findFirst().orElseThrow().bornMs();
+            try (Daemon daemon = daemon(text)) {
+                daemon.drain();
+            }
+            assertThat(written().births()).as("and still to the one after it").anyMatch(b -> b.id() == id(node) && b.bornMs() == born);
+        }
+    }
 }
