--- a/src/main/java/damsonworks/bench/BenchCommand.java
+++ b/src/main/java/damsonworks/bench/BenchCommand.java
@@ -1,6 +1,7 @@
 package damsonworks.bench;
 
 import java.io.PrintWriter;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -14,7 +15,8 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers, import or hooks; else all.")
+    @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers, import, hooks, "
+            + "hostile (hooks), memory, kills or cycles (of memory); else all but the last three.")
     private String only;
 
     @Option(names = "--seconds", paramLabel = "S", defaultValue = "3", description = "Length of each run of the hop.")
@@ -44,6 +46,9 @@
         if (only == null || only.equals("hooks") || only.equals("hostile")) {
             new HookBench(out).run("hostile".equals(only), rounds, seconds);
         }
+        if (only != null && List.of("memory", "kills", "cycles").contains(only)) {
+            new MemoryBench(out, rounds, seconds).run(only);
+        }
         return choices.sink() == 42 ? 1 : 0;
     }
 }
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -138,6 +138,11 @@
         return loop.submit(() -> Thread.currentThread().getId()).syncUninterruptibly().getNow();
     }
 
+    /** Memory files written and their bytes, for measurements. */
+    public long[] memoryWritten() {
+        return memory.written();
+    }
+
     /** Pools at work, those that are leaving among them; for tests. */
     int poolsAtWork() {
         return loop.submit(() -> router.generation().pools.size() + leavingPools.size()).syncUninterruptibly().getNow();
--- a/src/main/java/damsonworks/standin/StandInNode.java
+++ b/src/main/java/damsonworks/standin/StandInNode.java
@@ -50,6 +50,7 @@
     private Missed missed;
     private ColdWatch watch;
     private double workMs;
+    private double delayMs;
     private double busyUntilMs;
     private double stalledUntilMs;
     private boolean mute;
@@ -120,6 +121,12 @@
         return this;
     }
 
+    /** Each answer comes so much later; others need not wait for it. */
+    public StandInNode delay(double ms) {
+        run(() -> delayMs = ms);
+        return this;
+    }
+
     /** It answers nothing for so long, and then all that came. */
     public void stall(double ms) {
         run(() -> stalledUntilMs = Math.max(stalledUntilMs, now() + ms));
@@ -231,10 +238,11 @@
                 return;
             }
             busyUntilMs = Math.max(Math.max(now, busyUntilMs), stalledUntilMs) + workMs;
-            if (busyUntilMs <= now) {
+            double at = busyUntilMs + delayMs;
+            if (at <= now) {
                 answer(ctx, line, value);
             } else {
-                loop.schedule(() -> answer(ctx, line, value), (long) ((busyUntilMs - now) * 1e6), TimeUnit.NANOSECONDS);
+                loop.schedule(() -> answer(ctx, line, value), (long) ((at - now) * 1e6), TimeUnit.NANOSECONDS);
             }
         }
 
