--- a/src/test/java/damsonworks/DaemonJarIT.java
+++ b/src/test/java/damsonworks/DaemonJarIT.java
@@ -116,6 +116,63 @@
         }
     }
 
+    /** Killed under load in the middle of its writes, it starts every time, and what it finds is whole. */
+    @Test
+    void aDaemonThatIsKilledWhileItWritesFindsAWholeMemoryEachTime() throws Exception {
+        Path file = folder.resolve("coralbay.toml");
+        Path memory = folder.resolve("memory");
+        Files.writeString(file, Files.readString(Path.of("deploy/coralbay.toml")).replaceAll("127.0.0.1:1121[12]", "127.0.0.1:0")
+                + Files.readString(Path.of("deploy/memory.toml")).replace("coralbay.memory", memory.toString())
+                .replace("period_ms = 2000", "period_ms = 50").replace("bytes_per_second = 65536", "bytes_per_second = 1e9"));
+        assertThat(run("check", file.toString()).code).isZero();
+        long generation = 0;
+        for (int i = 0; i < 5; i++) {
+            Process p = start("-jar", "target/damsonworks.jar", "run", file.toString());
+            try {
+                BufferedReader err = new BufferedReader(new InputStreamReader(p.getErrorStream()));
+                String line = err.readLine();
+                if (i > 0) {
+                    assertThat(line).contains("memory: " + memory + ", ").endsWith(" s old");
+                    line = err.readLine();
+                }
+                assertThat(line).contains("listening on");
+                int port = Integer.parseInt(line.replaceAll(".*:(\\d+) .*", "$1"));
+                try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
+                    for (long g = generation; g <= generation + 1;) { // its servers are not there: each request is news
+                        client.getOutputStream().write("mg page/1 v\r\n".getBytes());
+                        assertThat(in.readLine()).startsWith("SERVER_ERROR");
+                        g = Files.exists(memory) ? damsonworks.memory.MemoryFiles.at(memory).read().content().generation() : 0;
+                    }
+                }
+            } finally {
+                p.destroyForcibly().waitFor();
+            }
+            assertThat(run("memory", "verify", memory.toString())).satisfies(r -> {
+                assertThat(r.code).as(r.err).isZero();
+                assertThat(r.out).contains("whole, generation ");
+            });
+            generation = damsonworks.memory.MemoryFiles.at(memory).read().content().generation();
+        }
+        assertThat(run("memory", "show", memory.toString())).satisfies(r -> {
+            assertThat(r.code).isZero();
+            assertThat(r.out).contains("site example, proxy 0").contains("pool pages: answers take").containsPattern("server \\w{8} at 127.0.0.1:2100");
+        });
+        byte[] bad = Files.readAllBytes(memory);
+        bad[bad.length - 1] ^= 1;
+        Files.write(memory, bad);
+        assertThat(run("memory", "verify", memory.toString())).satisfies(r -> {
+            assertThat(r.code).isEqualTo(1);
+            assertThat(r.err.lines()).singleElement().asString().startsWith(memory + ": byte ").endsWith("is damaged");
+        });
+        Files.write(memory, new byte[100]);
+        assertThat(run("memory", "show", memory.toString()).code).isEqualTo(2);
+        assertThat(run("memory", "verify", folder.resolve("none").toString())).satisfies(r -> {
+            assertThat(r.code).isEqualTo(2);
+            assertThat(r.err.trim()).isEqualTo(folder.resolve("none") + ": there is no such file");
+        });
+    }
+
     private static void hangup(Process process) throws Exception {
         assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor()).isZero();
     }
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -177,6 +177,19 @@
                 ConfigException.class, e -> assertThat(e.errors().get(0)).startsWith("f:" + (lines + 1) + ":5: "));
     }
 
+    @Test
+    void aMemoryHasAPathBesideTheFileAndItsBounds() throws Exception {
+        assertThat(DaemonFileReader.parse("f", GOOD).memory()).isNull();
+        DaemonFile.Memory m = DaemonFileReader.parse("/etc/c/f", GOOD + "[memory]\npath = \"m\"\nkeys = 7\n").memory();
+        assertThat(m).isEqualTo(new DaemonFile.Memory(Path.of("/etc/c/m"), 2000, 7, 65_536));
+        assertThat(errors(GOOD + "[memory]\nperiod_ms = 1\nkeys = 5000\nbytes_per_second = 1\nsize = 3\n")).satisfiesExactlyInAnyOrder(
+                e -> assertThat(e).startsWith("f:26:1: memory has no path"),
+                e -> assertThat(e).startsWith("f:27:1: period_ms is 1; a number from 50 to "),
+                e -> assertThat(e).startsWith("f:28:1: keys is 5000; a number from 0 to 4096"),
+                e -> assertThat(e).startsWith("f:29:1: bytes_per_second is 1; a number from 1024"),
+                e -> assertThat(e).startsWith("f:30:1: unknown key 'size' in memory; allowed: bytes_per_second, keys, path, period_ms"));
+    }
+
     /** Each route of ten thousand is checked, and what is wrong with the last is told at its own line. */
     @Test
     void tenThousandRoutesAreChecked() throws Exception {
