--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -11,7 +11,7 @@
 class ArchitectureTest {
     /** Free of I/O, clocks and randomness of their own. */
     private static final String[] DECISIONS = {"damsonworks.placement..", "damsonworks.limits..", "damsonworks.routes..", "damsonworks.lifecycle..",
-        "damsonworks.nginx..", "damsonworks.knowledge.."};
+        "damsonworks.nginx..", "damsonworks.knowledge..", "damsonworks.siblings.."};
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("damsonworks");
 
@@ -83,6 +83,13 @@
                 "java.util.concurrent..").check(ALL);
     }
 
+    @Test
+    void codecsOfProtocolsBetweenCachesKnowNothingOfOurs() {
+        noClasses().that().resideInAnyPackage("damsonworks.icp..", "damsonworks.htcp..").should().dependOnClassesThat().resideInAnyPackage(
+                "io.netty.channel..", "java.nio.file..", "java.util.concurrent..", "damsonworks.proxy..", "damsonworks.daemon..",
+                "damsonworks.config..", "damsonworks.siblings..", "damsonworks.cli..").check(ALL);
+    }
+
     @Test
     void frontsKnowNoConnectionsToServers() {
         noClasses().that().haveSimpleNameStartingWith("ClientConnection").or().haveSimpleNameStartingWith("OpenMeta")
