Let the module ask siblings after a miss, fetch a promised value there, and go on to the origin

Change: Actions.ask and RoutingApi.onSibling; siblings.Siblings is what the module knows of them. The leader of a key's fetch asks first, those who come meanwhile wait with it; a hit is placed as an attempt, and on success the others fetch it there, too, as nothing is stored here; a miss, an error or silence leads to the origin. A sibling is no place for keys and is never suspected as a server. Where the leader leaves or is turned away, another takes its place.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -4,6 +4,7 @@
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
 import damsonworks.placement.Placement;
+import damsonworks.siblings.Siblings;
 import java.util.*;
 
 /**
@@ -39,6 +40,7 @@
     private Server[] ranked = new Server[0];
     private final Placement.Factory placements;
     private final Admission admission;
+    private final Siblings siblings;
     private Placement placement;
     private int[] top = new int[RANKS];
     private Server origin;
@@ -91,6 +93,9 @@
         boolean toOrigin;
         boolean waiting;
         boolean doubted;
+        /** Whether siblings were asked, and whether it has gone on to the origin. */
+        boolean asked;
+        boolean fetching;
         double overdueAt;
         Server missedAt;
         double maybeRanSince = Double.NaN;
@@ -283,14 +288,16 @@
 
     /** A fresh instance that knows nothing yet. */
     public Policy(Settings settings, long seed) {
-        this(settings, seed, CarpPlacement::new, Admission.OPEN);
+        this(settings, seed, CarpPlacement::new, Admission.OPEN, Siblings.NONE);
     }
 
-    /** One that ranks servers by this placement and keeps to these further bounds. */
-    public Policy(Settings settings, long seed, Placement.Factory placements, Admission admission) {
+    /** One that ranks servers by this placement, keeps to these further bounds and may ask these siblings. */
+    public Policy(Settings settings, long seed, Placement.Factory placements, Admission admission,
+            Siblings siblings) {
         cfg = settings;
         this.placements = placements;
         this.admission = admission;
+        this.siblings = siblings;
         placement = placements.of(List.of());
         random = new SplittableRandom(seed);
         shares = settings.overShareWorth() < 1 && settings.tenants().size() > 1 ? new Shares() : null;
@@ -402,7 +409,7 @@
         origin = null;
         List<Server> list = new ArrayList<>();
         for (Server s : servers.values()) {
-            if (s.member.state() != State.READY) {
+            if (s.member.state() != State.READY || siblings.is(s.member)) {
                 continue;
             }
             if (cfg.aside() && s.member.kind() == cfg.originKind()) {
@@ -503,10 +510,13 @@
         }
         if (s == origin && !f.request.write() && f.request.key() != 0) {
             Flight leader = fetches.get(f.request.key());
-            if (leader != null) {
+            if (leader != null && (leader != f || f.fetching)) {
                 f.waiting = leader != f && leader.followers.add(f);
                 return;
             }
+            if (ask(now, f, out)) {
+                return;
+            }
             double excess = throttle.excess(now);
             boolean tooLate = excess > 0 && now + fetchMs > f.arrivedMs + f.kind.aimMs();
             if (!tooLate) { // who is turned away as too late does not count, or the throttle stays shut
@@ -514,16 +524,62 @@
             }
             if (tooLate || refused(f, excess)) {
                 giveUp(f, out);
+                release(now, f, out);
                 return;
             }
-            fetches.put(f.request.key(), f);
-            f.followers = new ArrayDeque<>();
+            lead(f);
+            f.fetching = true;
         } else if (s == origin) {
             throttle.asked(now);
         }
         place(now, f, s, out);
     }
 
+    private void lead(Flight f) {
+        if (fetches.putIfAbsent(f.request.key(), f) == null) {
+            f.followers = new ArrayDeque<>();
+        }
+    }
+
+    /** Those who waited with one that will not fetch go on without it. */
+    private void release(double now, Flight f, Actions out) {
+        if (f.done && f.followers != null && !f.fetching && f.out == 0) {
+            fetchEnded(now, f, false, out);
+        }
+    }
+
+    /** After a miss siblings are asked before the origin, if that is worth the wait; one question a key. */
+    private boolean ask(double now, Flight f, Actions out) {
+        if (f.asked || f.missedAt == null || f.out > 0 || f.attempts + 2 > cfg.maxAttempts()) {
+            return false;
+        }
+        double left = Math.min(f.arrivedMs + f.kind.aimMs(), f.request.dueMs()) - now;
+        double wait = siblings.waitMs(now, fetchMs, left, throttle.pressure(now));
+        if (wait <= 0) {
+            return false;
+        }
+        f.asked = f.waiting = true;
+        lead(f);
+        timer(wait, AGAIN, f, out);
+        out.ask(f.request.id(), wait);
+        return true;
+    }
+
+    @Override
+    public void onSibling(double now, int request, int sibling, Actions out) {
+        Flight f = flights.get(request);
+        if (f == null || f.done || !f.waiting || f.fetching || fetches.get(f.request.key()) != f) {
+            return;
+        }
+        Server s = servers.get(sibling);
+        if (s != null && siblings.is(s.member) && s.member.state() == State.READY) {
+            f.waiting = false;
+            place(now, f, s, out);
+        } else {
+            advance(now, f, out);
+        }
+    }
+
     private void place(double now, Flight f, Server s, Actions out) {
         int a = f.attempts++;
         if (a == 0) {
@@ -562,7 +618,7 @@
         if (f.done || f.streaming || f.ended[a] || s == origin || now < f.overdueAt) {
             return; // the timer of an attempt that has ended says nothing of the one that followed it
         }
-        if (cfg.secondCopies() || ++s.doubts > 1) {
+        if (!siblings.is(s.member) && (cfg.secondCopies() || ++s.doubts > 1)) {
             suspect(now, s);
         }
         if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
@@ -731,7 +787,16 @@
         }
         if (f.followers != null && s == origin) {
             fetchEnded(now, f, end.outcome() == Outcome.OK, out);
+        } else if (f.followers != null && end.outcome() == Outcome.OK && siblings.is(s.member)) {
+            for (Flight w : unlead(f)) { // what it has is not stored here: each fetches it there
+                if (!w.done && w.waiting && w.attempts < cfg.maxAttempts()) {
+                    w.waiting = false;
+                    w.asked = true;
+                    place(now, w, s, out);
+                }
+            }
         }
+        release(now, f, out);
         if (!wasDone && end.over()) {
             cancelRest(f, out);
         } else if (!f.done) {
@@ -740,7 +805,7 @@
     }
 
     private void next(double now, Flight f, Server s, AttemptEnd end, Actions out) {
-        if (end.outcome() == Outcome.MISS) {
+        if (end.outcome() == Outcome.MISS && !siblings.is(s.member)) {
             f.toOrigin = true;
             f.missedAt = s;
             if (end.note() == NOTE_FETCH_OUT && f.attempts + 2 <= cfg.maxAttempts()) {
@@ -775,10 +840,7 @@
      * tries.
      */
     private void fetchEnded(double now, Flight f, boolean stored, Actions out) {
-        ArrayDeque<Flight> followers = f.followers;
-        fetches.remove(f.request.key());
-        f.followers = null;
-        for (Flight w : followers) {
+        for (Flight w : unlead(f)) {
             if (w.done || !w.waiting) {
                 continue;
             }
@@ -787,7 +849,18 @@
         }
     }
 
+    private ArrayDeque<Flight> unlead(Flight f) {
+        ArrayDeque<Flight> followers = f.followers;
+        fetches.remove(f.request.key());
+        f.followers = null;
+        return followers;
+    }
+
     private void learn(double now, Flight f, Server s, AttemptEnd end) {
+        if (siblings.is(s.member)) {
+            siblings.fetched(now, s.id, end.outcome(), end.elapsedMs());
+            return;
+        }
         s.recalled = false;
         if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
             doubts++;
@@ -858,6 +931,18 @@
         if (f.followers == null || f.followers.isEmpty()) {
             cancelRest(f, out);
         }
+        release(now, f, out);
+    }
+
+    /** Whether a server is known to be sound: ready, warm and not left out; what siblings are told of. */
+    public boolean sound(double now, int server) {
+        Server s = servers.get(server);
+        return s != null && s.member.state() == State.READY && s.failures == 0 && !cold(now, s);
+    }
+
+    /** Whether servers or origin lately answered too little in time to take in more than clients ask. */
+    public boolean pressed(double now) {
+        return crowd.pressure(now) > Throttle.HEADROOM || throttle.pressure(now) > Throttle.HEADROOM;
     }
 
     @Override
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -82,6 +82,9 @@
         /** Asks for {@link RoutingApi#onTimer} after this time. */
         void setTimer(double afterMs, int token);
 
+        /** Asks siblings about a request's key; {@link RoutingApi#onSibling} tells of the first that has it. */
+        default void ask(int request, double waitMs) { }
+
         /** Tests a server. */
         void probe(int server);
 
@@ -121,6 +124,9 @@
     /** The result of a probe. */
     void onProbed(double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out);
 
+    /** A sibling says that it has the key of a request whose siblings were asked; 0: all of them say they lack it. */
+    default void onSibling(double now, int request, int sibling, Actions out) { }
+
     /** A message of another instance. */
     void onPeer(double now, int peer, byte[] message, Actions out);
 }
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -37,10 +37,16 @@
             return channel.write(MetaCodec.text(channel.alloc(), probe));
         }
         Command command = attempt.exchange.command;
+        double left = attempt.untilMs - connection.core().now();
+        int leftMs = (int) Math.max(1, Math.min(Integer.MAX_VALUE, Math.round(left)));
+        String as = attempt.owner.classAt(attempt.server);
+        if (as != null) { // a sibling knows nothing of our classes, and has one of its own for such reads
+            return channel.write(MetaCodec.text(channel.alloc(), "mg " + command.key + " v O" + command.id + " Pc=" + as + ",d=" + leftMs
+                    + "\r\n"));
+        }
         ByteBuf head = channel.alloc().buffer(command.head.length() + command.tail.length() + 12);
         ByteBufUtil.writeAscii(head, command.head);
-        double left = attempt.untilMs - connection.core().now();
-        MetaCodec.number(head, (int) Math.max(1, Math.min(Integer.MAX_VALUE, Math.round(left))));
+        MetaCodec.number(head, leftMs);
         ByteBufUtil.writeAscii(head, command.tail);
         head.writeShort(MetaCodec.CRLF);
         if (command.value == null) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -15,6 +15,7 @@
 import damsonworks.placement.Placement;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Timers.Timer;
+import damsonworks.siblings.Siblings;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.collection.IntObjectHashMap;
 import java.net.SocketAddress;
@@ -24,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 /**
  * The one caller of a pool's decision module and the one that carries its orders out. Keeps what requests and
@@ -47,6 +49,8 @@
     private ListSource discovery;
     /** Null where nothing is remembered, and once it has been asked. */
     private Recollections recollections;
+    private Siblings siblings = Siblings.NONE;
+    private Questions questions = Questions.NONE;
     private PeerSocket peers;
     private Future<?> sweeper;
     private boolean busy;
@@ -77,6 +81,37 @@
         Knowledge of(double now, List<DiscoveryClient.Host> servers);
     }
 
+    /** Where the module's questions to siblings go, and what is known of what servers hold. */
+    public interface Questions {
+        /** Asks about a key; {@code answer} is told of the first sibling that has it, or of 0, on the loop, at most once. */
+        void ask(String key, double waitMs, IntConsumer answer);
+
+        /** The class under which a sibling takes requests; null: the server is none. */
+        String classAt(int server);
+
+        /** A server has answered a read; {@code has}: with a value. */
+        void read(String key, int server, boolean has);
+
+        /** A write has been sent: what servers have of the key may be old. */
+        void written(String key);
+
+        Questions NONE = new Questions() {
+            @Override
+            public void ask(String key, double waitMs, IntConsumer answer) { }
+
+            @Override
+            public String classAt(int server) {
+                return null;
+            }
+
+            @Override
+            public void read(String key, int server, boolean has) { }
+
+            @Override
+            public void written(String key) { }
+        };
+    }
+
     /**
      * A pool's fixed figures.
      *
@@ -112,7 +147,7 @@
     void start(ListSource source, PeerSocket socket) {
         discovery = source;
         peers = socket;
-        module = new Policy(settings, pool.seed(), pool.placements(), pool.admission());
+        module = new Policy(settings, pool.seed(), pool.placements(), pool.admission(), siblings);
         sweeper = core.loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -121,6 +156,26 @@
         recollections = from;
     }
 
+    /** Lets the module ask siblings. Before the start. */
+    public void siblings(Siblings decisions, Questions to) {
+        siblings = decisions;
+        questions = to;
+    }
+
+    String classAt(int server) {
+        return questions.classAt(server);
+    }
+
+    /** Whether siblings may be told that a server has a value. */
+    public boolean sound(int server) {
+        return module.sound(core.now(), server);
+    }
+
+    /** Whether there is more to do than is done in time. */
+    public boolean pressed() {
+        return module.pressed(core.now());
+    }
+
     /** What the module has learned, with at most so many hot keys. */
     public Knowledge knowledge(int mostKeys) {
         return module.knowledge(core.now(), mostKeys);
@@ -360,6 +415,14 @@
         } else if (value != null) {
             value.release();
         }
+        if (x.command.write) {
+            questions.written(x.command.key);
+        } else if (outcome == Outcome.OK || outcome == Outcome.MISS) {
+            Upstream u = upstreams.get(a.server);
+            if (u != null && !u.origin) {
+                questions.read(x.command.key, a.server, outcome == Outcome.OK);
+            }
+        }
         x.missed |= outcome == Outcome.MISS;
         x.mayHaveRun |= outcome.mayHaveRun();
         boolean over = x.over;
@@ -487,6 +550,14 @@
         tell(() -> end(a, Outcome.CANCELLED, 0, null, null, null));
     }
 
+    @Override
+    public void ask(int request, double waitMs) {
+        Exchange x = exchanges.get(request);
+        if (x != null) {
+            questions.ask(x.command.key, waitMs, sibling -> tell(() -> guard(x, () -> module.onSibling(core.now(), request, sibling, this))));
+        }
+    }
+
     @Override
     public void setTimer(double afterMs, int token) {
         core.after(afterMs, () -> tell(() -> module.onTimer(core.now(), token, this)));
