Ask sibling proxies by ICP before the origin, and answer theirs from what our nodes lately served

Change: [icp], [[sibling]] and a pool's `siblings` in the daemon's file; daemon.SiblingSocket (questions, answers, the digest) and PoolSiblings (what a pool's module is told). A fetch is a read of the sibling's own class on a listener of its own; what comes in there gets what nodes have, and nothing is fetched for it: no loops.

Not taken: routing the question in RoutedRequest, outside the module (the module must order the attempt); a flag on requests that are never passed on (a pool without an origin says the same, with one cold budget and one bound on connections).

Measured: SiblingCachesTest with real daemons: what a sibling has comes from there, half of all datagrams lost, three that ask each other, a sibling that has forgotten, the origin gone, writes, strangers.

--- a/src/main/java/damsonworks/bench/BenchCommand.java
+++ b/src/main/java/damsonworks/bench/BenchCommand.java
@@ -16,7 +16,7 @@
     private CommandSpec spec;
 
     @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers, import, hooks, "
-            + "hostile (hooks), memory, kills or cycles (of memory); else all but the last three.")
+            + "hostile (hooks), memory, memory-cost, kills or cycles (of memory); else all but the last four.")
     private String only;
 
     @Option(names = "--seconds", paramLabel = "S", defaultValue = "3", description = "Length of each run of the hop.")
@@ -46,7 +46,7 @@
         if (only == null || only.equals("hooks") || only.equals("hostile")) {
             new HookBench(out).run("hostile".equals(only), rounds, seconds);
         }
-        if (only != null && List.of("memory", "kills", "cycles").contains(only)) {
+        if (only != null && List.of("memory", "memory-cost", "kills", "cycles").contains(only)) {
             new MemoryBench(out, rounds, seconds).run(only);
         }
         return choices.sink() == 42 ? 1 : 0;
--- a/src/main/java/damsonworks/bench/MemoryBench.java
+++ b/src/main/java/damsonworks/bench/MemoryBench.java
@@ -55,10 +55,8 @@
             switch (what) {
                 case "kills" -> lanes(folder, this::kill);
                 case "cycles" -> lanes(folder, this::cycles);
-                default -> {
-                    firstSeconds(folder);
-                    cost(folder);
-                }
+                case "memory-cost" -> cost(folder);
+                default -> firstSeconds(folder);
             }
         } finally {
             try (var all = Files.walk(folder)) {
--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -20,10 +20,11 @@
  * @param hooks in the order in which they are called
  * @param pools by name, in the file's order
  * @param memory null: what is learned ends with the process
+ * @param icp null: no sibling caches are asked or answered
  */
 public record DaemonFile(String path, Site site, KeyForm keys, Limits limits, List<ServiceClass> classes, List<Tenant> tenants,
         List<Listen> listeners, List<Hook> hooks, Map<String, Pool> pools,
-        RouteTable routes, Memory memory) {
+        RouteTable routes, Memory memory, Icp icp, List<Sibling> siblings) {
 
     /**
      * What is true of the whole installation.
@@ -63,11 +64,12 @@
      * @param placeBy what the placement hashes; null: the key as the pool gets it
      * @param perSecond requests a second; 0: no bound
      * @param dedupGroup pools of the same name drop repeats of keyed requests together; null: none does
+     * @param siblings names of those asked before the origin
      * @param fallback the pool that takes what this one gives up, where the route names none; null: none
      */
     public record Pool(String name, List<Server> servers, Server origin, Discovery discovery, String placement,
             PlaceBy placeBy, int connections, int originConnections, int streams, int inHand, double perSecond, double retryShare,
-            double retriesAlways, boolean plainNodes, String dedupGroup, String fallback) { }
+            double retriesAlways, boolean plainNodes, String dedupGroup, String fallback, List<String> siblings) { }
 
     /**
      * A server of a pool.
@@ -111,6 +113,32 @@
      */
     public record Memory(Path path, double periodMs, int keys, double bytesPerSecond) { }
 
+    /**
+     * Where siblings are asked from and answered at, by ICP.
+     *
+     * @param urlPrefix with the key behind it, the URL in ICP
+     * @param listener where siblings fetch; its routes say which pool answers for a key; null: no question is answered with a hit
+     * @param keys that are remembered as answered lately, a power of two
+     * @param holdMs for so long
+     * @param questions out at once
+     * @param perSecond questions, and answers, a second, at most
+     */
+    public record Icp(InetSocketAddress address, String urlPrefix, String listener, int keys, double holdMs, int questions, double perSecond) { }
+
+    /**
+     * Another proxy's fleet.
+     *
+     * @param icp where it is asked, and from where it asks
+     * @param fetch its listener for fetches
+     * @param className the class that it has for them
+     */
+    public record Sibling(String name, int id, InetSocketAddress icp, InetSocketAddress fetch, String className) { }
+
+    /** A sibling by its name. */
+    public Sibling sibling(String name) {
+        return siblings.stream().filter(s -> s.name().equals(name)).findFirst().orElseThrow();
+    }
+
     /** A pool and those that follow it by its own {@code fallback}. */
     public List<String> chain(List<String> named) {
         List<String> chain = new ArrayList<>(named);
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -107,6 +107,7 @@
         root.sections("class").forEach(this::serviceClass);
         root.sections("tenant").forEach(this::tenant);
         root.sections("listen").forEach(this::listen);
+        root.sections("sibling").forEach(this::sibling);
         root.sections("pool").forEach(this::pool);
         List<Hook> hooks = new ArrayList<>();
         Set<String> hookNames = new HashSet<>();
@@ -116,6 +117,10 @@
         }
         hooks.sort(java.util.Comparator.comparingInt(Hook::order));
         Memory memory = memory(path, root.section("memory"));
+        DaemonFile.Icp icp = icp(root.section("icp"));
+        if (icp == null && !siblings.isEmpty()) {
+            errors.add(null, "siblings are asked by ICP; write [icp] with an address");
+        }
         List<Section> routes = root.sections("route");
         if (classes.isEmpty()) {
             errors.add(null, "no class; write [[class]] with a name, an effect and times");
@@ -139,7 +144,7 @@
             }
         }
         root.end();
-        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table, memory);
+        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table, memory, icp, siblings);
     }
 
     private Site site(Section s) {
@@ -298,6 +303,41 @@
         return memory;
     }
 
+    private final List<DaemonFile.Sibling> siblings = new ArrayList<>();
+    private final Set<String> siblingNames = new HashSet<>();
+
+    private void sibling(Section s) {
+        String name = name(s, siblingNames, "sibling");
+        int id = ServerId.of("sibling/" + name);
+        namesById.putIfAbsent(id, "sibling " + name);
+        String className = s.text("class");
+        if (!className.isEmpty() && !word(className)) {
+            s.error("class", "class '" + className + "' is no word");
+        }
+        siblings.add(new DaemonFile.Sibling(name, id, address(s, "icp", false), address(s, "fetch", false), className));
+        s.end();
+    }
+
+    private DaemonFile.Icp icp(Section s) {
+        if (s == null) {
+            return null;
+        }
+        int keys = s.integer("keys", 65_536, 8, 1 << 22);
+        if (Integer.bitCount(keys) != 1) {
+            s.error("keys", "keys is " + keys + "; a power of two is wanted");
+            keys = 8;
+        }
+        String prefix = s.text("url_prefix", "http://coralbay/");
+        if (!prefix.matches("[!-~]{1,1000}")) {
+            s.error("url_prefix", "url_prefix is 1 to 1000 printing characters without space");
+        }
+        DaemonFile.Icp icp = new DaemonFile.Icp(address(s, "address", true), prefix, known(s, "listener", listenerNames, "listener"),
+                keys, s.number("hold_ms", 60_000, 100, 24 * HOUR_MS), s.integer("questions", 1024, 1, 1 << 20),
+                s.number("per_second", 2000, 1, 1e9));
+        s.end();
+        return icp;
+    }
+
     private Hook hook(String path, Section s, Set<String> names) {
         String name = name(s, names, "hook");
         String text = s.text("module");
@@ -361,11 +401,24 @@
                 s.integer("streams", 64, 1, 10_000), s.integer("in_hand", 10_000, 1, 1_000_000),
                 s.number("per_second", 0, 0.1, 1e9), s.number("retry_share", 0.2, 0, 10),
                 s.number("retries_always", 5, 0, 1e6), s.oneOf("nodes", "platform", "platform", "plain").equals("plain"),
-                s.text("dedup_group", null), s.text("fallback", null)));
+                s.text("dedup_group", null), s.text("fallback", null), poolSiblings(s, origin)));
         poolSections.put(name, s);
         s.end();
     }
 
+    private List<String> poolSiblings(Section s, Server origin) {
+        List<String> names = s.texts("siblings");
+        for (String n : names) {
+            if (!siblingNames.contains(n)) {
+                s.error("siblings", "there is no sibling '" + n + "'; there are: " + String.join(", ", sorted(siblingNames)));
+            }
+        }
+        if (!names.isEmpty() && origin == null) {
+            s.error("siblings", "siblings are asked before a pool's own origin, and this pool has none in the file");
+        }
+        return names;
+    }
+
     /** What nginx's placements ask of a pool. */
     private static void nginxPlacement(Section s, String placement, List<Server> servers, Discovery discovery) {
         if (discovery != null) {
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -65,6 +65,8 @@
     private final CountDownLatch ready = new CountDownLatch(1);
     private ColdBudget cold;
     private volatile MemoryKeeper memory;
+    /** Null where no siblings are configured. */
+    private volatile SiblingSocket siblings;
 
     /** A pool that no new request comes to. */
     private static final class Leaving {
@@ -138,6 +140,11 @@
         return loop.submit(() -> Thread.currentThread().getId()).syncUninterruptibly().getNow();
     }
 
+    /** Where siblings ask; null where none are configured. */
+    public InetSocketAddress icpAddress() {
+        return siblings == null ? null : siblings.address();
+    }
+
     /** Memory files written and their bytes, for measurements. */
     public long[] memoryWritten() {
         return memory.written();
@@ -187,7 +194,28 @@
             memory.close(); // first: the new one may want the same path
             memory = MemoryKeeper.open(file, core, this::snapshot);
         }
-        loop.submit(() -> commit(file, fresh, hooks)).sync();
+        SiblingSocket sockets = siblings;
+        if (file.icp() != null && (sockets == null || !sockets.fits(file))) {
+            try {
+                sockets = SiblingSocket.bind(file, core, siblings, seeds.nextInt());
+            } catch (ConfigException e) {
+                fresh.values().forEach(Listener::close);
+                hooks.forEach(HookRunner::stop);
+                throw e;
+            }
+        }
+        SiblingSocket next = file.icp() == null ? null : sockets;
+        loop.submit(() -> {
+            SiblingSocket before = siblings;
+            siblings = next;
+            commit(file, fresh, hooks);
+            if (next != null) {
+                next.answersBy(router::generation);
+            }
+            if (before != null && before != next) {
+                before.close();
+            }
+        }).sync();
         memory.start();
     }
 
@@ -224,7 +252,8 @@
                 pools.put(p.name(), standing);
             } else {
                 pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births,
-                        standing == null ? memory.recollections(file, p) : MemoryKeeper.handOver(file, p, standing, now)));
+                        standing == null ? memory.recollections(file, p) : MemoryKeeper.handOver(file, p, standing, now),
+                        siblings));
             }
         }
         hooks.forEach(h -> {
@@ -366,6 +395,9 @@
         @Override
         public void connected(int server) {
             if (births.connected(server, core.now())) {
+                if (siblings != null) {
+                    siblings.restarted(server);
+                }
                 // Not from within the connection's own event: a list retires connections to what has restarted.
                 loop.execute(() -> router.generation().pools.values().stream()
                         .filter(p -> p.spec().discovery() == null && p.has(server)).forEach(PoolRunner::list));
@@ -410,6 +442,9 @@
                 router.generation().end();
             }
             older.forEach(Generation::end);
+            if (siblings != null) {
+                siblings.close();
+            }
         }).syncUninterruptibly();
         memory.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/main/java/damsonworks/daemon/PoolRunner.java
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -42,7 +42,7 @@
     private KeyNumber number;
 
     PoolRunner(Core core, DaemonFile file, DaemonFile.Pool spec, long seed, ColdBudget cold, Births births,
-            Dispatcher.Recollections recollections) {
+            Dispatcher.Recollections recollections, SiblingSocket siblings) {
         name = spec.name();
         this.file = file;
         this.spec = spec;
@@ -55,6 +55,10 @@
                 spec.connections(), spec.originConnections(), spec.connections(), spec.streams(), spec.plainNodes(),
                 BackupPlacement.over(members -> PoolSettings.placement(this.spec).of(members), backups::contains), admission));
         dispatcher.recall(recollections);
+        if (siblings != null) {
+            PoolSiblings own = siblings.of(spec);
+            dispatcher.siblings(own, own);
+        }
         if (spec.discovery() == null) {
             dispatcher.start(Dispatcher.ListSource.NONE);
             list();
@@ -77,6 +81,8 @@
                 && spec.originConnections() == next.originConnections() && spec.streams() == next.streams()
                 && spec.plainNodes() == next.plainNodes() && spec.placement().equals(next.placement())
                 && java.util.Objects.equals(spec.discovery(), next.discovery())
+                && java.util.Objects.equals(file.icp(), other.icp()) && file.siblings().equals(other.siblings())
+                && spec.siblings().equals(next.siblings())
                 && file.limits().idleCloseMs() == other.limits().idleCloseMs();
     }
 
@@ -126,6 +132,10 @@
                 hosts.add(new DiscoveryClient.Host(m, s.dial()));
             }
         }
+        for (String s : spec.siblings()) {
+            DaemonFile.Sibling sibling = file.sibling(s);
+            hosts.add(new DiscoveryClient.Host(PoolSettings.sibling(spec, sibling), sibling.fetch()));
+        }
         return hosts;
     }
 
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -45,6 +45,9 @@
             return pool.discovery().kinds();
         }
         List<String> kinds = new ArrayList<>(pool.servers().stream().map(DaemonFile.Server::kind).distinct().toList());
+        if (!pool.siblings().isEmpty()) {
+            kinds.add("\0sibling");
+        }
         if (pool.origin() != null) {
             kinds.add("\0origin"); // a kind of its own, whatever the file calls its servers
         }
@@ -83,6 +86,11 @@
                 : kinds.indexOf(s.kind()), 0, s.drain() ? State.DRAINING : State.READY, (float) s.weight(), bornMs);
     }
 
+    /** A sibling as the module gets it. */
+    static Member sibling(DaemonFile.Pool pool, DaemonFile.Sibling s) {
+        return new Member(s.id(), 0, kinds(pool).indexOf("\0sibling"), 0, State.READY, 1, 0);
+    }
+
     static Placement.Factory placement(DaemonFile.Pool pool) {
         return Placements.factory(pool.placement(), pool.servers().stream()
                 .map(s -> new Peer(s.id(), (int) s.weight(), s.ring())).toList());
--- a/src/main/java/damsonworks/daemon/Router.java
+++ b/src/main/java/damsonworks/daemon/Router.java
@@ -50,7 +50,7 @@
                 command.write());
         Route route = s == null ? null : named != null ? named : g.file.routes().find(s);
         if (route != null && route.action() instanceof Route.ToPools) {
-            return to(g, s, route, command, responder);
+            return to(g, listener, s, route, command, responder);
         }
         core.closeId(command);
         command.release(core);
@@ -66,7 +66,7 @@
         return null;
     }
 
-    private RequestHandler.Handle to(Generation g, Subject s, Route route, Command command, Responder responder) {
+    private RequestHandler.Handle to(Generation g, String listener, Subject s, Route route, Command command, Responder responder) {
         String key = route.poolKey(s);
         if (key == null) {
             core.closeId(command);
@@ -74,6 +74,18 @@
             responder.rejected("route " + route.name() + " makes no legal key of this one");
             return null;
         }
+        // Whoever asks from another proxy gets what our nodes have, and nothing is fetched for him: no loops.
+        if (g.file.icp() != null && listener.equals(g.file.icp().listener()) && (command.write()
+                || !g.chain(route).stream().allMatch(p -> p.spec().origin() == null && p.spec().discovery() == null))) {
+            core.closeId(command);
+            command.release(core);
+            if (command.write()) {
+                responder.rejected("siblings do not write here");
+            } else {
+                responder.miss();
+            }
+            return null;
+        }
         boolean rewritten = !key.equals(command.key());
         RoutedRequest r = new RoutedRequest(core, g, s, route, rewritten ? command.withKey(key) : command,
                 rewritten ? command : null, responder);
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/SiblingSocket.java
@@ -0,0 +1,267 @@
+package damsonworks.daemon;
+
+import damsonworks.config.Addresses;
+import damsonworks.config.ConfigException;
+import damsonworks.config.DaemonFile;
+import damsonworks.icp.IcpCodec;
+import damsonworks.icp.IcpMessage;
+import damsonworks.icp.IcpMessage.Opcode;
+import damsonworks.limits.TokenBucket;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.Intake;
+import damsonworks.proxy.Transport;
+import damsonworks.routes.Route;
+import damsonworks.routes.Subject;
+import damsonworks.siblings.DenialWatch;
+import damsonworks.siblings.KeyDigest;
+import damsonworks.siblings.QuestionTable;
+import damsonworks.siblings.SiblingRecord;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.IntConsumer;
+import java.util.function.Supplier;
+
+/**
+ * The daemon's ICP socket: questions of its pools go out and those of siblings come in. All decisions are {@code siblings}'; on the event
+ * loop only. Bounds: questions at once and a second, answers a second, remembered keys and addresses; an answer is never
+ * longer than its question.
+ */
+final class SiblingSocket {
+    /** Servers that the digest tells apart. */
+    private static final int MOST_SERVERS = 4096;
+    /** Strangers that are remembered for what they were denied. */
+    private static final int MOST_STRANGERS = 1024;
+    /** How long answers that come too late are known as such, and measured. */
+    private static final double LATE_MS = 2000;
+
+    private final DaemonFile file;
+    private final Core core;
+    private final SplittableRandom random;
+    private final KeyDigest digest;
+    private final QuestionTable<InetSocketAddress> questions;
+    private final DenialWatch<InetSocketAddress> denials = new DenialWatch<>(MOST_STRANGERS);
+    private final Map<String, SiblingRecord> records;
+    private final Map<InetSocketAddress, DaemonFile.Sibling> byAddress = new HashMap<>();
+    private final Map<Integer, IntConsumer> waiting = new HashMap<>();
+    private final TokenBucket questionRate;
+    /** Each sibling has one, so that none can use up another's; all strangers share a small one. */
+    private final Map<InetSocketAddress, TokenBucket> answerRates = new HashMap<>();
+    private final TokenBucket strangersRate;
+    private Supplier<Generation> generation = () -> null;
+    private Channel channel;
+    private long malformed;
+    private long overRate;
+
+    private SiblingSocket(DaemonFile file, Core core, SiblingSocket before, int seed) {
+        this.file = file;
+        this.core = core;
+        random = new SplittableRandom(seed);
+        DaemonFile.Icp icp = file.icp();
+        digest = new KeyDigest(icp.keys(), icp.holdMs(), MOST_SERVERS);
+        questions = new QuestionTable<>(icp.questions(), LATE_MS, random.nextInt());
+        records = before == null ? new HashMap<>() : before.records;
+        questionRate = new TokenBucket(icp.perSecond(), Math.max(1, icp.perSecond() / 10));
+        strangersRate = new TokenBucket(Math.max(1, icp.perSecond() / 10), Math.max(1, icp.perSecond() / 100));
+        file.siblings().forEach(s -> {
+            byAddress.put(s.icp(), s);
+            answerRates.put(s.icp(), new TokenBucket(icp.perSecond(), Math.max(1, icp.perSecond() / 10)));
+        });
+    }
+
+    /** Binds; not on the event loop. {@code before}: the one whose place it takes, or null. */
+    static SiblingSocket bind(DaemonFile file, Core core, SiblingSocket before, int seed) throws ConfigException, InterruptedException {
+        SiblingSocket s = new SiblingSocket(file, core, before, seed);
+        boolean same = before != null && before.file.icp().address().equals(file.icp().address()) && file.icp().address().getPort() != 0;
+        if (same) {
+            before.channel.close().sync(); // there is no second socket at its address
+        }
+        ChannelFuture bound = new Bootstrap().group(core.loop()).channel(Transport.BEST.datagram())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(IcpMessage.MAX_LENGTH + 1))
+                .handler(s.new Handler()).bind(file.icp().address()).await();
+        if (!bound.isSuccess()) {
+            throw ConfigException.of(List.of(file.path() + ":1:1: icp can't be bound to " + Addresses.text(file.icp().address()) + ": "
+                    + String.valueOf(bound.cause().getMessage()).lines().findFirst().orElse("")));
+        }
+        s.channel = bound.channel();
+        return s;
+    }
+
+    boolean fits(DaemonFile other) {
+        return file.icp().equals(other.icp()) && file.siblings().equals(other.siblings());
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    /** By whose routes and pools questions are answered. */
+    void answersBy(Supplier<Generation> of) {
+        generation = of;
+    }
+
+    SiblingRecord record(DaemonFile.Sibling s) {
+        return records.computeIfAbsent(s.name(), n -> new SiblingRecord());
+    }
+
+    PoolSiblings of(DaemonFile.Pool pool) {
+        return new PoolSiblings(this, pool.siblings().stream().map(file::sibling).toList(), random.split());
+    }
+
+    void close() {
+        channel.close();
+        waiting.clear();
+    }
+
+    // ---- what our servers have
+
+    void read(String key, int server, boolean has) {
+        if (has) {
+            digest.answered(core.now(), Intake.keyNumber(key), server);
+        } else {
+            digest.gone(Intake.keyNumber(key));
+        }
+    }
+
+    void written(String key) {
+        digest.gone(Intake.keyNumber(key));
+    }
+
+    void restarted(int server) {
+        digest.restarted(server);
+    }
+
+    // ---- asking
+
+    /** Asks; where a bound is reached nothing goes out, and the module goes on when its wait is over. */
+    void ask(String key, List<DaemonFile.Sibling> whom, double waitMs, IntConsumer answer) {
+        double now = core.now();
+        if (!questionRate.take(now)) {
+            overRate++;
+            return;
+        }
+        String url = file.icp().urlPrefix() + key;
+        QuestionTable<InetSocketAddress>.Question q = questions.ask(now, url, whom.stream().map(DaemonFile.Sibling::icp).toList(), waitMs);
+        if (q == null) {
+            return;
+        }
+        waiting.put(q.number, answer);
+        core.after(waitMs, () -> {
+            q.end();
+            waiting.remove(q.number);
+        });
+        for (DaemonFile.Sibling s : whom) {
+            record(s).asked(now);
+            channel.write(new DatagramPacket(IcpCodec.encode(channel.alloc(), IcpMessage.query(q.number, 0, url)), s.icp()));
+        }
+        channel.flush();
+    }
+
+    private void answered(InetSocketAddress from, IcpMessage m) {
+        boolean hit = m.opcode() == Opcode.HIT || m.opcode() == Opcode.HIT_OBJ;
+        QuestionTable.Reply<QuestionTable<InetSocketAddress>.Question> r = questions.answered(core.now(), m.requestNumber(), from, m.url(), hit);
+        switch (r.verdict()) {
+            case FIRST_HIT, COUNTED, LAST, LATE -> record(byAddress.get(from)).answered(r.elapsedMs(), hit);
+            default -> {
+                return; // counted, and no business of any request
+            }
+        }
+        boolean last = r.verdict() == QuestionTable.Verdict.LAST;
+        if (last || r.verdict() == QuestionTable.Verdict.FIRST_HIT) {
+            IntConsumer answer = waiting.remove(m.requestNumber());
+            if (answer != null) {
+                answer.accept(last ? 0 : byAddress.get(from).id());
+            }
+        }
+    }
+
+    // ---- answering
+
+    private Opcode answer(InetSocketAddress from, IcpMessage query) {
+        boolean denied = !byAddress.containsKey(from);
+        if (!denials.answer(from, denied)) {
+            return null;
+        }
+        if (denied) {
+            return Opcode.DENIED;
+        }
+        Generation g = generation.get();
+        String prefix = file.icp().urlPrefix();
+        if (g == null || !query.url().startsWith(prefix)) {
+            return Opcode.ERR;
+        }
+        String key = query.url().substring(prefix.length());
+        Subject s = key.isEmpty() || key.length() > 250 || file.icp().listener() == null ? null
+                : g.file.keys().subject(file.icp().listener(), key, 0, 0, false);
+        Route route = s == null ? null : g.file.routes().find(s);
+        String poolKey = route == null || !(route.action() instanceof Route.ToPools) ? null : route.poolKey(s);
+        if (poolKey == null) {
+            return Opcode.MISS;
+        }
+        PoolRunner pool = g.chain(route).get(0);
+        boolean pressed = pool.dispatcher.pressed();
+        long number = Intake.keyNumber(poolKey);
+        if (!pressed && digest.holds(core.now(), number)) {
+            int server = digest.server(number);
+            if (pool.has(server) && pool.dispatcher.sound(server)) {
+                return Opcode.HIT;
+            }
+        }
+        return pressed ? Opcode.MISS_NOFETCH : Opcode.MISS;
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            IcpMessage m;
+            try {
+                m = IcpCodec.decode(packet.content());
+            } catch (IcpCodec.Malformed e) {
+                malformed++;
+                return;
+            }
+            if (m.opcode().answers()) {
+                answered(packet.sender(), m);
+            } else if (m.opcode() == Opcode.QUERY) {
+                if (!answerRates.getOrDefault(packet.sender(), strangersRate).take(core.now())) {
+                    overRate++;
+                    return;
+                }
+                Opcode with = answer(packet.sender(), m);
+                if (with != null) {
+                    ctx.write(new DatagramPacket(IcpCodec.encode(ctx.alloc(), m.answer(with)), packet.sender()));
+                }
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            ctx.flush();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A datagram that did not arrive says nothing of the next.
+        }
+    }
+
+    /** Datagrams dropped as they were no ICP, and those over the rate, so far. */
+    long[] dropped() {
+        return new long[] {malformed, overRate};
+    }
+
+    /** What became of the datagrams that claimed to be answers. */
+    long count(QuestionTable.Verdict v) {
+        return questions.count(v);
+    }
+}
--- a/src/main/java/damsonworks/standin/StandInNode.java
+++ b/src/main/java/damsonworks/standin/StandInNode.java
@@ -176,6 +176,11 @@
         loop.execute(() -> values.put(key, value));
     }
 
+    /** Loses a value without a word. */
+    public void forget(String key) {
+        run(() -> values.remove(key));
+    }
+
     /** Voids a key. */
     void drop(String key) {
         loop.execute(() -> values.remove(key));
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -190,6 +190,26 @@
                 e -> assertThat(e).startsWith("f:30:1: unknown key 'size' in memory; allowed: bytes_per_second, keys, path, period_ms"));
     }
 
+    @Test
+    void siblingsHaveTheirPlaceAndTheirErrors() throws Exception {
+        String origin = "[pool.origin]\nname = \"o\"\ndial = \"127.0.0.1:9\"\n";
+        String sibling = "[[sibling]]\nname = \"east\"\nicp = \"10.0.0.1:3130\"\nfetch = \"10.0.0.1:11212\"\nclass = \"sibling\"\n";
+        String icp = "[icp]\naddress = \"127.0.0.1:0\"\nlistener = \"main\"\n";
+        String pool = GOOD.replace("[[pool]]\nname = \"b\"", origin + "[[pool]]\nname = \"b\"").replace("name = \"a\"\n",
+                "name = \"a\"\nsiblings = [\"east\"]\n");
+        DaemonFile f = DaemonFileReader.parse("f", pool + icp + sibling);
+        assertThat(f.pools().get("a").siblings()).containsExactly("east");
+        assertThat(f.sibling("east").className()).isEqualTo("sibling");
+        assertThat(f.icp().urlPrefix()).isEqualTo("http://coralbay/");
+        assertThat(errors(pool + sibling)).singleElement().asString().contains("write [icp]");
+        assertThat(errors(pool + icp)).singleElement().asString().contains("there is no sibling 'east'");
+        assertThat(errors(GOOD.replace("name = \"a\"\n", "name = \"a\"\nsiblings = [\"east\"]\n") + icp + sibling)).singleElement()
+                .asString().contains("this pool has none in the file");
+        assertThat(errors(pool + icp.replace("main", "none") + sibling)).singleElement().asString().contains("there is no listener 'none'");
+        assertThat(errors(pool + icp + "keys = 1000\nurl_prefix = \"a b\"\n" + sibling)).hasSize(2);
+        assertThat(errors(pool + icp + sibling.replace(":3130", ":0"))).singleElement().asString().contains("port 0");
+    }
+
     /** Each route of ten thousand is checked, and what is wrong with the last is told at its own line. */
     @Test
     void tenThousandRoutesAreChecked() throws Exception {
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/SiblingCachesTest.java
@@ -0,0 +1,308 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.config.Addresses;
+import damsonworks.config.DaemonFileReader;
+import damsonworks.icp.IcpCodec;
+import damsonworks.icp.IcpMessage;
+import damsonworks.icp.IcpMessage.Opcode;
+import damsonworks.standin.LoadClient;
+import damsonworks.standin.LoadClient.Ask;
+import damsonworks.standin.LossyLink;
+import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInNode;
+import damsonworks.standin.StandInOrigin;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Proxies with fleets and origins of their own that ask each other by ICP. */
+@Timeout(120)
+class SiblingCachesTest {
+    private static final String CLASSES = DaemonRig.CLASSES + "[[class]]\nname = \"sibling\"\neffect = \"safe\"\naim_ms = 5000\n"
+            + "deadline_ms = 10000\n";
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    /** One proxy with its fleet. Ports are taken before, as each must be in the others' files. */
+    private final class Site {
+        final StandInFleet fleet;
+        final InetSocketAddress icp = udpPort();
+        final InetSocketAddress fetch = tcpPort();
+        final List<String> siblings = new ArrayList<>();
+        Daemon daemon;
+
+        Site() throws Exception {
+            fleet = new StandInFleet(2);
+            open.add(fleet);
+        }
+
+        void knows(String name, InetSocketAddress at, InetSocketAddress fetchAt) {
+            siblings.add("[[sibling]]\nname = \"" + name + "\"\nicp = \"" + Addresses.text(at) + "\"\nfetch = \"" + Addresses.text(fetchAt)
+                    + "\"\nclass = \"sibling\"\n");
+        }
+
+        String file() {
+            StringBuilder names = new StringBuilder();
+            for (int i = 0; i < siblings.size(); i++) {
+                names.append(i > 0 ? ", " : "").append('"').append(siblings.get(i).split("\"")[1]).append('"');
+            }
+            return DaemonRig.LIMITS + CLASSES + DaemonRig.MAIN + "[[listen]]\nname = \"siblings\"\naddress = \"" + Addresses.text(fetch)
+                    + "\"\n[icp]\naddress = \"" + Addresses.text(icp) + "\"\nlistener = \"siblings\"\n" + String.join("", siblings)
+                    + DaemonRig.pool("a", fleet, "siblings = [" + names + "]", fleet.nodes.toArray(new StandInNode[0]))
+                    + DaemonRig.pool("lookup", fleet, "", fleet.nodes.toArray(new StandInNode[0])).replaceAll("\\[pool.origin]\nname.*\ndial.*\n", "")
+                    + DaemonRig.route("from-siblings", "listener = \"siblings\"", "lookup") + DaemonRig.route("all", "", "a");
+        }
+
+        Site start() throws Exception {
+            daemon = Daemon.start(DaemonFileReader.parse("rig", file()), 7);
+            open.add(daemon);
+            return this;
+        }
+
+        CompletableFuture<LoadClient.Account> load(int total, int from) {
+            return new LoadClient(fleet.loop(), daemon.address("main"), total, i -> new Ask("k/" + (from + i), "c=page", null,
+                    StandInOrigin.value("k/" + (from + i)))).start(4, 2);
+        }
+
+        LoadClient.Account ask(int total, int from) throws Exception {
+            LoadClient.Account a = load(total, from).get(100, TimeUnit.SECONDS);
+            assertThat(a.faults).isEmpty();
+            assertThat(a.answered()).isEqualTo(total);
+            return a;
+        }
+    }
+
+    private static InetSocketAddress udpPort() throws Exception {
+        try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) s.getLocalSocketAddress();
+        }
+    }
+
+    private static InetSocketAddress tcpPort() throws Exception {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) s.getLocalSocketAddress();
+        }
+    }
+
+    private LossyLink link(Site a, Site b, double lost, double doubled, double lateMs) throws Exception {
+        LossyLink link = new LossyLink(a.fleet.loop(), a.icp, b.icp, 5, lost, doubled, lateMs);
+        open.add(link);
+        return link;
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    @Test
+    void whatASiblingLatelyServedComesFromThereAndNotFromTheOrigin() throws Exception {
+        Site a = new Site();
+        Site b = new Site();
+        a.knows("b", b.icp, b.fetch);
+        b.knows("a", a.icp, a.fetch);
+        a.start();
+        b.start();
+        a.fleet.origin.work(20);
+        b.ask(200, 0); // b's origin fills b's nodes
+        b.ask(200, 0); // and its nodes answer: now it knows what they have
+        int before = b.fleet.origin.fetches();
+        LoadClient.Account got = a.ask(200, 0);
+        assertThat(got.failed).isZero();
+        assertThat(got.served).isGreaterThan(100);
+        assertThat(a.fleet.origin.fetches()).as("of 200; the rest came from b").isLessThan(100);
+        assertThat(b.fleet.origin.fetches()).as("nothing was fetched for a").isEqualTo(before);
+    }
+
+    @Test
+    void withHalfOfAllRepliesLostOthersDoubledAndLateEachRequestHasOneAnswer() throws Exception {
+        Site a = new Site();
+        Site b = new Site();
+        LossyLink link = link(a, b, 0.5, 0.3, 5);
+        a.knows("b", link.towardsB(), b.fetch);
+        b.knows("a", link.towardsA(), a.fetch);
+        a.start();
+        b.start();
+        a.fleet.origin.work(20);
+        b.ask(300, 0);
+        b.ask(300, 0);
+        assertThat(a.ask(300, 0).served + a.ask(300, 300).served).isPositive();
+        assertThat(link.passed()).isPositive();
+        assertThat(link.dropped()).isPositive();
+        assertThat(a.fleet.ledger.repeated()).isZero();
+    }
+
+    @Test
+    void threeThatAskEachOtherForWhatNobodyHasFetchItOnceEach() throws Exception {
+        Site[] sites = {new Site(), new Site(), new Site()};
+        for (Site s : sites) {
+            for (int i = 0; i < 3; i++) {
+                if (sites[i] != s) {
+                    s.knows("s" + i, sites[i].icp, sites[i].fetch);
+                }
+            }
+        }
+        List<CompletableFuture<LoadClient.Account>> loads = new ArrayList<>();
+        for (Site s : sites) {
+            s.start();
+            s.fleet.origin.work(5);
+        }
+        for (Site s : sites) {
+            loads.add(new LoadClient(s.fleet.loop(), s.daemon.address("main"), 4, i -> new Ask("nobody", "c=page", null,
+                    StandInOrigin.value("nobody"))).start(4, 1)); // fewer than make a key hot, which is spread
+        }
+        for (int i = 0; i < 3; i++) {
+            LoadClient.Account a = loads.get(i).get(60, TimeUnit.SECONDS);
+            assertThat(a.faults).isEmpty();
+            assertThat(a.served).isEqualTo(4);
+            assertThat(sites[i].fleet.origin.fetches()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aSiblingWhoseNodesHaveForgottenCostsNoAnswerAndIsBelievedLess() throws Exception {
+        Site a = new Site();
+        Site b = new Site();
+        a.knows("b", b.icp, b.fetch);
+        b.knows("a", a.icp, a.fetch);
+        a.start();
+        b.start();
+        a.fleet.origin.work(5);
+        b.ask(200, 0);
+        b.ask(200, 0);
+        for (StandInNode n : b.fleet.nodes) { // what b promises is not there any more, and nobody has told b
+            for (int i = 0; i < 200; i++) {
+                n.forget("k/" + i);
+            }
+        }
+        LoadClient.Account got = a.ask(200, 0);
+        assertThat(got.failed).isZero();
+        assertThat(got.served + got.refused).isEqualTo(200);
+        assertThat(got.served).isPositive();
+    }
+
+    @Test
+    void withTheOriginGoneWhatSiblingsHoldIsStillServed() throws Exception {
+        Site a = new Site();
+        Site b = new Site();
+        a.knows("b", b.icp, b.fetch);
+        b.knows("a", a.icp, a.fetch);
+        a.start();
+        b.start();
+        b.ask(200, 0);
+        b.ask(200, 0);
+        a.fleet.origin.close();
+        LoadClient.Account got = a.ask(200, 0);
+        assertThat(got.served).isGreaterThan(100);
+    }
+
+    @Test
+    void writesGoToNoSiblingAndNoneWritesHere() throws Exception {
+        Site a = new Site();
+        Site b = new Site();
+        a.knows("b", b.icp, b.fetch);
+        b.knows("a", a.icp, a.fetch);
+        a.start();
+        b.start();
+        LoadClient.Account w = new LoadClient(a.fleet.loop(), a.daemon.address("main"), 100, i -> new Ask("k/" + i, i % 2 == 0 ? "c=submit"
+                : "c=publish,k=p" + i, "mark-" + i, null)).start(4, 2).get(60, TimeUnit.SECONDS);
+        assertThat(w.faults).isEmpty();
+        assertThat(w.served).isEqualTo(100);
+        assertThat(a.fleet.ledger.repeated()).isZero();
+        assertThat(b.fleet.nodes).allMatch(n -> n.commands() == 0);
+        assertThat(b.fleet.origin.fetches()).isZero();
+        try (DaemonRig.Talk talk = new DaemonRig.Talk(b.daemon.address("siblings"))) {
+            talk.say("ms k/1 2 O1 Pc=sibling,d=5000\r\nab\r\n");
+            assertThat(talk.line()).startsWith("CLIENT_ERROR").contains("siblings do not write here");
+            talk.say("mg none v O2 Pc=sibling,d=5000\r\n");
+            assertThat(talk.line()).as("a miss, and nothing fetched").startsWith("EN");
+        }
+        assertThat(b.fleet.origin.fetches()).isZero();
+    }
+
+    /** By hand: what a listed one, a stranger and a forger hear. */
+    @Test
+    void questionsAreAnsweredByWhatNodesLatelyAnsweredAndStrangersSoonHearNothing() throws Exception {
+        Site b = new Site();
+        try (DatagramSocket friend = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            b.knows("friend", (InetSocketAddress) friend.getLocalSocketAddress(), tcpPort());
+            b.start();
+            friend.setSoTimeout(60_000);
+            stranger.setSoTimeout(60_000);
+            assertThat(asked(friend, b, "http://coralbay/k/1").opcode()).isEqualTo(Opcode.MISS);
+            b.ask(5, 0);
+            b.ask(5, 0);
+            assertThat(asked(friend, b, "http://coralbay/k/1").opcode()).isEqualTo(Opcode.HIT);
+            assertThat(asked(friend, b, "http://other/k/1").opcode()).isEqualTo(Opcode.ERR);
+            assertThat(asked(friend, b, "http://coralbay/" + "k".repeat(300)).opcode()).isEqualTo(Opcode.MISS);
+            // A write voids what is known of a key.
+            LoadClient.Account w = new LoadClient(b.fleet.loop(), b.daemon.address("main"), 1, i -> new Ask("k/1", "c=submit", "m", null))
+                    .start(1, 1).get(60, TimeUnit.SECONDS);
+            assertThat(w.served).isEqualTo(1);
+            assertThat(asked(friend, b, "http://coralbay/k/1").opcode()).isEqualTo(Opcode.MISS);
+            assertThat(asked(friend, b, "http://coralbay/k/2").opcode()).isEqualTo(Opcode.HIT);
+            assertThat(asked(stranger, b, "http://coralbay/k/2").opcode()).isEqualTo(Opcode.DENIED);
+            for (int i = 0; i < 300; i++) {
+                send(stranger, b, IcpMessage.query(i, 0, "http://coralbay/k/2"));
+                send(stranger, b, new IcpMessage(Opcode.HIT, i, 0, 0, 0, 0, "http://coralbay/k/2", null));
+                stranger.send(new DatagramPacket(new byte[i % 40], i % 40, b.daemon.icpAddress()));
+            }
+            assertThat(asked(friend, b, "http://coralbay/k/2").opcode()).as("others are not disturbed").isEqualTo(Opcode.HIT);
+            stranger.setSoTimeout(200);
+            int heard = 0;
+            try {
+                for (byte[] buf = new byte[1000];; heard++) {
+                    stranger.receive(new DatagramPacket(buf, buf.length));
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                assertThat(heard).isBetween(1, 149);
+            }
+        }
+    }
+
+    private static void send(DatagramSocket from, Site to, IcpMessage m) throws Exception {
+        ByteBuf buf = IcpCodec.encode(ByteBufAllocator.DEFAULT, m);
+        byte[] bytes = new byte[buf.readableBytes()];
+        buf.readBytes(bytes).release();
+        from.send(new DatagramPacket(bytes, bytes.length, to.daemon.icpAddress()));
+    }
+
+    private static IcpMessage asked(DatagramSocket from, Site to, String url) throws Exception {
+        int number = url.hashCode();
+        byte[] buf = new byte[2000];
+        DatagramPacket packet = new DatagramPacket(buf, buf.length);
+        from.setSoTimeout(500);
+        while (true) { // datagrams may be lost, also on loopback, where a flood has filled the socket
+            send(from, to, IcpMessage.query(number, 0, url));
+            try {
+                from.receive(packet);
+                break;
+            } catch (java.net.SocketTimeoutException e) {
+                // once more
+            }
+        }
+        IcpMessage m = IcpCodec.decode(Unpooled.wrappedBuffer(buf, 0, packet.getLength()));
+        assertThat(m.requestNumber()).isEqualTo(number);
+        assertThat(m.url()).isEqualTo(url);
+        assertThat(packet.getLength()).as("no amplification").isLessThanOrEqualTo(24 + url.length() + 1);
+        assertThat(new String(buf, 20, url.length(), StandardCharsets.US_ASCII)).isEqualTo(url);
+        return m;
+    }
+}
