--- a/src/test/java/damsonworks/daemon/SiblingCachesTest.java
+++ b/src/test/java/damsonworks/daemon/SiblingCachesTest.java
@@ -197,6 +197,114 @@
         assertThat(got.served).isPositive();
     }
 
+    /** What a sibling asks for must not reach a node that drains, however lately that node has served it. */
+    @Test
+    void noPromiseIsMadeForANodeThatDrainsAndNothingIsSentToIt() throws Exception {
+        Site a = new Site();
+        Site b = new Site();
+        a.knows("b", b.icp, b.fetch);
+        b.knows("a", a.icp, a.fetch);
+        a.start();
+        b.start();
+        b.ask(200, 0);
+        b.ask(200, 0);
+        StandInNode drains = b.fleet.nodes.get(0);
+        String dial = "dial = \"" + drains.dial() + "\"";
+        b.daemon.load(DaemonFileReader.parse("rig", b.file().replace(dial, dial + "\ndrain = true")));
+        int before = drains.commands();
+        a.ask(200, 0);
+        assertThat(drains.commands()).isEqualTo(before);
+        assertThat(b.fleet.nodes.get(1).commands()).isPositive();
+    }
+
+    /** A node that has restarted is cold and empty: what it had is not promised, and siblings do not fill it. */
+    @Test
+    void noPromiseIsMadeForANodeThatHasRestarted() throws Exception {
+        Site b = new Site();
+        try (DatagramSocket friend = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            b.knows("friend", (InetSocketAddress) friend.getLocalSocketAddress(), tcpPort());
+            b.start();
+            b.ask(50, 0);
+            b.ask(50, 0);
+            int hits = 0;
+            for (int i = 0; i < 50; i++) {
+                hits += asked(friend, b, "http://coralbay/k/" + i).opcode() == Opcode.HIT ? 1 : 0;
+            }
+            assertThat(hits).isGreaterThan(40);
+            for (StandInNode n : b.fleet.nodes) {
+                n.kill();
+            }
+            b.ask(100, 100); // b finds them down
+            for (StandInNode n : b.fleet.nodes) {
+                n.revive();
+            }
+            int served = 0;
+            for (int round = 0; served == 0; round++) { // until b has seen both again
+                b.ask(100, 1000 + 100 * round);
+                served = Math.min(b.fleet.nodes.get(0).commands(), b.fleet.nodes.get(1).commands());
+            }
+            for (int i = 0; i < 50; i++) {
+                assertThat(asked(friend, b, "http://coralbay/k/" + i).opcode()).isNotEqualTo(Opcode.HIT);
+            }
+        }
+    }
+
+    /** Another key's value, or one that breaks off, must not reach a client: the sibling here is a script. */
+    @Test
+    void aSiblingThatSendsSpoiltAnswersHarmsNoRequest() throws Exception {
+        Site a = new Site();
+        String[] answers = {"VA 5 Oother\r\nwrong\r\n", "VA 900 O%s\r\nshort", "VA x O%s\r\n", "\0\0\0\r\n", "EN O%s\r\n",
+            "SERVER_ERROR busy 7\r\n", ""};
+        ServerSocket fetches = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        DatagramSocket icp = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        open.add(fetches);
+        open.add(icp);
+        Thread liar = new Thread(() -> { // promises everything
+            byte[] buf = new byte[2000];
+            try {
+                while (true) {
+                    DatagramPacket p = new DatagramPacket(buf, buf.length);
+                    icp.receive(p);
+                    IcpMessage q = IcpCodec.decode(Unpooled.wrappedBuffer(buf, 0, p.getLength()));
+                    ByteBuf out = IcpCodec.encode(ByteBufAllocator.DEFAULT, q.answer(Opcode.HIT));
+                    byte[] bytes = new byte[out.readableBytes()];
+                    out.readBytes(bytes).release();
+                    icp.send(new DatagramPacket(bytes, bytes.length, p.getSocketAddress()));
+                }
+            } catch (Exception e) {
+                // the test has ended
+            }
+        });
+        liar.setDaemon(true);
+        liar.start();
+        java.util.concurrent.atomic.AtomicInteger asked = new java.util.concurrent.atomic.AtomicInteger();
+        Thread script = new Thread(() -> {
+            try {
+                while (true) {
+                    java.net.Socket s = fetches.accept();
+                    String line = new java.io.BufferedReader(new java.io.InputStreamReader(s.getInputStream())).readLine();
+                    if (line != null) {
+                        String id = line.substring(line.indexOf(" O") + 2).split(" ")[0];
+                        String answer = answers[asked.getAndIncrement() % answers.length].replace("%s", id);
+                        s.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                    s.close();
+                }
+            } catch (java.io.IOException e) {
+                // the test has ended
+            }
+        });
+        script.setDaemon(true);
+        script.start();
+        a.knows("liar", (InetSocketAddress) icp.getLocalSocketAddress(), (InetSocketAddress) fetches.getLocalSocketAddress());
+        a.start();
+        a.fleet.origin.work(20);
+        LoadClient.Account got = a.ask(300, 0); // the load checks each value
+        assertThat(got.failed).isZero();
+        assertThat(got.served).isPositive();
+        assertThat(asked.get()).as("it was believed now and then").isPositive();
+    }
+
     @Test
     void withTheOriginGoneWhatSiblingsHoldIsStillServed() throws Exception {
         Site a = new Site();
