--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -415,13 +415,8 @@
         } else if (value != null) {
             value.release();
         }
-        if (x.command.write) {
-            questions.written(x.command.key);
-        } else if (outcome == Outcome.OK || outcome == Outcome.MISS) {
-            Upstream u = upstreams.get(a.server);
-            if (u != null && !u.origin) {
-                questions.read(x.command.key, a.server, outcome == Outcome.OK);
-            }
+        if (questions != Questions.NONE) {
+            tellSiblings(a, x.command, outcome);
         }
         x.missed |= outcome == Outcome.MISS;
         x.mayHaveRun |= outcome.mayHaveRun();
@@ -431,6 +426,15 @@
         free(x);
     }
 
+    private void tellSiblings(Attempt a, Command c, Outcome outcome) {
+        Upstream u = upstreams.get(a.server);
+        if (c.write) {
+            questions.written(c.key);
+        } else if (u != null && !u.origin && (outcome == Outcome.OK || outcome == Outcome.MISS)) {
+            questions.read(c.key, a.server, outcome == Outcome.OK);
+        }
+    }
+
     /** A long answer begins; false if the request is over or another answer has begun. */
     boolean begin(Attempt a, int length) {
         Exchange x = a.exchange;
