--- a/src/main/java/damsonworks/bench/HookBench.java
+++ b/src/main/java/damsonworks/bench/HookBench.java
@@ -321,13 +321,13 @@
         return String.format("%.2f (%.2f-%.2f)", v[v.length / 2], v[v.length / 4], v[v.length * 3 / 4]);
     }
 
-    private static String spread(double[] values) {
+    static String spread(double[] values) {
         double[] v = values.clone();
         Arrays.sort(v);
         return String.format("%.0f (%.0f-%.0f)", v[v.length / 2], v[v.length / 4], v[v.length * 3 / 4]);
     }
 
-    private static String ratio(double[] values) {
+    static String ratio(double[] values) {
         double[] v = values.clone();
         Arrays.sort(v);
         // The median's own interval, 95%, by the ranks between which it lies (binomial); the quartiles tell of single windows.
--- a/src/main/java/damsonworks/bench/MemoryBench.java
+++ b/src/main/java/damsonworks/bench/MemoryBench.java
@@ -347,9 +347,10 @@
                     noise[r] = p99[2][r] / p99[0][r];
                 }
                 out.printf("%nwriting 20 times a second, 4000 requests a second, windows of %.1f s turn about%n", seconds);
-                out.printf("p50 us: without %s, with %s; p99 us: without %s, with %s%n", mean(p50[0], 0), mean(p50[1], 0), mean(p99[0], 0),
-                        mean(p99[1], 0));
-                out.printf("p99, with to without: %s; without again to without: %s%n", mean(ratio, 3), mean(noise, 3));
+                // Medians: single windows in which the machine stood still would make any mean say nothing.
+                out.printf("p50 us: without %s, with %s; p99 us: without %s, with %s%n", HookBench.spread(p50[0]), HookBench.spread(p50[1]),
+                        HookBench.spread(p99[0]), HookBench.spread(p99[1]));
+                out.printf("p99, with to without: %s; without again to without: %s%n", HookBench.ratio(ratio), HookBench.ratio(noise));
             }
             AtomicBoolean over = new AtomicBoolean();
             try (Daemon d = Daemon.start(DaemonFileReader.parse("bench", file(fleet, folder.resolve("hour"), 2000)), 1)) {
