--- a/src/test/java/damsonworks/memory/MemoryFilesTest.java
+++ b/src/test/java/damsonworks/memory/MemoryFilesTest.java
@@ -313,6 +313,19 @@
         assertThat(found().content().me()).isEqualTo(51);
     }
 
+    @Test
+    void aDirectoryThatMayNotBeWrittenIsToldAndTheLastWriteReturns() throws Exception {
+        Faulty disk = new Faulty();
+        disk.fault = new java.nio.file.AccessDeniedException(folder.resolve("memory.new").toString());
+        List<String> told = java.util.Collections.synchronizedList(new ArrayList<>());
+        MemoryWriter writer = new MemoryWriter(new MemoryFiles(file, disk), 1e12, told::add);
+        writer.offer(state(1));
+        writer.finish(state(2), 50_000);
+        assertThat(told).containsExactly("memory: can't write: no permission; goes on without");
+        assertThat(writer.writes()).isZero();
+        assertThat(found().content()).isNull();
+    }
+
     /** One may wait while the disk is slow; a newer one takes its place, and the last is written in any case. */
     @Test
     void aSlowDiskHoldsUpNobodyAndOnlyTheNewestWaits() throws Exception {
