--- a/src/test/java/damsonworks/DaemonJarIT.java
+++ b/src/test/java/damsonworks/DaemonJarIT.java
@@ -146,6 +146,7 @@
                         g = Files.exists(memory) ? damsonworks.memory.MemoryFiles.at(memory).read().content().generation() : 0;
                     }
                 }
+                assertThat(damsonworks.memory.MemoryFiles.at(memory).lock()).as("a second process must run without").isFalse();
             } finally {
                 p.destroyForcibly().waitFor();
             }
