Answer three hundred callers of the control address at once, none ended unheard

Cause: where eight callers stood, a ninth ended the oldest at once, also one whose call had not been read yet; a crowd that came while the loop was busy lost most of its calls, and the queue of 128 made others wait for the system's retry.

Change: full, the door leaves further callers in the system's queue (512), and the oldest makes room once it is answered or has had 25 ms. Way not taken: more callers at once, which takes descriptors from clients where there are 192 in all.

--- a/src/main/java/damsonworks/control/Door.java
+++ b/src/main/java/damsonworks/control/Door.java
@@ -27,14 +27,18 @@
 
 /**
  * The operators' address: HTTP/1.1 (RFC 9112), one call a connection. A caller that says nothing, or half a call, is
- * told so after {@link #PATIENCE_MS} and let go; where {@link #MAX_CALLERS} stand at once the oldest makes room, so that
- * none of them can keep a call from being heard.
+ * told so after {@link #PATIENCE_MS} and let go. Where {@link #MAX_CALLERS} stand at once, further ones wait in the system's
+ * queue, and the oldest makes room as soon as it has been answered or has had {@link #BEGIN_MS} to say its call: so none of
+ * them can keep a call from being heard, and no crowd ends the call of one that has just come.
  */
 public final class Door {
     /** Callers at once. */
     public static final int MAX_CALLERS = 8;
     /** From the connection to the end of its call, in milliseconds. */
     public static final int PATIENCE_MS = 2000;
+    /** What a caller has to say its call where others wait, in milliseconds: they wait for as long, eight at a time. */
+    public static final int BEGIN_MS = 25;
+    private static final int BACKLOG = 512;
     /** How long an answered caller may take to close, in milliseconds. */
     private static final int LINGER_MS = 500;
     private static final int MAX_LINE = 1024;
@@ -44,8 +48,10 @@
     private final EventLoop loop;
     private final Class<? extends ServerChannel> kind;
     private final Calls calls;
-    private final ArrayDeque<Channel> callers = new ArrayDeque<>();
+    private final ArrayDeque<Call> callers = new ArrayDeque<>();
     private Channel channel;
+    /** Whether a look at who makes room is still to come. */
+    private boolean looking;
 
     /** @param calls asked on the loop */
     public Door(EventLoop loop, Class<? extends ServerChannel> kind, Calls calls) {
@@ -57,14 +63,15 @@
     /** Listens; fails where the address can't be had. */
     public ChannelFuture bind(SocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(kind)
-                .option(ChannelOption.SO_BACKLOG, 128).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel caller) {
+                        Call call = new Call(caller);
                         caller.pipeline().addLast(new HttpServerCodec(MAX_LINE, MAX_HEAD, MAX_BODY),
-                                new HttpObjectAggregator(MAX_BODY), new Call());
-                        taken(caller);
+                                new HttpObjectAggregator(MAX_BODY), call);
+                        taken(call);
                     }
                 }).bind(address);
         channel = bound.channel();
@@ -83,19 +90,49 @@
     /** Ends all at once. */
     public void closeNow() {
         channel.close();
-        new ArrayList<>(callers).forEach(Channel::close);
+        new ArrayList<>(callers).forEach(c -> c.caller.close());
     }
 
-    private void taken(Channel caller) {
-        callers.add(caller);
-        caller.closeFuture().addListener(f -> callers.remove(caller));
-        if (callers.size() > MAX_CALLERS) {
-            callers.peek().close();
+    private void taken(Call call) {
+        callers.add(call);
+        call.caller.closeFuture().addListener(f -> {
+            callers.remove(call);
+            makeRoom();
+        });
+        makeRoom();
+    }
+
+    /** Takes further callers where there is room for one; else ends whoever is to make it, now or once its time is over. */
+    private void makeRoom() {
+        boolean full = callers.size() >= MAX_CALLERS;
+        if (channel.isOpen() && channel.config().isAutoRead() == full) {
+            channel.config().setAutoRead(!full);
         }
+        if (!full || looking) {
+            return;
+        }
+        Call oldest = callers.stream().filter(c -> c.answered).findFirst().orElse(callers.peek());
+        double left = oldest.answered ? 0 : oldest.sinceMs + BEGIN_MS - System.nanoTime() / 1e6;
+        looking = true;
+        // Also where none is left: what the oldest has sent is read before this runs.
+        loop.schedule(() -> {
+            looking = false;
+            if (callers.size() >= MAX_CALLERS && callers.contains(oldest)) {
+                oldest.caller.close();
+            } else {
+                makeRoom();
+            }
+        }, (long) (Math.max(1, left) * 1e6), TimeUnit.NANOSECONDS);
     }
 
     private final class Call extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private boolean answered;
+        final Channel caller;
+        private final double sinceMs = System.nanoTime() / 1e6;
+        boolean answered;
+
+        Call(Channel caller) {
+            this.caller = caller;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
--- a/src/test/java/damsonworks/control/DoorTest.java
+++ b/src/test/java/damsonworks/control/DoorTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -103,6 +104,38 @@
         assertThat(active).isTrue();
     }
 
+    @Test
+    void threeHundredCallersAtOnceAreAllAnsweredAlsoBehindSilentOnes() throws Exception {
+        List<Socket> callers = new ArrayList<>();
+        try {
+            // They come while the loop is held up, so that all stand before the first is heard.
+            CountDownLatch go = new CountDownLatch(1);
+            group.next().execute(() -> {
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            for (int i = 0; i < 300; i++) {
+                Socket s = caller();
+                callers.add(s);
+                if (i >= 20) {
+                    s.getOutputStream().write(head("GET /status").getBytes());
+                }
+            }
+            go.countDown();
+            for (Socket s : callers.subList(20, 300)) {
+                assertThat(answer(s)).startsWith("HTTP/1.1 200 ");
+                s.close();
+            }
+        } finally {
+            for (Socket s : callers) {
+                s.close();
+            }
+        }
+    }
+
     @Test
     void callersThatSayNothingMakeRoomForCallsOldestFirst() throws Exception {
         List<Socket> silent = new ArrayList<>();
