--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -218,6 +218,44 @@
         }
     }
 
+    /** What goes wrong around an upgrade: begun in standby, two at once, the next one killed, the running one killed. */
+    @Test
+    void anUpgradeThatGoesWrongLeavesSomebodyWhoTakesClients() throws Exception {
+        int port = freePort();
+        int[] control = {freePort(), freePort(), freePort(), freePort()};
+        Process[] version = new Process[4];
+        try {
+            version[0] = start("serve", withControl(port, control[0]).toString());
+            awaitYes(control[0], version[0]);
+            assertThat(call(control[0], "POST /standby")).contains(" 200 ");
+            // Two at once, begun while the running one sends its clients away: both become ready, and active.
+            version[1] = start("serve", withControl(port, control[1]).toString());
+            version[2] = start("serve", withControl(port, control[2]).toString());
+            awaitYes(control[1], version[1]);
+            awaitYes(control[2], version[2]);
+            assertThat(call(control[0], "GET /status")).contains(" 503 ");
+            assertThat(call(control[0], "POST /active")).as("taken back while next ones run").contains(" 200 ");
+            // A next one dies before anybody made room for it: the others go on.
+            version[2].destroyForcibly().waitFor();
+            assertThat(asked(port)).isEqualTo("MN");
+            version[0].destroy();
+            assertThat(version[0].waitFor(60, TimeUnit.SECONDS)).isTrue();
+            assertThat(call(control[0], "GET /status")).isEmpty();
+            assertThat(asked(port)).isEqualTo("MN");
+            // Killed, it leaves the path of a socket that nobody listens on.
+            version[1].destroyForcibly().waitFor();
+            version[3] = start("serve", withControl(port, control[3]).toString());
+            awaitYes(control[3], version[3]);
+            assertThat(asked(port)).isEqualTo("MN");
+        } finally {
+            for (Process p : version) {
+                if (p != null) {
+                    p.destroyForcibly();
+                }
+            }
+        }
+    }
+
     @Test
     void aControlAddressThatIsTakenIsToldByName() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -434,6 +434,32 @@
         assertThat(refused[1]).isLessThan(10);
     }
 
+    /** Held to its deadline a request that is given up would keep its client from trying elsewhere: no time may pass. */
+    @Test
+    void whatIsGivenUpIsAnsweredInThatVeryMomentWithATimeToComeBack() {
+        Rig rig = Rig.aside().fleet(12);
+        rig.read(1, 1);
+        rig.end(rig.last(), Outcome.MISS);
+        rig.end(rig.last(), Outcome.FULL);
+        assertThat(rig.denied).containsExactly(1);
+        rig.write(2, Rig.UNSAFE);
+        rig.end(rig.last(), Outcome.ERROR);
+        assertThat(rig.failed).containsExactly(2);
+        int id = 3;
+        for (; rig.denied.size() < 50; id++) {
+            rig.now += 10;
+            int sent = rig.placed.size();
+            int answers = rig.answers();
+            rig.read(id, id);
+            if (rig.placed.size() > sent) {
+                rig.endAfter(rig.last(), Outcome.OK, 290);
+            } else {
+                assertThat(rig.answers()).as("request " + id).isEqualTo(answers + 1);
+            }
+        }
+        assertThat(rig.waits).allSatisfy(ms -> assertThat(ms).isBetween(1.0, 500.0));
+    }
+
     /** Late answers shed reads; timely ones again let all through. */
     @Test
     void crowdingShedsReadsAndEnds() {
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -32,6 +32,8 @@
 
     final List<Placed> placed = new ArrayList<>();
     final List<Integer> denied = new ArrayList<>();
+    /** Times to come back that the refusals told, in milliseconds. */
+    final List<Double> waits = new ArrayList<>();
     final List<Integer> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
     final List<Integer> asked = new ArrayList<>();
@@ -165,6 +167,7 @@
     @Override
     public void deny(int request, double retryAfterMs) {
         denied.add(request);
+        waits.add(retryAfterMs);
         orders.add("deny " + request);
     }
 
--- a/src/test/java/damsonworks/handover/HandoverTest.java
+++ b/src/test/java/damsonworks/handover/HandoverTest.java
@@ -15,6 +15,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -120,6 +124,45 @@
         assertThat(taken).isNotNull();
     }
 
+    @Test
+    void aPathThatIsALinkADirectoryOrASocketThatGivesNothingStopsNobody() throws Exception {
+        EpollServerSocketChannel listening = (EpollServerSocketChannel) counting(first, new AtomicInteger())
+                .channel(EpollServerSocketChannel.class).bind("127.0.0.1", 0).sync().channel();
+        int descriptor = listening.fd().intValue();
+        // A link is replaced itself; what it points to is left alone.
+        Path precious = Files.writeString(folder.resolve("precious"), "x");
+        Path link = Files.createSymbolicLink(Handover.path(folder, 1), precious);
+        assertThat(Handover.take(second, link, 30_000)).isNull();
+        Handover.offer(first, link, descriptor, null);
+        assertThat(Files.isSymbolicLink(link)).isFalse();
+        assertThat(precious).hasContent("x");
+        assertThat(Handover.take(second, link, 30_000)).isNotNull();
+        Path dangling = Files.createSymbolicLink(Handover.path(folder, 2), folder.resolve("nowhere"));
+        assertThat(Handover.take(second, dangling, 30_000)).isNull();
+        Handover.offer(first, dangling, descriptor, null);
+        assertThat(Handover.take(second, dangling, 30_000)).isNotNull();
+        Path directory = Files.createDirectories(Handover.path(folder, 3).resolve("full")).getParent();
+        assertThat(Handover.take(second, directory, 30_000)).isNull();
+        assertThatThrownBy(() -> Handover.offer(first, directory, descriptor, null)).isInstanceOf(IOException.class);
+        // One that takes the call and says nothing, and one that says what is no descriptor.
+        for (String said : new String[] {"", "noise"}) {
+            Path silent = folder.resolve("silent" + said.length());
+            try (ServerSocketChannel other = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+                other.bind(UnixDomainSocketAddress.of(silent));
+                Thread talker = new Thread(() -> {
+                    try {
+                        other.accept().write(ByteBuffer.wrap(said.getBytes()));
+                    } catch (IOException e) {
+                        // the test has ended
+                    }
+                });
+                talker.setDaemon(true);
+                talker.start();
+                assertThat(Handover.take(second, silent, 200)).isNull();
+            }
+        }
+    }
+
     @Test
     void noMoreThanTheBoundAskAtOnce() throws Exception {
         Path path = Handover.path(folder, 1);
