--- a/src/test/java/damsonworks/proxy/OperationsTest.java
+++ b/src/test/java/damsonworks/proxy/OperationsTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.util.Arrays;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -71,6 +73,34 @@
         }
     }
 
+    /** A value of 4 MiB to a client that stops reading, and a standby in its midst: calls are heard, the value comes whole. */
+    @Test
+    void statusIsAnsweredWhileALongValueStreamsAndAStandbyLetsItEnd() throws Exception {
+        byte[] value = new byte[MetaCodec.MAX_VALUE];
+        new Random(5).nextBytes(value);
+        ScriptedServer node = new ScriptedServer(c -> {
+            c.say("VA " + value.length + " O" + ScriptedServer.id(c.command()) + " h1\r\n");
+            c.out.write(value);
+            c.say("\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = fleet().node(node).start(); Fleet.Client reader = fleet.client()) {
+            reader.read("1");
+            assertThat(reader.line()).isEqualTo("VA " + value.length + " O1");
+            byte[] first = reader.bytes(1000);
+            for (int i = 0; i < 100; i++) {
+                assertThat(call(fleet, "GET /status")).isEqualTo("200");
+            }
+            assertThat(call(fleet, "POST /standby")).isEqualTo("200");
+            assertThat(call(fleet, "GET /status")).isEqualTo("503");
+            byte[] rest = reader.bytes(value.length - 1000);
+            assertThat(Arrays.equals(value, 0, 1000, first, 0, 1000)).isTrue();
+            assertThat(Arrays.equals(value, 1000, value.length, rest, 0, rest.length)).isTrue();
+            assertThat(reader.line()).isEmpty();
+            assertThat(reader.ended()).isTrue();
+        }
+    }
+
     @Test
     void aConnectionThatHasNotAskedYetIsNotEndedAsSoonAsItIsTaken() throws Exception {
         try (Fleet fleet = fleet().node("127.0.0.1:9").start(); Fleet.Client first = fleet.client()) {
