Let the tests of door, archive and log fail for the right cause; one handover path a build

Cause, found on reading: the door's test hung on the code before for its queue of 128, which showed nothing of callers ended unheard; the check for the flight recorder could not fail; a test of Netty's log could fail by other tests' lines; Operations was loaded by each start, also without a control address; two builds at once shared the training's path.

Change: connects are bounded, the recorder's classes are counted (8 off, 69 on), the log's lines filtered, the address is asked for first, training listens on a port of its own.

Measured: with the ending of unheard callers put back the door's test fails in 0.1 s; the touched tests pass.

--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -7,7 +7,9 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.config.Addresses;
 import damsonworks.wire.SettingsParser;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -57,10 +59,18 @@
                 Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
     }
 
-    /** The same with all that a platform may configure, on ports of the system's choice. */
-    Config forTraining() {
+    /**
+     * The same with all that a platform may configure, on ports of the system's choice. The listening one is chosen now:
+     * it names the path of the handover, which another build at the same time must not have.
+     */
+    Config forTraining() throws IOException {
         InetSocketAddress any = new InetSocketAddress(listen.getAddress(), 0);
-        return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, any, peers, peersAll, any, known, settings, zones,
+        InetSocketAddress chosen;
+        try (ServerSocket free = new ServerSocket()) {
+            free.bind(any);
+            chosen = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        return new Config(name, chosen, discovery, seed, cores, memoryMb, sockets, any, peers, peersAll, any, known, settings, zones,
                 kinds, idleCloseMs, streamsPerConnection);
     }
 
--- a/src/main/java/damsonworks/proxy/Operations.java
+++ b/src/main/java/damsonworks/proxy/Operations.java
@@ -77,8 +77,8 @@
      * Whether a process that this one is to follow seems to serve. One that was killed may have left its path behind; then
      * this one starts with more care than it needs.
      */
-    static boolean standsBeside(Config config, Path folder) {
-        return config.control() != null && Files.exists(Handover.path(folder, config.listen().getPort()));
+    static boolean standsBeside(InetSocketAddress listen, Path folder) {
+        return Files.exists(Handover.path(folder, listen.getPort()));
     }
 
     InetSocketAddress address() {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -35,7 +35,8 @@
     private Proxy(Config config, boolean warm) throws InterruptedException {
         this.config = config;
         if (warm) {
-            WarmUp.run(loop, config, WarmUpPlan.of(config.settings().instances(), Operations.standsBeside(config, folder())));
+            boolean beside = config.control() != null && Operations.standsBeside(config.listen(), folder());
+            WarmUp.run(loop, config, WarmUpPlan.of(config.settings().instances(), beside));
         }
         core = Core.of(loop, config, Transport.BEST.socket());
         dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -288,10 +288,11 @@
             process.destroyForcibly().waitFor();
         }
         List<String> read = Files.readAllLines(folder.resolve("classes.txt")).stream()
-                .filter(l -> l.contains("source: file:") || l.contains("jdk.jfr.internal")).map(l -> l.replaceFirst("^\\S* ", "")).toList();
+                .filter(l -> l.contains("source: file:") || l.contains(" jdk.jfr.")).toList();
         // One or two hang on which of two events comes first.
         assertThat(read.stream().filter(l -> l.contains("source: file:")).toList()).as("not archived").hasSizeLessThan(6);
-        assertThat(read.stream().filter(l -> l.contains("FlightRecorder")).toList()).as("the recorder").isEmpty();
+        // To find that it is off loads 8 of the recorder's classes; on, 69.
+        assertThat(read.stream().filter(l -> l.contains(" jdk.jfr.")).toList()).as("the recorder").hasSizeLessThan(20);
     }
 
     private static void hangup(Process process) throws Exception {
--- a/src/test/java/damsonworks/control/DoorTest.java
+++ b/src/test/java/damsonworks/control/DoorTest.java
@@ -46,8 +46,9 @@
     }
 
     private Socket caller() throws IOException {
-        Socket s = new Socket(InetAddress.getByName("127.0.0.1"), door.address().getPort());
-        s.setSoTimeout(30_000);
+        Socket s = new Socket();
+        s.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), door.address().getPort()), 10_000);
+        s.setSoTimeout(10_000);
         return s;
     }
 
--- a/src/test/java/damsonworks/proxy/NettyLogTest.java
+++ b/src/test/java/damsonworks/proxy/NettyLogTest.java
@@ -30,7 +30,9 @@
         } finally {
             System.setErr(standard);
         }
-        String[] lines = told.toString(StandardCharsets.UTF_8).split("\n");
+        // What other tests' loops have to say meanwhile is not ours.
+        String[] lines = told.toString(StandardCharsets.UTF_8).lines().filter(l -> l.startsWith("netty: Pipeline"))
+                .toArray(String[]::new);
         assertThat(lines).hasSize(NettyLog.MAX_LINES);
         assertThat(lines[0]).isEqualTo("netty: Pipeline: An exception x reached the end:: java.io.IOException: reset");
         assertThat(lines[1]).isEqualTo("netty: Pipeline: two");
