Begin a silent watch anew once servers that the list calls ready refuse connections

A trace of each proxy's view, counted over all 14: the eight that were not restarted held the list of before the release at 24 s still, 60 servers of which 38 refused them; only the six that started anew knew of the change. Their watches had fallen silent, which DiscoveryClient takes for no news until the watch's 20 s and 4 more are over. Ruled out: that the restarted ones were at fault (they served as before), that the list came and was not read (no list event at all). The change: ListDoubt, free of I/O, holds which ready servers refuse connections without any news since; after discovery's notice (a tenth of the time within which a proxy must ask where they are many, 0.35 of it for one), and later by the proxy's number, the watch is begun anew; each such call without a change doubles the next wait.

--- a/src/main/java/damsonworks/daemon/PoolRunner.java
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -64,7 +64,7 @@
             list();
         } else {
             DaemonFile.Discovery d = spec.discovery();
-            DiscoveryClient client = new DiscoveryClient(core.loop(),
+            DiscoveryClient client = new DiscoveryClient(core,
                     new DiscoveryClient.Source(d.address(), null, true, d.zones(), d.kinds()), dispatcher);
             dispatcher.start(client);
             client.start();
--- a/src/main/java/damsonworks/proxy/Core.java
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -199,7 +199,7 @@
         return loop;
     }
 
-    /** Who is told of servers that refuse connections and of those that take them again. */
+    /** Adds one that is told of servers that refuse connections and of those that take them again. */
     public void observe(Servers.Observer observer) {
         servers.observe(observer);
     }
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -5,8 +5,10 @@
 import com.google.gson.JsonParser;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.config.Addresses;
+import damsonworks.membership.ListDoubt;
 import damsonworks.placement.ServerId;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -36,13 +38,21 @@
 import java.util.function.Consumer;
 
 /** Follows discovery's list of servers for one pool. */
-public final class DiscoveryClient implements Dispatcher.ListSource {
+public final class DiscoveryClient implements Dispatcher.ListSource, Servers.Observer {
     private static final int WAIT_MS = 20_000;
     /** How much longer than its wait a call may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
     private static final int CONNECT_MS = 1000;
     private static final int AGAIN_MS = 250;
     private static final int MAX_LIST = 4 << 20;
+    /**
+     * What discovery may take to tell of a process that has ended, as a part of the time after which a proxy has to ask. The
+     * operators name 3.1 s as the most they saw, where that is 10 s, and news come in rounds of up to half a second.
+     */
+    private static final double NOTICE = 0.35;
+    private static final double QUICK = 0.1;
+    /** No call is put off for longer, as a part of the same. */
+    private static final double LONGEST_DELAY = 0.25;
 
     /** A server of the list. */
     public record Host(Member member, SocketAddress dial) { }
@@ -60,7 +70,9 @@
         }
     }
 
+    private final Core core;
     private final EventLoop loop;
+    private final ListDoubt doubt;
     private final Source source;
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
@@ -69,8 +81,13 @@
     private long version;
     private boolean closed;
 
-    public DiscoveryClient(EventLoop loop, Source source, Dispatcher dispatcher) {
-        this.loop = loop;
+    public DiscoveryClient(Core core, Source source, Dispatcher dispatcher) {
+        this.core = core;
+        loop = core.loop();
+        Settings settings = dispatcher.settings();
+        double within = settings.askWithinMs();
+        double spread = Math.min(within * LONGEST_DELAY, settings.instances() * settings.connectTimeoutMs());
+        doubt = new ListDoubt(within * NOTICE, within * QUICK, spread * settings.me() / Math.max(1, settings.instances()));
         this.source = source;
         this.dispatcher = dispatcher;
         address = source.address();
@@ -103,6 +120,8 @@
             }
         }
         dispatcher.listed(ListKind.CACHED, known);
+        doubt.told(true, known.stream().map(Host::member).toList());
+        core.observe(this);
         if (!source.ask()) {
             watch(true);
         }
@@ -120,6 +139,7 @@
     @Override
     public void close() {
         closed = true;
+        core.servers.forget(this);
         listLine.close();
         watchLine.close();
     }
@@ -165,9 +185,31 @@
             throw new IllegalArgumentException("changes up to " + seq + " after " + version);
         }
         version = seq;
+        doubt.told(whole, hosts.stream().map(Host::member).toList());
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
+    @Override
+    public void refused(int server) {
+        if (doubt.refused(core.now(), server)) {
+            core.after(doubt.dueAt() - core.now(), this::doubt);
+        }
+    }
+
+    @Override
+    public void connected(int server) {
+        doubt.connected(server);
+    }
+
+    /** A watch that has fallen silent is begun anew; between two watches the module asks by itself. */
+    private void doubt() {
+        if (!closed && doubt.ask(core.now()) && watchLine.waiting != null) {
+            dispatcher.log("discovery: servers it calls ready refuse connections, asking anew");
+            watchLine.close();
+            watch(true);
+        }
+    }
+
     private void failed(RuntimeException cause) {
         dispatcher.log("discovery: " + cause.getMessage());
         dispatcher.listed(ListKind.FAILED, List.of());
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -43,7 +43,7 @@
         peers = new PeerSocket(loop, config, dispatcher::heard);
         clients = new Clients(core, Math.max(16, config.sockets() - config.sockets() / 3
                 - OWN_DESCRIPTORS - (config.control() == null ? 0 : Operations.DESCRIPTORS)));
-        discovery = new DiscoveryClient(loop, DiscoveryClient.Source.of(config), dispatcher);
+        discovery = new DiscoveryClient(core, DiscoveryClient.Source.of(config), dispatcher);
         loop.submit(() -> {
             dispatcher.start(discovery, peers);
             discovery.start();
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * The servers of all pools. One that stands in several pools under the same id and address is one: its connections
@@ -25,22 +26,29 @@
     /** Those that no pool holds any more and that still have connections with attempts. */
     private final List<Upstream> leaving = new ArrayList<>();
 
-    private Observer observer;
+    /** One for the process and one for each pool that follows discovery. */
+    private final List<Observer> observers = new CopyOnWriteArrayList<>();
 
     Servers(Core core) {
         this.core = core;
     }
 
     void observe(Observer by) {
-        observer = by;
+        observers.add(by);
+    }
+
+    void forget(Observer by) {
+        observers.remove(by);
     }
 
     void opened(Upstream u, Throwable failure) {
-        if (observer != null && failure == null) {
-            observer.connected(u.id);
-        } else if (observer != null && failure instanceof java.net.ConnectException
-                && !(failure instanceof io.netty.channel.ConnectTimeoutException)) {
-            observer.refused(u.id);
+        boolean refused = failure instanceof java.net.ConnectException && !(failure instanceof io.netty.channel.ConnectTimeoutException);
+        for (Observer o : observers) {
+            if (failure == null) {
+                o.connected(u.id);
+            } else if (refused) {
+                o.refused(u.id);
+            }
         }
     }
 
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -93,6 +93,33 @@
         }
     }
 
+    /** Its first watch falls silent for good; without a doubt it would be believed for 24 s, past the next change. */
+    @Test
+    void aWatchThatFellSilentIsBegunAnewWhenServersThatItCallsReadyRefuseConnections() throws Exception {
+        ScriptedServer successor = hits();
+        ScriptedServer gone = hits();
+        gone.close();
+        CountDownLatch told = new CountDownLatch(1);
+        ScriptedServer discovery = new ScriptedServer(c -> {
+            c.request();
+            if (told.getCount() == 0) {
+                c.sayHttp(200, "", list(successor, true));
+                c.request();
+            }
+            told.countDown();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(gone.dial()).discovery(discovery).set("caps.connect-timeout", "50.0")
+                .set("guarantees.ask-within", "200.0").start()) {
+            fleet.parts.add(successor);
+            assertThat(discovery.next()).contains("since=41&");
+            assertThat(served(fleet)).startsWith("SERVER_ERROR busy"); // refused, and no origin to go to
+            assertThat(discovery.next()).contains("since=41&");
+            assertThat(discovery.next()).contains("since=43&");
+            assertThat(served(fleet)).isEqualTo("VA 5 O1");
+        }
+    }
+
     @Test
     void aConnectionInUseToAServerThatMovedOrWentEndsWithItsLastAnswer() throws Exception {
         for (String health : new String[] {"up", "removed"}) {
