Keep to one connection a cache node, and off full nodes, where nodes turn connections away

Counted over all 14 proxies, each node held 13 to 15 connections at most, and proxies 0, 1 or 2 each: the fixed bound of 28 by the number of proxies allows two, seven proxies take a node's whole room, the others have none and try anew with each request. Each try is an attempt across data centres, and its request goes on to a runner-up that lacks the key. The change: a connection that a node ended after busy alone was turned away. NodeRoom (free of I/O) then lets 0.5 to 4 s pass before the next try at that node, and for 30 s after any such end no node gets a second connection, and idle second ones are closed. An attempt without a connection to a cache node ends as not sent; as a failed connect it spoke against a sound node.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -520,8 +520,8 @@
         if (wait < left) {
             a.timer = core.after(wait, () -> expire(a));
         }
-        if (!u.send(a)) {
-            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null, null));
+        if (!u.send(a)) { // want of room on our side says nothing against a sound node
+            tell(() -> end(a, u.origin ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT, 0, null, null, null));
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.connections.NodeRoom;
 import io.netty.util.collection.IntObjectHashMap;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -27,6 +28,7 @@
     private final List<Upstream> leaving = new ArrayList<>();
 
     /** One for the process and one for each pool that follows discovery. */
+    final NodeRoom.Shortage shortage = new NodeRoom.Shortage();
     private final List<Observer> observers = new CopyOnWriteArrayList<>();
 
     Servers(Core core) {
@@ -89,6 +91,9 @@
     void sweep(Iterable<Upstream> of, double now, double idleSinceMs) {
         for (Upstream u : of) {
             u.closeIdle(idleSinceMs);
+            if (!u.origin && shortage.scarce(now)) {
+                u.closeSpare();
+            }
             u.sweep(now);
         }
         leaving.removeIf(u -> {
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.connections.NodeRoom;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -26,12 +27,14 @@
     /** The same, with those on which a long answer waits for its client. */
     private final int mostConnections;
     private final int maxDepth;
+    private final NodeRoom room;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
     Upstream(int id, boolean origin, Core core, Dispatcher.Pool pool) {
         this.id = id;
         this.origin = origin;
         this.core = core;
+        room = new NodeRoom(core.servers.shortage);
         bootstrap = core.bootstrap(pool.settings().connectTimeoutMs());
         maxConnections = origin ? pool.originConnections() : pool.cacheConnections();
         mostConnections = Math.max(maxConnections, pool.mostConnections());
@@ -47,7 +50,7 @@
         UpstreamConnection best = pick(false);
         if ((best == null || best.depth() > 0)
                 && connections.size() - onLong() < maxConnections && connections.size() < mostConnections
-                && core.roomUpstream()) {
+                && (origin || room.mayOpen(core.now(), connections.size())) && core.roomUpstream()) {
             best = open();
         }
         if (best == null || !best.usable(maxDepth)) { // a new one may have failed at once, for want of a descriptor
@@ -120,6 +123,25 @@
         }
     }
 
+    /** All idle ones but one. */
+    void closeSpare() {
+        UpstreamConnection kept = pick(true);
+        for (UpstreamConnection c : List.copyOf(connections)) {
+            if (c != kept && c.empty() && c.connected()) {
+                c.close();
+            }
+        }
+    }
+
+    /** Whether the server had room for a new connection. */
+    void room(boolean taken) {
+        if (taken) {
+            room.taken();
+        } else if (!origin) {
+            room.turnedAway(core.now());
+        }
+    }
+
     /**
      * Its server is gone, restarted or elsewhere: nothing more goes out on what stands to it. Connections in use
      * end with their last attempt, else one to a silent machine, or to a stranger at its address, would be sent to.
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -51,6 +51,9 @@
     private boolean watched;
     private boolean reading;
     private boolean flushing;
+    /** Whether the server has answered on it, and whether otherwise than by busy. */
+    private boolean answered;
+    private boolean taken;
     private final Runnable flush = this::flush;
 
     UpstreamConnection(Upstream upstream) {
@@ -225,6 +228,11 @@
         Attempt attempt = attempts.poll();
         begun = false;
         partial = false;
+        answered = true;
+        if (!taken && outcome != Outcome.FULL) {
+            taken = true;
+            upstream.room(true);
+        }
         if (attempt.ended) {
             givenUp--;
         }
@@ -286,6 +294,10 @@
             return;
         }
         closed = true;
+        // Busy, and closed without ever having served: it had no room for the connection, whatever its queue.
+        if (answered && !taken && !retired) {
+            upstream.room(false);
+        }
         upstream.closed(this);
         for (Attempt a; (a = attempts.poll()) != null;) {
             if (!a.begun && !a.ended && (connected ? upstream.send(a) : upstream.sendElsewhere(a))) {
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -73,6 +73,23 @@
         }
     }
 
+    /** A node that takes so many connections answers one too many by busy and ends it; each try would cost an attempt. */
+    @Test
+    void aNodeWithoutRoomForAConnectionIsNotTriedAnewForEachRequest() throws Exception {
+        ScriptedServer full = new ScriptedServer(c -> {
+            c.command();
+            c.say("SERVER_ERROR busy\r\n");
+        });
+        try (Fleet fleet = new Fleet().node(full).origin(origin(200, "", "fetch")).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 40; i++) {
+                client.read("a" + i);
+                assertThat(client.line()).isEqualTo("VA 5 Oa" + i);
+                client.line();
+            }
+            assertThat(full.accepted.size()).as("of 40 requests; a fifth try comes 7.5 s after the first").isBetween(1, 5);
+        }
+    }
+
     @Test
     void anOriginThatRefusesConnectionsIsKnownAtOnceNotToHaveRunTheWrite() throws Exception {
         Fleet setup = new Fleet().node(ScriptedServer.node(UpstreamTest::hit));
