Give cold nodes their part also where the others are crowded

Policy.warmEnough gave a cold node half of what it can do, divided by the crowd's pressure, 2 to 4 then: some 5% of its part. So the new nodes stayed empty, the old ones crowded, and the pressure that kept the new ones empty high, for as long as their warm-up lasted. The change: a cold node's part is what it can do, divided by 1.5 at most.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -19,10 +19,10 @@
     private static final double DOUBT_SHARE = 0.05;
     private static final double DOUBT_SAVED = 5;
     /**
-     * A cold server takes this part less than it could: with half the fleet gone each key set is twice as
-     * large.
+     * Where servers are crowded a cold one takes less than it could, but this part at least: kept empty, it
+     * leaves the crowd to the others. Repeats and the keys of those that left make a fourfold load at most.
      */
-    private static final double COLD_MARGIN = 2;
+    private static final double MOST_CROWDED = 1.5;
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
 
@@ -756,7 +756,7 @@
         }
         double age = now - s.member.bornMs();
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
-        double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
+        double ramp = capacity / Math.min(MOST_CROWDED, crowd.pressure(now));
         boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.own * s.share;
         return fair && Carp.lot(f.keyHash, s.hash) < ramp && admission.cold(now, s.member);
     }
