Let proxies tell one another which version of the list they have

Who has a new version now tells all others in nine bytes, each at its moment, and who heard it from two says nothing. Whoever is behind for a tenth of the time within which it must ask begins its watch anew. The datagram says nothing of any node, so one that is lost, late, doubled or forged costs four calls at most. Off where the settings allow no datagrams. Not taken: sending the changes themselves (a node that only a peer names may not be used), and guessing at releases from busy answers (at one request a second and node, a full queue and a drain look alike for 3 s).

--- a/src/main/java/damsonworks/membership/ListDoubt.java
+++ b/src/main/java/damsonworks/membership/ListDoubt.java
@@ -14,6 +14,8 @@
  * replaced half the fleet. What tells them apart are servers that are ready on the list and refuse connections: discovery
  * sees within its notice that a process has ended, so where it says nothing for longer, it is not heard.
  *
+ * <p>Where proxies may talk, another that has a later version shows the same, and sooner ({@link ListNews}).
+ *
  * <p>One such server is waited for as long as discovery may take to notice it. Many at once are hardly chance, and time
  * is short. Each doubt that brought no change doubles the wait for the next, as a server may stay down and listed. Proxies
  * doubt together, and discovery has room for few calls: each adds a delay by its number among them.
@@ -35,6 +37,10 @@
     private final Set<Integer> refusing = new HashSet<>();
     private double firstAt;
     private double manyAt;
+    /** Since when another proxy is known to have a later version; and which. */
+    private double behindAt = Double.POSITIVE_INFINITY;
+    private long version;
+    private long claimed = Long.MIN_VALUE;
     private int doublings;
 
     /**
@@ -49,8 +55,18 @@
         calm();
     }
 
-    /** Discovery has answered. @param whole whether with the whole list, else with what has changed, perhaps nothing */
-    public void told(boolean whole, Collection<Member> members) {
+    /**
+     * Discovery has answered.
+     *
+     * @param seq the list's version
+     * @param whole whether with the whole list, else with what has changed, perhaps nothing
+     */
+    public void told(long seq, boolean whole, Collection<Member> members) {
+        version = seq;
+        if (seq >= claimed && behindAt < Double.POSITIVE_INFINITY) {
+            behindAt = Double.POSITIVE_INFINITY;
+            doublings = 0;
+        }
         if (whole) {
             ready.clear();
         }
@@ -92,9 +108,26 @@
         }
     }
 
+    /** Another proxy says that it has this version. @return whether {@link #dueAt} is earlier than before */
+    public boolean claimed(double now, long seq) {
+        if (seq <= Math.max(version, claimed)) {
+            return false;
+        }
+        double before = dueAt();
+        claimed = seq;
+        behindAt = Math.min(behindAt, now);
+        return dueAt() < before;
+    }
+
+    /** Discovery begins to count anew, so that what others have claimed says nothing. */
+    public void forgetVersions() {
+        claimed = Long.MIN_VALUE;
+        behindAt = Double.POSITIVE_INFINITY;
+    }
+
     /** When to ask anew, if nothing is told until then; infinite: no need is seen. */
     public double dueAt() {
-        return Math.min(firstAt + noticeMs * (1 << doublings), manyAt + quickMs * (1 << doublings)) + delayMs;
+        return Math.min(firstAt + noticeMs * (1 << doublings), Math.min(manyAt, behindAt) + quickMs * (1 << doublings)) + delayMs;
     }
 
     /** Whether to ask anew now; if so it counts as done. */
@@ -104,6 +137,8 @@
         }
         doublings = Math.min(MOST_DOUBLINGS, doublings + 1);
         calm();
+        // The new call may fall silent, too. What discovery never has, nobody can have got from it.
+        behindAt = doublings < MOST_DOUBLINGS && behindAt < Double.POSITIVE_INFINITY ? now : Double.POSITIVE_INFINITY;
         return true;
     }
 }
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -9,6 +9,7 @@
 import damsonworks.RoutingApi.State;
 import damsonworks.config.Addresses;
 import damsonworks.membership.ListDoubt;
+import damsonworks.membership.ListNews;
 import damsonworks.placement.ServerId;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -51,6 +52,8 @@
      */
     private static final double NOTICE = 0.35;
     private static final double QUICK = 0.1;
+    /** Within which all proxies tell of a version, one after another; several times as long as a message takes. */
+    private static final double NEWS = 0.03;
     /** No call is put off for longer, as a part of the same. */
     private static final double LONGEST_DELAY = 0.25;
 
@@ -73,6 +76,8 @@
     private final Core core;
     private final EventLoop loop;
     private final ListDoubt doubt;
+    private final ListNews news = new ListNews();
+    private final double newsMs;
     private final Source source;
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
@@ -87,7 +92,9 @@
         Settings settings = dispatcher.settings();
         double within = settings.askWithinMs();
         double spread = Math.min(within * LONGEST_DELAY, settings.instances() * settings.connectTimeoutMs());
-        doubt = new ListDoubt(within * NOTICE, within * QUICK, spread * settings.me() / Math.max(1, settings.instances()));
+        double place = (double) settings.me() / Math.max(1, settings.instances());
+        doubt = new ListDoubt(within * NOTICE, within * QUICK, spread * place);
+        newsMs = within * NEWS * place;
         this.source = source;
         this.dispatcher = dispatcher;
         address = source.address();
@@ -103,6 +110,8 @@
         }
         address = to;
         version = 0;
+        news.forget();
+        doubt.forgetVersions();
         listLine.close();
         watchLine.close();
         watch(true);
@@ -120,7 +129,9 @@
             }
         }
         dispatcher.listed(ListKind.CACHED, known);
-        doubt.told(true, known.stream().map(Host::member).toList());
+        news.told(version);
+        news.message();
+        doubt.told(version, true, known.stream().map(Host::member).toList());
         core.observe(this);
         if (!source.ask()) {
             watch(true);
@@ -185,7 +196,10 @@
             throw new IllegalArgumentException("changes up to " + seq + " after " + version);
         }
         version = seq;
-        doubt.told(whole, hosts.stream().map(Host::member).toList());
+        if (news.told(seq)) {
+            core.after(newsMs, this::tellNews);
+        }
+        doubt.told(seq, whole, hosts.stream().map(Host::member).toList());
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
@@ -201,10 +215,32 @@
         doubt.connected(server);
     }
 
+    private void tellNews() {
+        byte[] message = closed ? null : news.message();
+        if (message != null) {
+            dispatcher.tell(-1, message);
+        }
+    }
+
+    /** A message of another proxy that {@link ListNews#is} one of the list's version. */
+    void heard(byte[] message) {
+        long seq = ListNews.version(message);
+        news.heard(seq);
+        if (doubt.claimed(core.now(), seq)) {
+            core.after(doubt.dueAt() - core.now(), this::doubt);
+        }
+    }
+
     /** A watch that has fallen silent is begun anew; between two watches the module asks by itself. */
     private void doubt() {
-        if (!closed && doubt.ask(core.now()) && watchLine.waiting != null) {
-            dispatcher.log("discovery: servers it calls ready refuse connections, asking anew");
+        if (closed || !doubt.ask(core.now())) {
+            return;
+        }
+        if (doubt.dueAt() < Double.POSITIVE_INFINITY) {
+            core.after(doubt.dueAt() - core.now(), this::doubt);
+        }
+        if (watchLine.waiting != null) {
+            dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
             watchLine.close();
             watch(true);
         }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -4,6 +4,7 @@
 import damsonworks.lifecycle.Lifecycle;
 import damsonworks.lifecycle.Lifecycle.Periods;
 import damsonworks.lifecycle.WarmUpPlan;
+import damsonworks.membership.ListNews;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
@@ -40,7 +41,7 @@
         }
         core = Core.of(loop, config, Transport.BEST.socket());
         dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
-        peers = new PeerSocket(loop, config, dispatcher::heard);
+        peers = new PeerSocket(loop, config, this::heard);
         clients = new Clients(core, Math.max(16, config.sockets() - config.sockets() / 3
                 - OWN_DESCRIPTORS - (config.control() == null ? 0 : Operations.DESCRIPTORS)));
         discovery = new DiscoveryClient(core, DiscoveryClient.Source.of(config), dispatcher);
@@ -59,6 +60,14 @@
         }
     }
 
+    private void heard(int peer, byte[] message) {
+        if (!ListNews.is(message)) {
+            dispatcher.heard(peer, message);
+        } else if (discovery != null) {
+            discovery.heard(message);
+        }
+    }
+
     /** The folder that a process shares with its next version. */
     private static Path folder() {
         return Path.of(System.getenv().getOrDefault("TMPDIR", "/tmp"));
--- a/src/test/java/damsonworks/membership/ListDoubtTest.java
+++ b/src/test/java/damsonworks/membership/ListDoubtTest.java
@@ -17,7 +17,7 @@
     }
 
     private void listed(int servers) {
-        doubt.told(true, IntStream.rangeClosed(1, servers).mapToObj(i -> member(i, State.READY)).toList());
+        doubt.told(41, true, IntStream.rangeClosed(1, servers).mapToObj(i -> member(i, State.READY)).toList());
     }
 
     @Test
@@ -55,7 +55,7 @@
     void newsEndTheDoubtAndSoDoesAServerThatIsThereAgain() {
         listed(60);
         doubt.refused(0, 7);
-        doubt.told(false, List.of());
+        doubt.told(42, false, List.of());
         assertThat(doubt.dueAt()).isInfinite();
         doubt.refused(0, 7);
         doubt.refused(0, 8);
@@ -68,7 +68,7 @@
     @Test
     void serversThatAreNotReadyOnTheListSayNothing() {
         listed(60);
-        doubt.told(false, List.of(member(7, State.DRAINING), member(8, State.GONE)));
+        doubt.told(42, false, List.of(member(7, State.DRAINING), member(8, State.GONE)));
         assertThat(doubt.refused(0, 7) || doubt.refused(0, 8) || doubt.refused(0, 61)).isFalse();
         assertThat(doubt.dueAt()).isInfinite();
     }
@@ -83,13 +83,42 @@
             waits.add(doubt.dueAt() - now);
             now = doubt.dueAt();
             assertThat(doubt.ask(now)).isTrue();
-            doubt.told(false, List.of(member(9, State.READY))); // news, but not of this one
+            doubt.told(42, false, List.of(member(9, State.READY))); // news, but not of this one
         }
         assertThat(waits).containsExactly(3700.0, 7200.0, 14200.0, 28200.0, 56200.0, 56200.0, 56200.0);
         doubt.refused(now, 7);
-        doubt.told(false, List.of(member(7, State.DRAINING)));
-        doubt.told(false, List.of(member(7, State.READY)));
+        doubt.told(42, false, List.of(member(7, State.DRAINING)));
+        doubt.told(42, false, List.of(member(7, State.READY)));
         doubt.refused(now, 7);
         assertThat(doubt.dueAt()).isEqualTo(now + 3700);
     }
+
+    @Test
+    void anotherProxysLaterVersionIsWaitedForAsLongAsItMayTakeAndThenAskedFor() {
+        listed(60);
+        assertThat(doubt.claimed(1000, 41)).isFalse();
+        assertThat(doubt.claimed(1000, 43)).isTrue();
+        assertThat(doubt.claimed(1500, 43)).isFalse();
+        assertThat(doubt.dueAt()).isEqualTo(1000 + 1000 + 200);
+        doubt.told(42, false, List.of());
+        assertThat(doubt.dueAt()).isEqualTo(2200); // still behind
+        doubt.told(43, false, List.of());
+        assertThat(doubt.dueAt()).isInfinite();
+    }
+
+    @Test
+    void aVersionThatDiscoveryNeverHasIsAskedForAFewTimesAndForgotten() {
+        listed(60);
+        doubt.claimed(0, Long.MAX_VALUE);
+        int asked = 0;
+        for (double now = 0; doubt.dueAt() < Double.POSITIVE_INFINITY; asked++) {
+            now = doubt.dueAt();
+            assertThat(doubt.ask(now)).isTrue();
+            doubt.told(41, false, List.of());
+        }
+        assertThat(asked).isEqualTo(4);
+        assertThat(doubt.claimed(1e6, Long.MAX_VALUE)).isFalse();
+        doubt.refused(1e6, 7);
+        assertThat(doubt.dueAt()).isFinite();
+    }
 }
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -5,6 +5,12 @@
 import damsonworks.standin.ScriptedServer;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -120,6 +126,36 @@
         }
     }
 
+    /** It refuses nothing and says nothing; noise, cut messages and versions that it has already change nothing. */
+    @Test
+    void aWatchThatFellSilentIsBegunAnewWhenAnotherProxyHasALaterVersion() throws Exception {
+        ScriptedServer discovery = new ScriptedServer(c -> {
+            c.request();
+            c.awaitEnd();
+        });
+        try (DatagramSocket other = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+            Fleet setup = new Fleet().node(hits()).discovery(discovery).set("caps.connect-timeout", "50.0")
+                    .set("guarantees.ask-within", "200.0");
+            JsonArray peers = new JsonArray();
+            peers.add("127.0.0.1:" + other.getLocalPort());
+            setup.config.add("peers", peers);
+            setup.config.addProperty("peer_listen", "127.0.0.1:0");
+            try (Fleet fleet = setup.start()) {
+                assertThat(discovery.next()).contains("since=41&");
+                SocketAddress to = fleet.proxy.peerAddress();
+                for (byte[] message : List.of(new byte[256], new byte[] {'V'}, version(41), version(40), version(42))) {
+                    other.send(new DatagramPacket(message, message.length, to));
+                }
+                assertThat(discovery.next()).contains("since=41&");
+                assertThat(served(fleet)).isEqualTo("VA 5 O1");
+            }
+        }
+    }
+
+    private static byte[] version(long seq) {
+        return ByteBuffer.allocate(9).put((byte) 'V').putLong(seq).array();
+    }
+
     @Test
     void aConnectionInUseToAServerThatMovedOrWentEndsWithItsLastAnswer() throws Exception {
         for (String health : new String[] {"up", "removed"}) {
