--- a/src/main/java/damsonworks/connections/NodeRoom.java
+++ b/src/main/java/damsonworks/connections/NodeRoom.java
@@ -25,8 +25,8 @@
     }
 
     /** Others' connections end by chance, at a restart, or for having stood idle. */
-    static final double FIRST_WAIT_MS = 500;
-    static final double LONGEST_WAIT_MS = 4000;
+    private static final double FIRST_WAIT_MS = 500;
+    private static final double LONGEST_WAIT_MS = 4000;
 
     private final Shortage shortage;
     private double waitMs = FIRST_WAIT_MS;
@@ -50,7 +50,7 @@
         fullUntilMs = Double.NEGATIVE_INFINITY;
     }
 
-    /** Whether a connection may be tried where so many stand. */
+    /** Whether a connection may be tried where so many stand, not counting those taken up by long answers. */
     public boolean mayOpen(double now, int standing) {
         return now >= fullUntilMs && (standing == 0 || !shortage.scarce(now));
     }
--- a/src/main/java/damsonworks/membership/ListNews.java
+++ b/src/main/java/damsonworks/membership/ListNews.java
@@ -5,49 +5,48 @@
 /**
  * What proxies tell one another of discovery's list: the version they have, no more. Whoever hears of a later one than its
  * own knows that there is something to ask for; what it says only discovery tells. So a message that is lost, late, doubled
- * or forged costs a call at most.
+ * or forged costs a few calls at most ({@link ListDoubt}).
  *
- * <p>All hear of a change at nearly the same time. Each waits for a moment of its own, and who has heard from
- * {@link #ENOUGH} others by then says nothing: a change takes a few messages, however many proxies there are.
+ * <p>All hear of a change within a second or two. Each waits for a moment of its own, and who has heard the same version from
+ * two others by then, before or after it was told itself, says nothing: a change takes few messages, however many proxies
+ * there are, and of two messages one may be lost.
  */
 public final class ListNews {
-    /** Proxies that must have told of a version for one more to be of no use: of two messages one may be lost. */
-    static final int ENOUGH = 2;
     /** Bytes: a mark, and the version. */
     static final int LENGTH = 9;
     private static final byte MARK = 'V';
 
-    private long version = Long.MIN_VALUE;
     private boolean owed;
-    private int others;
+    /** The latest version that others have told, the first who did, and whether another did. */
+    private long heard = Long.MIN_VALUE;
+    private int first;
+    private boolean enough;
 
-    /** Discovery has told of this version. @return whether it is new, so that {@link #message} is to be asked in a moment */
-    public boolean told(long seq) {
-        if (seq <= version) {
-            return false;
-        }
-        version = seq;
+    /** Discovery has told of a new version: {@link #message} is to be asked in a moment. */
+    public void told() {
         owed = true;
-        others = 0;
-        return true;
     }
 
     /** Discovery begins to count anew. */
     public void forget() {
-        version = Long.MIN_VALUE;
         owed = false;
+        heard = Long.MIN_VALUE;
     }
 
-    /** Another proxy has this version. */
-    public void heard(long seq) {
-        if (seq >= version) {
-            others++;
+    /** Another proxy, by its number, has this version. */
+    public void heard(int peer, long seq) {
+        if (seq > heard) {
+            heard = seq;
+            first = peer;
+            enough = false;
+        } else if (seq == heard && peer != first) {
+            enough = true;
         }
     }
 
-    /** The message to send to all; null: there is none to send. */
-    public byte[] message() {
-        boolean send = owed && others < ENOUGH;
+    /** The message to send to all, with the version held here; null: there is none to send. */
+    public byte[] message(long version) {
+        boolean send = owed && !(enough && heard == version);
         owed = false;
         return send ? ByteBuffer.allocate(LENGTH).put(MARK).putLong(version).array() : null;
     }
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -11,6 +11,7 @@
 import damsonworks.membership.ListDoubt;
 import damsonworks.membership.ListNews;
 import damsonworks.placement.ServerId;
+import damsonworks.proxy.Timers.Timer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -78,6 +79,8 @@
     private final ListDoubt doubt;
     private final ListNews news = new ListNews();
     private final double newsMs;
+    private Timer looking;
+    private double lookAt = Double.POSITIVE_INFINITY;
     private final Source source;
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
@@ -129,8 +132,6 @@
             }
         }
         dispatcher.listed(ListKind.CACHED, known);
-        news.told(version);
-        news.message();
         doubt.told(version, true, known.stream().map(Host::member).toList());
         core.observe(this);
         if (!source.ask()) {
@@ -195,19 +196,19 @@
         if (!whole && seq < version) {
             throw new IllegalArgumentException("changes up to " + seq + " after " + version);
         }
-        version = seq;
-        if (news.told(seq)) {
+        if (seq > version) {
+            news.told();
             core.after(newsMs, this::tellNews);
         }
+        version = seq;
         doubt.told(seq, whole, hosts.stream().map(Host::member).toList());
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
     @Override
     public void refused(int server) {
-        if (doubt.refused(core.now(), server)) {
-            core.after(doubt.dueAt() - core.now(), this::doubt);
-        }
+        doubt.refused(core.now(), server);
+        look();
     }
 
     @Override
@@ -216,34 +217,42 @@
     }
 
     private void tellNews() {
-        byte[] message = closed ? null : news.message();
+        byte[] message = closed ? null : news.message(version);
         if (message != null) {
             dispatcher.tell(-1, message);
         }
     }
 
     /** A message of another proxy that {@link ListNews#is} one of the list's version. */
-    void heard(byte[] message) {
+    void heard(int peer, byte[] message) {
         long seq = ListNews.version(message);
-        news.heard(seq);
-        if (doubt.claimed(core.now(), seq)) {
-            core.after(doubt.dueAt() - core.now(), this::doubt);
+        news.heard(peer, seq);
+        if (seq > version) {
+            doubt.claimed(core.now(), seq);
+            look();
+        }
+    }
+
+    /** Comes back when the doubt is due. One that has moved to later since finds out then. */
+    private void look() {
+        if (doubt.dueAt() < lookAt && !closed) {
+            if (looking != null) {
+                looking.cancel();
+            }
+            lookAt = doubt.dueAt();
+            looking = core.after(lookAt - core.now(), this::doubt);
         }
     }
 
     /** A watch that has fallen silent is begun anew; between two watches the module asks by itself. */
     private void doubt() {
-        if (closed || !doubt.ask(core.now())) {
-            return;
-        }
-        if (doubt.dueAt() < Double.POSITIVE_INFINITY) {
-            core.after(doubt.dueAt() - core.now(), this::doubt);
-        }
-        if (watchLine.waiting != null) {
+        lookAt = Double.POSITIVE_INFINITY;
+        if (!closed && doubt.ask(core.now()) && watchLine.waiting != null) {
             dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
             watchLine.close();
             watch(true);
         }
+        look();
     }
 
     private void failed(RuntimeException cause) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -64,7 +64,7 @@
         if (!ListNews.is(message)) {
             dispatcher.heard(peer, message);
         } else if (discovery != null) {
-            discovery.heard(message);
+            discovery.heard(peer, message);
         }
     }
 
@@ -156,6 +156,11 @@
         loop.execute(() -> core.after(ms, task));
     }
 
+    /** Whether the module holds nothing against a server. */
+    boolean sound(int server) {
+        return loop.submit(() -> dispatcher.sound(server)).syncUninterruptibly().getNow();
+    }
+
     int inHand() {
         return loop.submit(dispatcher::inHand).syncUninterruptibly().getNow();
     }
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -27,8 +27,9 @@
     /** Those that no pool holds any more and that still have connections with attempts. */
     private final List<Upstream> leaving = new ArrayList<>();
 
-    /** One for the process and one for each pool that follows discovery. */
+    /** What all cache nodes have shown of their room for connections. */
     final NodeRoom.Shortage shortage = new NodeRoom.Shortage();
+    /** One for the process and one for each pool that follows discovery; a pool may end while they are told. */
     private final List<Observer> observers = new CopyOnWriteArrayList<>();
 
     Servers(Core core) {
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -48,9 +48,9 @@
     /** Sends the attempt; false if no connection has room for it. */
     boolean send(Attempt attempt) {
         UpstreamConnection best = pick(false);
-        if ((best == null || best.depth() > 0)
-                && connections.size() - onLong() < maxConnections && connections.size() < mostConnections
-                && (origin || room.mayOpen(core.now(), connections.size())) && core.roomUpstream()) {
+        int standing = connections.size() - onLong(); // behind a long answer one would wait for its client
+        if ((best == null || best.depth() > 0) && standing < maxConnections && connections.size() < mostConnections
+                && (origin || room.mayOpen(core.now(), standing)) && core.roomUpstream()) {
             best = open();
         }
         if (best == null || !best.usable(maxDepth)) { // a new one may have failed at once, for want of a descriptor
@@ -125,9 +125,9 @@
 
     /** All idle ones but one. */
     void closeSpare() {
-        UpstreamConnection kept = pick(true);
+        UpstreamConnection kept = connections.size() > 1 ? pick(true) : null;
         for (UpstreamConnection c : List.copyOf(connections)) {
-            if (c != kept && c.empty() && c.connected()) {
+            if (kept != null && c != kept && c.empty() && c.connected()) {
                 c.close();
             }
         }
