Bound what all proxies together send a cold node of one key, by chance and not by lot

The rule is 3. Cause, Policy.warmEnough: a proxy let a key pass at its first sight, whatever it had seen, and the lot is the same at every proxy, so that a new hot key came from all of them at once; those that had just started know no key. The part that a proxy lets in after that was measured over 4 to 8 s, where the rule counts 1.5 s. Ruled out: lists of different age (told and untold sends are counted apart), repeats (they keep off cold servers). The change: each request passes by chance, by the server's ramp times the key's fair part over the rule's span; no agreed lot. The margin is 1.5 again, from the settings' load and the chance of 20 sends.

--- a/src/main/java/damsonworks/Carp.java
+++ b/src/main/java/damsonworks/Carp.java
@@ -79,14 +79,4 @@
         }
         return x;
     }
-
-    /**
-     * A number in [0, 1) from key and member, independent of their score: decides who of a key's ranks waits.
-     */
-    public static double lot(int keyHash, int memberHash) {
-        int h = keyHash * 0x9E3779B1 + memberHash;
-        h = (h ^ (h >>> 16)) * 0x85EBCA6B;
-        h = (h ^ (h >>> 13)) * 0xC2B2AE35;
-        return ((h ^ (h >>> 16)) & 0xFFFFFFFFL) / UNSIGNED;
-    }
 }
--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -19,9 +19,11 @@
     private static final double DOUBT_SHARE = 0.05;
     private static final double DOUBT_SAVED = 5;
     /**
-     * Where servers are crowded a cold one takes less than it could, but this part at least: kept empty, it
-     * leaves the crowd to the others. Repeats and the keys of those that left make a fourfold load at most.
+     * A cold server takes this part less than it could. Half the fleet gone and all tried three times at load
+     * 0.68 is 4.1 times; by this and the crowd's 1.8, which chance (a fifth of 20 sends) leaves under 3.
      */
+    private static final double COLD_MARGIN = 1.5;
+    /** A crowd lessens that by this at most: a cold server kept empty leaves the crowd to the others. */
     private static final double MOST_CROWDED = 1.5;
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
@@ -756,9 +758,10 @@
         }
         double age = now - s.member.bornMs();
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
-        double ramp = capacity / Math.min(MOST_CROWDED, crowd.pressure(now));
-        boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.own * s.share;
-        return fair && Carp.lot(f.keyHash, s.hash) < ramp && admission.cold(now, s.member);
+        double ramp = capacity / COLD_MARGIN / Math.min(MOST_CROWDED, crowd.pressure(now));
+        // Each takes its part by chance: of keys chosen alike by all, a new hot one would come from all.
+        double part = hot.own * s.share * (f.seen > 1 ? cfg.fallMs() / HotKeys.SPAN_MS : 1);
+        return random.nextDouble() * Math.max(1, f.seen / part) < ramp && admission.cold(now, s.member);
     }
 
     private boolean cold(double now, Server s) {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -8,6 +8,7 @@
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import java.util.HashSet;
 import java.util.List;
@@ -248,41 +249,60 @@
 
     // ---- rule 4: cold servers
 
-    /** At its start it takes 0.3 of its keys, at half its warm-up 0.65, and all once warm. */
+    /** At its start it takes two thirds of 0.3, at half its warm-up two thirds of 0.65, and all once warm. */
     @Test
     void aColdServerTakesNoMoreThanItsRamp() {
-        assertThat(taken(0, false)).isBetween(0.22, 0.38);
-        assertThat(taken(4000, false)).isBetween(0.57, 0.73);
+        assertThat(taken(0, false)).isBetween(0.17, 0.23);
+        assertThat(taken(4000, false)).isBetween(0.39, 0.47);
         assertThat(taken(8000, false)).isEqualTo(1.0);
     }
 
     /** Two thirds of that in a crowd, however great: left empty, it would leave the crowd to the servers that make it. */
     @Test
     void aColdServerIsNotLeftEmptyByACrowdElsewhere() {
-        assertThat(taken(0, true)).isBetween(0.13, 0.27);
-        assertThat(taken(4000, true)).isBetween(0.35, 0.52);
+        assertThat(taken(0, true)).isBetween(0.11, 0.16);
+        assertThat(taken(4000, true)).isBetween(0.25, 0.33);
+    }
+
+    /** A proxy that has just started may send only in part what it would: it can't tell a hot key by its first request. */
+    @Test
+    void whoHasSeenFewRequestsSendsAColdServerLess() {
+        int sent = 0;
+        for (int key = 1; key <= 2000; key++) {
+            Settings settings = Rig.settings(true, false, false, Group.ALL);
+            Rig rig = new Rig(settings, new Policy(settings, key)).fleet(12);
+            rig.now = 100000;
+            rig.change(Rig.member(5, State.READY, rig.now - 4000));
+            rig.read(key, key);
+            sent += topRank(key, 12) == 5 && rig.last().server() == 5 ? 1 : 0;
+        }
+        // Of some 167 keys of its own: 0.43 of a twelfth; a proxy with requests behind it sends 72.
+        assertThat(sent).isBetween(1, 15);
     }
 
     /** Part of its own keys that server 5 gets this long after its start, of those that are sent at all. */
     private static double taken(double age, boolean crowd) {
-        Rig rig = Rig.aside().fleet(12);
-        rig.now = 100000;
-        for (int i = 0; crowd && i < 300; i++) { // three in four are late
-            rig.read(10_000 + i, 10_000 + i);
-            if (rig.last().request() == 10_000 + i) {
-                rig.endAfter(rig.last(), Outcome.OK, i % 4 == 0 ? 10 : 900);
-            }
-        }
-        rig.change(Rig.member(5, State.READY, rig.now - age));
         int own = 0;
         int got = 0;
-        for (int key = 1; key <= 4000; key++) {
-            if (topRank(key, 12) == 5) {
-                rig.read(key, key);
-                if (rig.last().request() == key) { // and has not been refused
-                    own++;
-                    got += rig.last().server() == 5 ? 1 : 0;
-                    rig.endAfter(rig.last(), Outcome.OK, crowd && key % 4 > 0 ? 900 : 10);
+        for (int seed = 1; seed <= 8; seed++) {
+            Settings settings = Rig.settings(true, false, false, Group.ALL);
+            Rig rig = new Rig(settings, new Policy(settings, seed)).fleet(12);
+            rig.now = 100000;
+            for (int i = 0; i < 300; i++) { // in a crowd three in four are late
+                rig.read(10_000 + i, 10_000 + i);
+                if (rig.last().request() == 10_000 + i) {
+                    rig.endAfter(rig.last(), Outcome.OK, crowd && i % 4 > 0 ? 900 : 10);
+                }
+            }
+            rig.change(Rig.member(5, State.READY, rig.now - age));
+            for (int key = 1; key <= 4000; key++) {
+                if (topRank(key, 12) == 5) {
+                    rig.read(key, key);
+                    if (rig.last().request() == key) { // and has not been refused
+                        own++;
+                        got += rig.last().server() == 5 ? 1 : 0;
+                        rig.endAfter(rig.last(), Outcome.OK, crowd && key % 4 > 0 ? 900 : 10);
+                    }
                 }
             }
         }
