Close what a refused warm-up has opened, where nobody may come to a Unix socket

Now they are closed on every way. The test dials an address at which nobody listens and reads the system's list of Unix sockets: three before, none after, no file.

--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
 final class WarmUp {
     private final EventLoop loop;
@@ -42,13 +43,21 @@
 
     /** Warms up; a failure to do so is only told, as the proxy can do without. @return requests answered */
     static int run(EventLoop loop, Config config, WarmUpPlan plan) {
+        return run(loop, config, plan, Path.of(System.getenv().getOrDefault("TMPDIR", "/tmp")), a -> a);
+    }
+
+    /** The same in this folder, where a client dials what is made of the proxy's address. */
+    static int run(EventLoop loop, Config config, WarmUpPlan plan, Path temporary, UnaryOperator<SocketAddress> dial) {
         try {
             // Named by the clock: the library's way draws a secure random number, for which it loads the security providers.
-            Path folder = Files.createDirectory(Path.of(System.getenv().getOrDefault("TMPDIR", "/tmp"),
+            Path folder = Files.createDirectory(temporary.resolve(
                     "warm" + Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid()));
             WarmUp warmUp = new WarmUp(loop, config, folder, plan);
-            warmUp.run();
-            Files.delete(folder);
+            try {
+                warmUp.run(dial);
+            } finally {
+                Files.delete(folder);
+            }
             return loop.submit(() -> warmUp.answered).sync().getNow();
         } catch (IOException | RuntimeException e) {
             System.err.println("no warm-up: " + e);
@@ -58,29 +67,30 @@
         return 0;
     }
 
-    private void run() throws InterruptedException, IOException {
+    private void run(UnaryOperator<SocketAddress> dial) throws InterruptedException, IOException {
         Core core = Core.of(loop, config, Transport.BEST.localSocket());
         Dispatcher dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
         Listener front = new Listener(core, new Clients(core, 16), new SinglePool(core, dispatcher), null);
-        SocketAddress node = listen("n", Node::new);
-        SocketAddress origin = listen("o", Origin::new);
-        SocketAddress proxy = listen("p", () -> new ClientConnection(core, front, 0));
-        int originKind = config.settings().originKind();
-        List<DiscoveryClient.Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
-                host(2, Math.max(0, originKind), origin));
-        loop.submit(() -> {
-            dispatcher.start(Dispatcher.ListSource.NONE, null);
-            dispatcher.listed(ListKind.CACHED, hosts);
-        }).sync();
-        channels.add(new Bootstrap().group(loop).channel(Transport.BEST.localSocket())
-                .handler(new Initializer(new Client())).connect(proxy).sync().channel());
-        done.await((long) plan.limitMs(), TimeUnit.MILLISECONDS);
-        loop.submit(dispatcher::stop).sync();
-        for (Channel c : channels) {
-            c.close().sync();
-        }
-        for (String name : new String[] {"n", "o", "p"}) {
-            Files.deleteIfExists(folder.resolve(name));
+        loop.submit(() -> dispatcher.start(Dispatcher.ListSource.NONE, null)).sync();
+        try {
+            SocketAddress node = listen("n", Node::new);
+            SocketAddress origin = listen("o", Origin::new);
+            SocketAddress proxy = listen("p", () -> new ClientConnection(core, front, 0));
+            int originKind = config.settings().originKind();
+            List<DiscoveryClient.Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
+                    host(2, Math.max(0, originKind), origin));
+            loop.submit(() -> dispatcher.listed(ListKind.CACHED, hosts)).sync();
+            channels.add(new Bootstrap().group(loop).channel(Transport.BEST.localSocket())
+                    .handler(new Initializer(new Client())).connect(dial.apply(proxy)).sync().channel());
+            done.await((long) plan.limitMs(), TimeUnit.MILLISECONDS);
+        } finally { // also where such sockets are refused, or each start would leave three, a sweep and a folder
+            loop.submit(dispatcher::stop).sync();
+            for (Channel c : channels) {
+                c.close().sync();
+            }
+            for (String name : new String[] {"n", "o", "p"}) {
+                Files.deleteIfExists(folder.resolve(name));
+            }
         }
     }
 
--- a/src/test/java/damsonworks/proxy/WarmUpTest.java
+++ b/src/test/java/damsonworks/proxy/WarmUpTest.java
@@ -9,11 +9,15 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class WarmUpTest {
     /** What reaches the end of a pipeline is printed with its trace, at the start of every proxy. */
@@ -40,4 +44,36 @@
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
         }
     }
+
+    /** As where nobody may come to a Unix socket: a start that goes on without a warm-up must not pay for it for good. */
+    @Test
+    void aWarmUpThatIsRefusedLeavesNoSocketAndNoFileBehind(@TempDir Path folder) throws Exception {
+        Config config = Config.parse(JsonParser.parseString(Files.readString(Path.of("src/test/resources/config.json")))
+                .getAsJsonObject());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        try {
+            List<String> opened = new ArrayList<>();
+            int answered = WarmUp.run(group.next(), config, new WarmUpPlan(40, 8, 60_000), folder, a -> {
+                opened.addAll(sockets(folder));
+                return Transport.BEST.local(folder.resolve("nobody"));
+            });
+            assertThat(answered).isZero();
+            assertThat(opened).hasSize(3);
+            assertThat(sockets(folder)).isEmpty();
+            try (Stream<Path> files = Files.list(folder)) {
+                assertThat(files).isEmpty();
+            }
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    /** Unix sockets that are bound under this folder, as the system lists them. */
+    private static List<String> sockets(Path folder) {
+        try (Stream<String> lines = Files.lines(Path.of("/proc/net/unix"))) {
+            return lines.filter(l -> l.contains(folder.toString())).toList();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
