Count a cold node's part of a key in the rule's own span, and less once it shows as hot

Cause, Policy.warmEnough: what a proxy has seen (HotKeys.own) stood for 4 to 8 s, by the halving's moment, and was taken for 4; a first sight passed whole, and what passed of a key that is seen s times was the fair part by s, whose sum goes on growing. The change: own fades evenly (half in 4 s, 5.8 s in all), a fair part is that over the rule's span, a first sight passes by half of it, and a later one by the square.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -131,20 +131,19 @@
         /** Those that were spread since the last halving: the ones worth telling a successor. */
         private final Set<Long> wide = new HashSet<>();
         private double total;
-        /** Without what was remembered: more keys in all would make a hot one seem fair to a cold server. */
-        private double own;
-        private double halvedAt;
+        /** Lately, without what was remembered: more would make a hot key seem fair to a cold server. */
+        private double own, ownAt, halvedAt;
 
         int seen(long key, double now) {
             while (now - halvedAt > SPAN_MS) {
                 halvedAt = counts.isEmpty() ? now : halvedAt + SPAN_MS;
                 total /= 2;
-                own /= 2;
                 counts.values().removeIf(c -> (c[0] /= 2) == 0);
                 wide.removeIf(k -> counts.getOrDefault(k, new int[1])[0] < MIN_COUNT);
             }
             total++;
-            own++;
+            own = own * Throttle.left(now - ownAt) + 1;
+            ownAt = now;
             return ++counts.computeIfAbsent(key, k -> new int[1])[0];
         }
 
@@ -760,8 +759,11 @@
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         double ramp = capacity / COLD_MARGIN / Math.min(MOST_CROWDED, crowd.pressure(now));
         // Each takes its part by chance: of keys chosen alike by all, a new hot one would come from all.
-        double part = hot.own * s.share * (f.seen > 1 ? cfg.fallMs() / HotKeys.SPAN_MS : 1);
-        return random.nextDouble() * Math.max(1, f.seen / part) < ramp && admission.cold(now, s.member);
+        double span = f.seen > 1 ? cfg.fallMs() * Math.log(2) / Throttle.HALF_MS : 0.5;
+        double over = f.seen / (hot.own * s.share * span);
+        // Squared, or the sum of a hot key would grow for as long as it is seen.
+        return random.nextDouble() * Math.max(1, f.seen > 1 ? over * over : over) < ramp
+                && admission.cold(now, s.member);
     }
 
     private boolean cold(double now, Server s) {
