--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -20,7 +20,7 @@
     private static final double DOUBT_SAVED = 5;
     /**
      * In a crowd a cold server takes less than it could, by this at most: kept empty, it leaves the crowd to
-     * the others. Half the fleet gone and all tried three times at load 0.68 is 4.1 times, by this 2.7, under 3.
+     * the others. Half the fleet gone and all tried three times at load 0.68 is 4.1 times, by this 2.7.
      */
     private static final double MOST_CROWDED = 1.5;
     /** Of a key's fair part: what a cold server may get at its first sight, and at each one after that. */
