--- /dev/null
+++ b/src/main/java/damsonworks/bench/FleetBench.java
@@ -0,0 +1,72 @@
+package damsonworks.bench;
+
+import damsonworks.Policy;
+import damsonworks.model.FleetModel;
+import damsonworks.model.FleetPlan;
+import damsonworks.model.FleetReport;
+import damsonworks.model.Trouble;
+import java.io.PrintWriter;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+
+/** Plays a fleet's troubles on a model of it: sums over all proxies, by seeds, with the mean and its 95% interval. */
+final class FleetBench {
+    private static final int[][] SIZES = {{6, 35}, {14, 60}, {100, 200}};
+    private static final double LOAD = 0.68;
+    private static final double SECONDS = 24;
+    private final PrintWriter out;
+
+    FleetBench(PrintWriter out) {
+        this.out = out;
+    }
+
+    void run(int seeds) {
+        out.printf("%-50s %22s %8s %16s %16s %8s %8s %8s %8s%n", "proxies, nodes, trouble; means of " + seeds + " seeds", "served",
+                "cold x", "attempts each", "crossing each", "full", "copies", "fetches", "ns/event");
+        for (int[] size : SIZES) {
+            play(size, Set.of(), seeds);
+            for (Trouble t : Trouble.values()) {
+                play(size, Set.of(t), seeds);
+            }
+            play(size, EnumSet.allOf(Trouble.class), seeds);
+        }
+    }
+
+    private void play(int[] size, Set<Trouble> troubles, int seeds) {
+        FleetReport[] reports = new FleetReport[seeds];
+        long events = 0;
+        long started = System.nanoTime();
+        for (int i = 0; i < seeds; i++) {
+            reports[i] = new FleetModel(new FleetPlan(size[0], size[1], 4, LOAD, SECONDS, troubles, i + 1), Policy::new).run();
+            events += reports[i].decisions();
+        }
+        long nanos = System.nanoTime() - started;
+        double worst = 0;
+        for (FleetReport r : reports) {
+            worst = Math.max(worst, r.worstCold());
+        }
+        out.printf("%-50s %22s %8.2f %16s %16s %8.3f %8.3f %8.3f %8d%n", size[0] + ", " + size[1] + ", "
+                + (troubles.isEmpty() ? "none" : troubles.size() > 1 ? "all" : troubles.iterator().next().name().toLowerCase()),
+                mean(reports, FleetReport::service), worst, mean(reports, FleetReport::attemptsEach),
+                mean(reports, FleetReport::crossedEach), of(reports, r -> (double) r.full() / r.asked()),
+                of(reports, r -> (double) r.copies() / r.asked()), of(reports, r -> (double) r.fetches() / r.asked()),
+                nanos / Math.max(1, events));
+        out.flush();
+    }
+
+    private static double of(FleetReport[] reports, ToDoubleFunction<FleetReport> figure) {
+        double sum = 0;
+        for (FleetReport r : reports) {
+            sum += figure.applyAsDouble(r);
+        }
+        return sum / reports.length;
+    }
+
+    private static String mean(FleetReport[] reports, ToDoubleFunction<FleetReport> figure) {
+        double mean = of(reports, figure);
+        double square = of(reports, r -> Math.pow(figure.applyAsDouble(r) - mean, 2));
+        double error = reports.length < 2 ? Double.NaN : 1.96 * Math.sqrt(square / (reports.length - 1));
+        return String.format("%.4f +- %.4f", mean, error);
+    }
+}
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -11,7 +11,8 @@
 class ArchitectureTest {
     /** Free of I/O, clocks and randomness of their own. */
     private static final String[] DECISIONS = {"damsonworks.placement..", "damsonworks.limits..", "damsonworks.routes..", "damsonworks.lifecycle..",
-        "damsonworks.nginx..", "damsonworks.knowledge..", "damsonworks.siblings..", "damsonworks.membership..", "damsonworks.connections.."};
+        "damsonworks.nginx..", "damsonworks.knowledge..", "damsonworks.siblings..", "damsonworks.membership..", "damsonworks.connections..",
+        "damsonworks.model.."};
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("damsonworks");
 
