--- a/src/main/java/damsonworks/config/FleetSection.java
+++ b/src/main/java/damsonworks/config/FleetSection.java
@@ -17,24 +17,51 @@
  * @param listen where it hears the others
  * @param keys secrets, the first signs; empty: whoever sends from a peer's address is taken for it
  * @param longestLeaseMs the longest lease of any duty, the same at all proxies
+ * @param probe null: each proxy tries sick servers by itself, with clients' requests
+ * @param watch null: each proxy watches discovery by itself
  */
-public record FleetSection(String me, InetSocketAddress listen, List<String> keys, double longestLeaseMs, List<Peer> peers, List<Duty> duties) {
+public record FleetSection(String me, InetSocketAddress listen, List<String> keys, double longestLeaseMs, List<Peer> peers, List<Duty> duties,
+        Probe probe, Watch watch) {
+    private static final String WORD = "[A-Za-z0-9_.-]{1,64}";
     private static final int MOST_PEERS = 1000;
     private static final int MOST_DUTIES = 1000;
     private static final int LEAST_KEY = 16;
+    /** Names of the program's own duties begin so. */
+    private static final String PROBE = "probe.";
+    private static final String WATCH = "watch.";
 
     /**
      * A proxy of the fleet.
      *
      * @param address where the others reach it, and where what it sends comes from
+     * @param zone where it stands; one proxy of each watches discovery
      * @param joining it is in the list that is being taken up, not yet in the one that is left
      * @param leaving the other way round
      */
-    public record Peer(String name, InetSocketAddress address, boolean joining, boolean leaving) { }
+    public record Peer(String name, InetSocketAddress address, String zone, boolean joining, boolean leaving) { }
 
     /** What one proxy does for all. */
     public record Duty(String name, double leaseMs, int voters) { }
 
+    /**
+     * Sick servers are tried by one proxy for all.
+     *
+     * @param shares duties among which servers are dealt out, the same at all proxies
+     * @param patienceMs how long its word is waited for
+     * @param reuseMs for so long an outcome is told again
+     */
+    public record Probe(double leaseMs, int voters, int shares, double patienceMs, double reuseMs) { }
+
+    /**
+     * Discovery is watched by one proxy of a zone.
+     *
+     * @param beatMs between two words of it
+     * @param wordMs for so long a word counts
+     * @param lazyMs between two calls of the others
+     * @param gatherMs within which they call when the list has changed
+     */
+    public record Watch(double leaseMs, int voters, double beatMs, double wordMs, double lazyMs, double gatherMs) { }
+
     public FleetSection {
         keys = List.copyOf(keys);
         peers = List.copyOf(peers);
@@ -43,13 +70,39 @@
 
     /** Names of the list that counts, or is being taken up. */
     public List<String> names() {
-        return peers.stream().filter(p -> !p.leaving()).map(Peer::name).toList();
+        return names(null);
+    }
+
+    /** Those of a zone; null: of all. */
+    public List<String> names(String zone) {
+        return peers.stream().filter(p -> !p.leaving() && (zone == null || p.zone().equals(zone))).map(Peer::name).toList();
     }
 
     /** Names of the list that is being left; empty if none is. */
     public List<String> namesBefore() {
-        return peers.stream().noneMatch(p -> p.joining() || p.leaving()) ? List.of()
-                : peers.stream().filter(p -> !p.joining()).map(Peer::name).toList();
+        return namesBefore(null);
+    }
+
+    /** Those of a zone; null: of all. */
+    public List<String> namesBefore(String zone) {
+        List<Peer> own = peers.stream().filter(p -> zone == null || p.zone().equals(zone)).toList();
+        return own.stream().noneMatch(p -> p.joining() || p.leaving()) ? List.of()
+                : own.stream().filter(p -> !p.joining()).map(Peer::name).toList();
+    }
+
+    /** The zone in which this proxy stands. */
+    public String zone() {
+        return peers.stream().filter(p -> p.name().equals(me)).map(Peer::zone).findFirst().orElse("");
+    }
+
+    /** The duties among which sick servers are dealt out. */
+    public List<String> probeDuties() {
+        return probe == null ? List.of() : java.util.stream.IntStream.range(0, probe.shares()).mapToObj(i -> PROBE + i).toList();
+    }
+
+    /** The duty of watching discovery for the proxies of this one's zone, for a pool. */
+    public String watchDuty(String pool) {
+        return WATCH + zone() + "." + pool;
     }
 
     static FleetSection read(Section root, String file) {
@@ -65,7 +118,11 @@
         Set<InetSocketAddress> addresses = new HashSet<>();
         for (Section p : s.sections("peer")) {
             String name = name(p, names, "peer");
-            Peer peer = new Peer(name, DaemonFileReader.address(p, "address", false), p.flag("joining", false), p.flag("leaving", false));
+            Peer peer = new Peer(name, DaemonFileReader.address(p, "address", false), p.text("zone", "here"), p.flag("joining", false),
+                    p.flag("leaving", false));
+            if (!peer.zone().matches("[A-Za-z0-9_-]{1,64}")) {
+                p.error("zone", "zone '" + peer.zone() + "' is not 1 to 64 letters, digits, dashes and underscores");
+            }
             if (peer.joining() && peer.leaving()) {
                 p.error("joining", "a peer that is joining is not leaving");
             }
@@ -83,7 +140,7 @@
             s.error("peer", peers.size() + " peers; at most " + MOST_PEERS);
         }
         FleetSection fleet = new FleetSection(me, DaemonFileReader.address(s, "listen", true), keys(s, file), longest, peers,
-                duties(duties, longest));
+                duties(duties, longest), probe(s.section("probe"), longest), watch(s.section("watch"), longest));
         if (!peers.isEmpty() && fleet.names().isEmpty()) {
             s.error("peer", "all peers are leaving; at least one stays");
         }
@@ -91,16 +148,55 @@
         return fleet;
     }
 
+    private static Probe probe(Section s, double longest) {
+        if (s == null) {
+            return null;
+        }
+        Probe probe = new Probe(lease(s, longest, 1000), voters(s), s.integer("shares", 4, 1, 64), s.number("patience_ms", 600, 300, 10_000),
+                s.number("reuse_ms", 1000, 0, 60_000));
+        s.end();
+        return probe;
+    }
+
+    private static Watch watch(Section s, double longest) {
+        if (s == null) {
+            return null;
+        }
+        double beat = s.number("beat_ms", 1000, 20, 60_000);
+        double word = s.number("word_ms", 3 * beat, 40, 600_000);
+        Watch watch = new Watch(lease(s, longest, 1000), voters(s), beat, word, s.number("lazy_ms", Math.max(30_000, word), 40, 3_600_000),
+                s.number("gather_ms", 300, 0, 60_000));
+        if (word <= beat) {
+            s.error("word_ms", "word_ms is " + word + " and no longer than beat_ms: each lost word would have all watch");
+        }
+        if (watch.lazyMs() < word) {
+            s.error("lazy_ms", "lazy_ms is " + watch.lazyMs() + " and shorter than word_ms, " + word);
+        }
+        s.end();
+        return watch;
+    }
+
+    private static double lease(Section s, double longest, double usual) {
+        return s.number("lease_ms", Math.min(usual, longest), 100, longest);
+    }
+
+    private static int voters(Section s) {
+        int voters = s.integer("voters", 5, 1, 9);
+        if (voters % 2 == 0) {
+            s.error("voters", "voters is " + voters + "; an odd number is wanted, one more voter makes no majority safer");
+        }
+        return voters;
+    }
+
     private static List<Duty> duties(List<Section> sections, double longest) {
         List<Duty> duties = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Section d : sections) {
             String name = name(d, names, "duty");
-            int voters = d.integer("voters", 5, 1, 9);
-            if (voters % 2 == 0) {
-                d.error("voters", "voters is " + voters + "; an odd number is wanted, one more voter makes no majority safer");
+            if (name.startsWith(PROBE) || name.startsWith(WATCH)) {
+                d.error("name", "names that begin with " + PROBE + " or " + WATCH + " are the program's own; take another");
             }
-            duties.add(new Duty(name, d.number("lease_ms", Math.min(2000, longest), 100, longest), voters));
+            duties.add(new Duty(name, lease(d, longest, 2000), voters(d)));
             d.end();
         }
         if (duties.size() > MOST_DUTIES) {
@@ -111,7 +207,7 @@
 
     private static String name(Section s, Set<String> names, String what) {
         String name = s.text("name");
-        if (!name.isEmpty() && !name.matches("[A-Za-z0-9_.-]{1,64}")) {
+        if (!name.isEmpty() && !name.matches(WORD)) {
             s.error("name", what + " name '" + name + "' is not 1 to 64 letters, digits, dots, dashes and underscores");
         } else if (!name.isEmpty() && !names.add(name)) {
             s.error("name", "there is another " + what + " '" + name + "'");
--- a/src/main/java/damsonworks/daemon/ControlPart.java
+++ b/src/main/java/damsonworks/daemon/ControlPart.java
@@ -9,42 +9,54 @@
 import damsonworks.proxy.Transport;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Supplier;
 
 /** The daemon's control address: {@code GET /status}, and what other parts answer under their own paths. */
 final class ControlPart implements Part {
     private final ControlSection spec;
     private final Door door;
+    private final Map<String, Supplier<CallHandler>> others;
     private boolean draining;
 
-    private ControlPart(ControlSection spec, EventLoop loop, Supplier<CallHandler> duties) {
+    private ControlPart(ControlSection spec, EventLoop loop, Map<String, Supplier<CallHandler>> others) {
         this.spec = spec;
-        door = new Door(loop, Transport.BEST.server(), (method, uri) -> call(method, uri, duties.get()));
+        this.others = others;
+        door = new Door(loop, Transport.BEST.server(), this::call);
     }
 
-    /** @param duties answers what begins with {@code /duties}; null where nothing does */
-    static Part open(DaemonFile file, Part before, EventLoop loop, Supplier<CallHandler> duties) throws ConfigException, InterruptedException {
+    /** @param others what answers calls whose path is such a word, or begins with it and a slash; a supplier of null: nothing does */
+    static Part open(DaemonFile file, Part before, EventLoop loop, Map<String, Supplier<CallHandler>> others) throws ConfigException,
+            InterruptedException {
         ControlSection spec = file.part(ControlSection.class);
         if (spec == null) {
             return null;
         }
-        ControlPart part = new ControlPart(spec, loop, duties);
+        ControlPart part = new ControlPart(spec, loop, others);
         Binding.require(part.door.bind(spec.listen()), file, "control", spec.listen());
         return part;
     }
 
-    private Answer call(String method, String uri, CallHandler duties) {
+    private Answer call(String method, String uri) {
         int query = uri.indexOf('?');
         String path = query < 0 ? uri : uri.substring(0, query);
         if (path.equals("/status")) {
             return !method.equals("GET") ? new Answer(405, "use GET /status", "GET") : draining ? new Answer(503, "draining")
                     : new Answer(200, "active");
         }
-        if (duties != null && (path.equals("/duties") || path.startsWith("/duties/"))) {
-            return duties.call(method, uri);
+        List<String> words = new ArrayList<>(List.of("/status"));
+        for (Map.Entry<String, Supplier<CallHandler>> e : others.entrySet()) {
+            CallHandler handler = e.getValue().get();
+            if (handler != null && (path.equals(e.getKey()) || path.startsWith(e.getKey() + "/"))) {
+                return handler.call(method, uri);
+            }
+            if (handler != null) {
+                words.add(e.getKey());
+            }
         }
-        return new Answer(404, "the calls are GET /status" + (duties == null ? "" : ", GET /duties, GET /duties/NAME and POST "
-                + "/duties/NAME/transfer?to=PEER"));
+        return new Answer(404, "the calls are GET " + String.join(", GET ", words));
     }
 
     InetSocketAddress address() {
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -87,8 +87,8 @@
         router = new Router(core);
         parts = new Parts(task -> loop.submit(task).syncUninterruptibly(), List.of(
                 (f, before) -> SiblingSocket.open(f, before, core, seeds.nextInt(), router::generation),
-                (f, before) -> FleetPart.open(f, before, core, seeds.nextLong()),
-                (f, before) -> ControlPart.open(f, before, loop, () -> part(FleetPart.class))));
+                (f, before) -> FleetPart.open(f, before, core, seeds.nextLong(), router::generation),
+                (f, before) -> ControlPart.open(f, before, loop, FleetPart.answers(() -> part(FleetPart.class)))));
     }
 
     private <T extends Part> T part(Class<T> kind) {
@@ -252,7 +252,7 @@
             } else {
                 pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births,
                         standing == null ? memory.recollections(file, p) : MemoryKeeper.handOver(file, p, standing, now),
-                        part(SiblingSocket.class)));
+                        part(SiblingSocket.class), () -> part(FleetPart.class)));
             }
         }
         hooks.forEach(h -> {
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/DutyCalls.java
@@ -0,0 +1,84 @@
+package damsonworks.daemon;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.control.CallHandler;
+import damsonworks.control.Calls.Answer;
+import damsonworks.lease.Duties;
+import damsonworks.lease.Ids;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+
+/** What operators ask of duties at the control address. */
+final class DutyCalls implements CallHandler {
+    private final Duties duties;
+    private final DoubleSupplier clock;
+    private final long me;
+    private Map<Long, String> names = Map.of();
+    private Set<String> told = Set.of();
+
+    DutyCalls(Duties duties, DoubleSupplier clock, long me) {
+        this.duties = duties;
+        this.clock = clock;
+        this.me = me;
+    }
+
+    /** Peers' names, and the duties that are told of. */
+    void use(Map<Long, String> peers, Set<String> known) {
+        names = Map.copyOf(peers);
+        told = Set.copyOf(known);
+    }
+
+    @Override
+    public Answer call(String method, String uri) {
+        QueryStringDecoder query = new QueryStringDecoder(uri);
+        String[] path = query.path().substring(1).split("/", -1);
+        boolean transfer = path.length == 3 && path[2].equals("transfer");
+        String needed = transfer ? "POST" : "GET";
+        if (path.length > 2 && !transfer) {
+            return new Answer(404, "the calls are GET /duties, GET /duties/NAME and POST /duties/NAME/transfer?to=PEER");
+        }
+        if (!method.equals(needed)) {
+            return new Answer(405, "use " + needed + " " + query.path(), needed);
+        }
+        if (path.length == 1) {
+            return new Answer(200, json().toString());
+        }
+        if (!told.contains(path[1])) {
+            return new Answer(404, "there is no such duty");
+        }
+        double now = clock.getAsDouble();
+        if (transfer) {
+            List<String> to = query.parameters().getOrDefault("to", List.of());
+            long id = to.isEmpty() ? Ids.NOBODY : Ids.of(to.get(0));
+            if (!names.containsKey(id) || id == me) {
+                return new Answer(400, "say to=PEER, the name of another proxy");
+            }
+            return duties.transfer(path[1], id, now, "handed to " + names.get(id)) ? new Answer(200, "handing it to " + names.get(id))
+                    : new Answer(409, "not held here");
+        }
+        long epoch = duties.permit(path[1], now, 0);
+        return epoch >= 0 ? new Answer(200, Long.toString(epoch)) : new Answer(503, "not held here");
+    }
+
+    private JsonArray json() {
+        JsonArray list = new JsonArray();
+        double now = clock.getAsDouble();
+        for (Duties.Sight s : duties.sights(now)) {
+            if (!told.contains(s.duty())) {
+                continue;
+            }
+            JsonObject o = new JsonObject();
+            o.addProperty("duty", s.duty());
+            o.addProperty("holding", s.holding());
+            o.addProperty("epoch", s.epoch());
+            o.addProperty("left_ms", Math.round(s.leftMs()));
+            o.addProperty("holder", names.get(s.holder()));
+            list.add(o);
+        }
+        return list;
+    }
+}
--- a/src/main/java/damsonworks/daemon/FleetPart.java
+++ b/src/main/java/damsonworks/daemon/FleetPart.java
@@ -14,29 +14,32 @@
 import damsonworks.lease.LeaseMessage;
 import damsonworks.lease.LeaseRules;
 import damsonworks.lease.LoopHealth;
+import damsonworks.lease.Tenure;
 import damsonworks.peers.Envelope;
 import damsonworks.proxy.Core;
+import damsonworks.proxy.Dispatcher;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 /**
  * The socket between the proxies of a fleet, and the duties that one of them holds for all. Decisions are {@code lease}'s and
  * {@code peers}'; this carries messages, calls them in time, and answers operators. On the event loop only.
  */
-final class FleetPart implements Part, CallHandler {
+final class FleetPart implements Part {
     private static final byte LEASES = 1;
     /** Due times are looked at so often, at the least; by it the loop's lateness is seen, too. */
     private static final double TICK_MS = 20;
@@ -48,16 +51,22 @@
     private static final int LOOK_TICKS = 50;
     /** A peer that was heard so lately may be handed a duty. */
     private static final double ALIVE_MS = 2000;
+    private static final int MOST_WATCHED = 256;
 
     private final Core core;
     private final String me;
     private final LoopHealth health = new LoopHealth(LATE_MS, LATE_OFTEN, LATE_WITHIN_MS);
     private final Duties duties;
+    private final DutyCalls calls;
+    private final FleetProbes probes;
+    private final FleetWatches watches;
+    private final List<FleetUser> users;
     private final Envelope envelope;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
     private final Map<Long, Double> heardAt = new HashMap<>();
     private FleetSection spec;
+    private Map<String, Stand> stands = Map.of();
     private volatile Channel channel;
     private double dueMs;
     private long ticks;
@@ -69,18 +78,24 @@
     private final Set<Long> toldTwins = new HashSet<>();
 
     /** @param silentMs how much longer than for its own longest lease it gives nobody its word */
-    private FleetPart(FleetSection spec, Core core, long seed, double silentMs) {
+    private FleetPart(FleetSection spec, Core core, long seed, double silentMs, Supplier<Generation> generation) {
         this.spec = spec;
         this.core = core;
         me = spec.me();
         double now = core.now();
-        duties = new Duties(me, new LeaseRules(spec.longestLeaseMs(), LeaseRules.DRIFT), new SplittableRandom(seed),
-                now + silentMs * (1 + LeaseRules.DRIFT), new Out());
+        SplittableRandom random = new SplittableRandom(seed);
+        duties = new Duties(me, new LeaseRules(spec.longestLeaseMs(), LeaseRules.DRIFT), random.split(), now + silentMs * (1 + LeaseRules.DRIFT),
+                new Out());
+        calls = new DutyCalls(duties, core::now, Ids.of(me));
+        Link link = new Link();
+        probes = new FleetProbes(core, link, generation, random.nextLong());
+        watches = new FleetWatches(core, link, generation, random.split());
+        users = List.of(probes, watches);
         envelope = new Envelope(Ids.of(me), (long) now, spec.keys().stream().map(k -> k.getBytes(StandardCharsets.UTF_8)).toList(), List.of());
     }
 
     /** Binds; not on the event loop. */
-    static Part open(DaemonFile file, Part before, Core core, long seed) throws ConfigException, InterruptedException {
+    static Part open(DaemonFile file, Part before, Core core, long seed, Supplier<Generation> generation) throws ConfigException, InterruptedException {
         FleetSection spec = file.part(FleetSection.class);
         if (spec == null) {
             return null;
@@ -90,7 +105,8 @@
             old.channel.close().sync(); // there is no second socket at its address
         }
         // What the one before has given its word on may run for its own longest lease.
-        FleetPart part = new FleetPart(spec, core, seed, old == null ? 0 : Math.max(0, old.spec.longestLeaseMs() - spec.longestLeaseMs()));
+        FleetPart part = new FleetPart(spec, core, seed, old == null ? 0 : Math.max(0, old.spec.longestLeaseMs() - spec.longestLeaseMs()),
+                generation);
         part.listen(file);
         return part;
     }
@@ -116,7 +132,6 @@
 
     @Override
     public void apply(DaemonFile file) {
-        FleetSection old = spec;
         spec = file.part(FleetSection.class);
         addresses.clear();
         names.clear();
@@ -127,19 +142,38 @@
         envelope.senders(List.copyOf(names.keySet()));
         heardAt.keySet().retainAll(names.keySet());
         double now = core.now();
-        Set<String> named = new HashSet<>();
-        spec.duties().forEach(d -> named.add(d.name()));
-        old.duties().stream().filter(d -> !named.contains(d.name())).forEach(d -> duties.withdraw(d.name(), now));
+        Map<String, Stand> wanted = stands(file);
+        stands.keySet().stream().filter(d -> !wanted.containsKey(d)).forEach(d -> duties.withdraw(d, now));
+        stands = wanted;
         duties.tick(now, System.currentTimeMillis());
-        for (FleetSection.Duty d : spec.duties()) {
-            duties.stand(d.name(), d.leaseMs(), new Electorate(d.name(), spec.names(), spec.namesBefore(), d.voters()), now);
-        }
+        wanted.forEach((name, s) -> duties.stand(name, s.leaseMs, new Electorate(name, spec.names(s.zone), spec.namesBefore(s.zone), s.voters), now));
+        calls.use(names, wanted.keySet());
+        users.forEach(u -> u.apply(file, now));
         if (dueMs == 0) {
             dueMs = now;
             tick();
         }
     }
 
+    /** What is stood for; @param zone null: by all peers */
+    private record Stand(double leaseMs, int voters, String zone) { }
+
+    private static Map<String, Stand> stands(DaemonFile file) {
+        FleetSection f = file.part(FleetSection.class);
+        Map<String, Stand> all = new LinkedHashMap<>();
+        f.duties().forEach(d -> all.put(d.name(), new Stand(d.leaseMs(), d.voters(), null)));
+        f.probeDuties().forEach(d -> all.put(d, new Stand(f.probe().leaseMs(), f.probe().voters(), null)));
+        if (f.watch() != null && !f.names(f.zone()).isEmpty()) {
+            watched(file).forEach(p -> all.put(f.watchDuty(p), new Stand(f.watch().leaseMs(), f.watch().voters(), f.zone())));
+        }
+        return all;
+    }
+
+    /** Pools that follow a list; beyond the bound each proxy watches by itself. */
+    static List<String> watched(DaemonFile file) {
+        return file.pools().values().stream().filter(p -> p.discovery() != null).map(DaemonFile.Pool::name).limit(MOST_WATCHED).toList();
+    }
+
     private void tick() {
         if (closed) {
             return;
@@ -151,6 +185,9 @@
             duties.able(able, "its event loop is late", now);
         }
         double next = Math.min(duties.tick(now, System.currentTimeMillis()), now + TICK_MS);
+        for (FleetUser u : users) {
+            next = Math.min(next, u.tick(now));
+        }
         for (long twin : ++ticks % LOOK_TICKS == 0 ? envelope.twins() : List.<Long>of()) {
             if (toldTwins.add(twin)) {
                 core.log("fleet: two processes send under the name " + names.get(twin) + "; the newer one is heard; give each a name of its own");
@@ -178,61 +215,79 @@
     @Override
     public void close() {
         closed = true;
+        probes.close();
         duties.able(false, "it is replaced or ends", core.now());
         duties.tick(core.now(), System.currentTimeMillis());
         channel.close();
     }
 
-    // ---- operators
+    // ---- who acts under duties
 
-    @Override
-    public Answer call(String method, String uri) {
-        QueryStringDecoder query = new QueryStringDecoder(uri);
-        String[] path = query.path().substring(1).split("/", -1);
-        boolean transfer = path.length == 3 && path[2].equals("transfer");
-        String needed = transfer ? "POST" : "GET";
-        if (path.length > 2 && !transfer) {
-            return new Answer(404, "the calls are GET /duties, GET /duties/NAME and POST /duties/NAME/transfer?to=PEER");
-        }
-        if (!method.equals(needed)) {
-            return new Answer(405, "use " + needed + " " + query.path(), needed);
+    /** What answers operators, by the first word of the path. */
+    static Map<String, Supplier<CallHandler>> answers(Supplier<FleetPart> present) {
+        Map<String, Supplier<CallHandler>> answers = new LinkedHashMap<>();
+        answers.put("/duties", () -> present.get() == null ? null : present.get().calls);
+        answers.put("/fleet", () -> present.get() == null ? null : present.get()::state);
+        return answers;
+    }
+
+    private Answer state(String method, String uri) {
+        if (!method.equals("GET")) {
+            return new Answer(405, "use GET /fleet", "GET");
         }
-        if (path.length == 1) {
-            return new Answer(200, json().toString());
+        JsonObject o = new JsonObject();
+        o.addProperty("me", me);
+        JsonArray peers = new JsonArray();
+        names.forEach((id, name) -> {
+            JsonObject p = new JsonObject();
+            p.addProperty("name", name);
+            if (heardAt.containsKey(id)) {
+                p.addProperty("heard_ms_ago", Math.round(core.now() - heardAt.get(id)));
+            }
+            peers.add(p);
+        });
+        o.add("peers", peers);
+        users.forEach(u -> u.tell(o));
+        return new Answer(200, o.toString());
+    }
+
+    /** Takes over a test of a server that a pool's module has ordered; false: the pool makes it. */
+    boolean takeProbe(Dispatcher pool, int server) {
+        return !closed && probes.take(pool, server);
+    }
+
+    /** Whether a pool's list is to be watched closely from here. */
+    boolean closely(String pool) {
+        return closed || watches.closely(pool);
+    }
+
+    /** A list has come for a pool. */
+    void have(String pool, long version) {
+        watches.have(pool, version);
+    }
+
+    private final class Link implements FleetUser.Link {
+        @Override
+        public void send(long to, FleetUser from, byte[] payload) {
+            FleetPart.this.send(to, from.topic(), payload);
         }
-        if (spec.duties().stream().noneMatch(d -> d.name().equals(path[1]))) {
-            return new Answer(404, "there is no such duty");
+
+        @Override
+        public Tenure tenure(String duty) {
+            return duties.tenure(duty);
         }
-        double now = core.now();
-        if (transfer) {
-            List<String> to = query.parameters().getOrDefault("to", List.of());
-            long id = to.isEmpty() ? Ids.NOBODY : Ids.of(to.get(0));
-            if (!names.containsKey(id) || to.get(0).equals(me)) {
-                return new Answer(400, "say to=PEER, the name of another proxy");
-            }
-            return duties.transfer(path[1], id, now, "handed to " + names.get(id)) ? new Answer(200, "handing it to " + names.get(id))
-                    : new Answer(409, "not held here");
+
+        @Override
+        public long me() {
+            return Ids.of(me);
         }
-        long epoch = duties.permit(path[1], now, 0);
-        return epoch >= 0 ? new Answer(200, Long.toString(epoch)) : new Answer(503, "not held here");
     }
 
-    private JsonArray json() {
-        JsonArray list = new JsonArray();
-        double now = core.now();
-        for (Duties.Sight s : duties.sights(now)) {
-            if (spec.duties().stream().noneMatch(d -> d.name().equals(s.duty()))) {
-                continue;
-            }
-            JsonObject o = new JsonObject();
-            o.addProperty("duty", s.duty());
-            o.addProperty("holding", s.holding());
-            o.addProperty("epoch", s.epoch());
-            o.addProperty("left_ms", Math.round(s.leftMs()));
-            o.addProperty("holder", names.get(s.holder()));
-            list.add(o);
+    private void send(long to, byte topic, byte[] payload) {
+        InetSocketAddress at = addresses.get(to);
+        if (at != null && channel != null) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(envelope.seal(to, topic, payload)), at), channel.voidPromise());
         }
-        return list;
     }
 
     // ---- messages
@@ -240,10 +295,7 @@
     private final class Out implements Duties.Out {
         @Override
         public void send(long to, LeaseMessage m) {
-            InetSocketAddress at = addresses.get(to);
-            if (at != null && channel != null) {
-                channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(envelope.seal(to, LEASES, m.bytes())), at), channel.voidPromise());
-            }
+            FleetPart.this.send(to, LEASES, m.bytes());
         }
 
         @Override
@@ -282,9 +334,17 @@
             }
             double now = core.now();
             heardAt.put(o.sender(), now);
-            LeaseMessage m = o.topic() == LEASES ? LeaseMessage.of(o.payload()) : null;
-            if (m != null) {
-                duties.heard(now, o.sender(), m, System.currentTimeMillis());
+            if (o.topic() == LEASES) {
+                LeaseMessage m = LeaseMessage.of(o.payload());
+                if (m != null) {
+                    duties.heard(now, o.sender(), m, System.currentTimeMillis());
+                }
+                return;
+            }
+            for (FleetUser u : users) {
+                if (u.topic() == o.topic()) {
+                    u.heard(now, o.sender(), o.payload());
+                }
             }
         }
 
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/FleetProbes.java
@@ -0,0 +1,141 @@
+package damsonworks.daemon;
+
+import com.google.gson.JsonObject;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.config.DaemonFile;
+import damsonworks.config.FleetSection;
+import damsonworks.lease.Tenure;
+import damsonworks.proxy.Core;
+import damsonworks.proxy.Dispatcher;
+import damsonworks.trials.TrialDesk;
+import damsonworks.trials.TrialMessage;
+import damsonworks.trials.TrialRules;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/** Tests of servers that seem sick, by one proxy for all: carries what {@link TrialDesk} decides between pools and peers. */
+final class FleetProbes implements FleetUser {
+    static final byte TOPIC = 2;
+
+    private final Core core;
+    private final Link link;
+    private final Supplier<Generation> generation;
+    private final long numbers;
+    /** Pools that wait for word of a server. */
+    private final Map<Integer, Set<Dispatcher>> waiting = new HashMap<>();
+    /** Null while the file has none. */
+    private TrialDesk desk;
+
+    /** @param numbers where its questions' numbers begin */
+    FleetProbes(Core core, Link link, Supplier<Generation> generation, long numbers) {
+        this.core = core;
+        this.link = link;
+        this.generation = generation;
+        this.numbers = numbers;
+    }
+
+    @Override
+    public byte topic() {
+        return TOPIC;
+    }
+
+    @Override
+    public void apply(DaemonFile file, double now) {
+        FleetSection spec = file.part(FleetSection.class);
+        if (spec.probe() == null) {
+            close();
+            return;
+        }
+        TrialRules rules = new TrialRules(Dispatcher.PROBE_TIMEOUT_MS, spec.probe().patienceMs(), spec.probe().reuseMs());
+        List<Tenure> shares = spec.probeDuties().stream().map(link::tenure).toList();
+        if (desk == null) {
+            desk = new TrialDesk(link.me(), numbers, rules, shares, new Out());
+        } else {
+            desk.use(rules, shares);
+        }
+    }
+
+    /** Gives the tests that are waited for back to the pools: a server whose test has no end would stay out. */
+    void close() {
+        Map<Integer, Set<Dispatcher>> left = Map.copyOf(waiting);
+        waiting.clear();
+        desk = null;
+        left.forEach((server, pools) -> pools.forEach(p -> p.probe(server, null)));
+    }
+
+    /** Takes over a test that a pool's module has ordered; false: there is nobody to ask. */
+    boolean take(Dispatcher pool, int server) {
+        if (desk == null) {
+            return false;
+        }
+        waiting.computeIfAbsent(server, k -> new HashSet<>()).add(pool);
+        core.loop().execute(() -> { // the module is still giving its orders
+            if (desk != null) {
+                desk.wanted(core.now(), server);
+            }
+        });
+        return true;
+    }
+
+    @Override
+    public void heard(double now, long from, byte[] payload) {
+        TrialMessage m = TrialMessage.of(payload);
+        if (desk != null && m != null) {
+            desk.heard(now, from, m);
+        }
+    }
+
+    @Override
+    public double tick(double now) {
+        return desk == null ? Double.POSITIVE_INFINITY : desk.tick(now);
+    }
+
+    @Override
+    public void tell(JsonObject state) {
+        if (desk != null) {
+            TrialDesk.Counts c = desk.counts();
+            JsonObject o = new JsonObject();
+            o.addProperty("own", c.own());
+            o.addProperty("for_others", c.forOthers());
+            o.addProperty("by_word", c.byWord());
+            o.addProperty("word_too_late", c.tooLate());
+            o.addProperty("word_of_older_epochs", c.olderEpochs());
+            state.add("trials", o);
+        }
+    }
+
+    private final class Out implements TrialDesk.Out {
+        @Override
+        public void send(long to, TrialMessage m) {
+            link.send(to, FleetProbes.this, m.bytes());
+        }
+
+        @Override
+        public boolean trial(int server) {
+            Set<Dispatcher> asked = waiting.getOrDefault(server, Set.of());
+            Dispatcher by = asked.stream().filter(d -> d.dial(server) != null).findFirst().orElseGet(() -> generation.get().pools.values().stream()
+                    .map(p -> p.dispatcher).filter(d -> d.dial(server) != null).findFirst().orElse(null));
+            if (by == null) {
+                return false;
+            }
+            by.probe(server, outcome -> core.loop().execute(() -> {
+                if (desk != null) {
+                    desk.ended(core.now(), server, outcome == Outcome.OK);
+                }
+            }));
+            return true;
+        }
+
+        @Override
+        public void told(int server, boolean sound) {
+            Set<Dispatcher> pools = waiting.remove(server);
+            if (pools != null) {
+                pools.forEach(p -> p.probed(server, sound));
+            }
+        }
+    }
+}
--- a/src/main/java/damsonworks/daemon/PoolRunner.java
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntPredicate;
+import java.util.function.Supplier;
 
 /** A pool at work: its module with what carries its orders out, and its bounds. On the event loop only. */
 final class PoolRunner {
@@ -35,6 +36,7 @@
     private final Settings settings;
     private final Births births;
     private final PoolAdmission admission;
+    private final DiscoveryClient discovery;
     private final Set<Integer> backups = new HashSet<>();
     private DaemonFile file;
     private DaemonFile.Pool spec;
@@ -42,7 +44,7 @@
     private KeyNumber number;
 
     PoolRunner(Core core, DaemonFile file, DaemonFile.Pool spec, long seed, ColdBudget cold, Births births,
-            Dispatcher.Recollections recollections, SiblingSocket siblings) {
+            Dispatcher.Recollections recollections, SiblingSocket siblings, Supplier<FleetPart> fleet) {
         name = spec.name();
         this.file = file;
         this.spec = spec;
@@ -59,18 +61,46 @@
             PoolSiblings own = siblings.of(spec);
             dispatcher.siblings(own, own);
         }
+        dispatcher.probes(server -> fleet.get() != null && fleet.get().takeProbe(dispatcher, server));
         if (spec.discovery() == null) {
+            discovery = null;
             dispatcher.start(Dispatcher.ListSource.NONE);
             list();
         } else {
             DaemonFile.Discovery d = spec.discovery();
-            DiscoveryClient client = new DiscoveryClient(core,
-                    new DiscoveryClient.Source(d.address(), null, true, d.zones(), d.kinds()), dispatcher);
-            dispatcher.start(client);
-            client.start();
+            discovery = new DiscoveryClient(core, new DiscoveryClient.Source(d.address(), null, true, d.zones(), d.kinds()), dispatcher,
+                    new Pace(fleet));
+            dispatcher.start(discovery);
+            discovery.start();
         }
     }
 
+    /** Where the fleet has no say this proxy watches by itself. */
+    private final class Pace implements DiscoveryClient.Pace {
+        private final Supplier<FleetPart> fleet;
+
+        Pace(Supplier<FleetPart> fleet) {
+            this.fleet = fleet;
+        }
+
+        @Override
+        public boolean closely() {
+            return fleet.get() == null || fleet.get().closely(name);
+        }
+
+        @Override
+        public void have(long version) {
+            if (fleet.get() != null) {
+                fleet.get().have(name, version);
+            }
+        }
+    }
+
+    /** Who follows its list; null: it is in the file. */
+    DiscoveryClient discovery() {
+        return discovery;
+    }
+
     private static RetryBudget retries(DaemonFile.Pool spec) {
         return new RetryBudget(spec.retryShare(), spec.retriesAlways());
     }
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -5,6 +5,7 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.config.DaemonFile;
+import damsonworks.config.FleetSection;
 import damsonworks.placement.BackupPlacement;
 import damsonworks.placement.Peer;
 import damsonworks.placement.Placement;
@@ -70,10 +71,12 @@
         List<String> kinds = kinds(pool);
         List<String> zones = zones(file, pool);
         boolean aside = listed ? pool.origin() != null : pool.discovery().originKind() != null;
+        FleetSection fleet = file.part(FleetSection.class);
+        boolean probes = fleet != null && fleet.probe() != null; // else clients' requests try what was sick
         int originKind = !aside ? -1 : listed ? kinds.size() - 1 : kinds.indexOf(pool.discovery().originKind());
         return new Settings(site.me(), site.instances(), Math.max(0, zones.indexOf(site.zone())), zones.size(),
                 kinds.size(), !listed, aside, originKind, Reports.NONE, List.of(), false,
-                file.tenants().size() > 1 ? 0.1 : 1, true, false, false, limits.secondCopies(), true,
+                file.tenants().size() > 1 ? 0.1 : 1, true, probes, false, limits.secondCopies(), true,
                 limits.maxAttempts(), limits.maxRetryAfterMs(), limits.connectTimeoutMs(), site.drainGraceMs(), 20,
                 site.startCapacity(), site.warmUpMs(), site.tipMultiple(), site.fallMs(), ASK_WITHIN_MS, 0, 0,
                 file.classes(), file.tenants());
--- a/src/main/java/damsonworks/lease/Duties.java
+++ b/src/main/java/damsonworks/lease/Duties.java
@@ -11,8 +11,8 @@
  * sent goes to an {@link Out}. What acts on a duty asks {@link #permit} right before each act.
  */
 public final class Duties {
-    /** Duties of one process. */
-    public static final int MOST = 1000;
+    /** Duties of one process: those of a file and the program's own. */
+    public static final int MOST = 1400;
 
     /** Where messages go, and who is told of gains and losses. */
     public interface Out {
@@ -155,6 +155,38 @@
         return c == null ? -1 : c.permit(now, actMs);
     }
 
+    /** What acts under a duty; it may be one that this process does not stand for. */
+    public Tenure tenure(String duty) {
+        return new Tenure() {
+            @Override
+            public long permit(double now, double actMs) {
+                return Duties.this.permit(duty, now, actMs);
+            }
+
+            @Override
+            public double leftMs(double now) {
+                Candidate c = candidates.get(duty);
+                return c == null ? 0 : c.leftMs(now);
+            }
+
+            @Override
+            public long holder(double now) {
+                Candidate c = candidates.get(duty);
+                return c == null ? Ids.NOBODY : c.holder(now);
+            }
+
+            @Override
+            public List<Long> order() {
+                return Duties.this.order(duty);
+            }
+
+            @Override
+            public long id() {
+                return Ids.of(duty);
+            }
+        };
+    }
+
     /** What is known of each. */
     public List<Sight> sights(double now) {
         return candidates.entrySet().stream().map(e -> new Sight(e.getKey(), e.getValue().holding(now), e.getValue().epoch(),
--- /dev/null
+++ b/src/main/java/damsonworks/lease/Tenure.java
@@ -0,0 +1,21 @@
+package damsonworks.lease;
+
+import java.util.List;
+
+/** All that whoever acts under a duty sees of it. Times in milliseconds of the process's monotonic clock. */
+public interface Tenure {
+    /** The epoch under which an act of so many milliseconds may begin now; -1: it may not. Ask right before the act. */
+    long permit(double now, double actMs);
+
+    /** What is left of the lease; 0 where it is not held here. */
+    double leftMs(double now);
+
+    /** Who holds it by the voters' last word; {@link Ids#NOBODY} if nobody does or it is not known. */
+    long holder(double now);
+
+    /** Peers in the order in which they stand for it: who is asked where the holder is not known. */
+    List<Long> order();
+
+    /** The duty's id, as messages carry it. */
+    long id();
+}
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -42,6 +42,8 @@
 /** Follows discovery's list of servers for one pool. */
 public final class DiscoveryClient implements Dispatcher.ListSource, Servers.Observer {
     private static final int WAIT_MS = 20_000;
+    /** Of a call that asks for what there is. */
+    private static final int ASK_MS = 1;
     /** How much longer than its wait a call may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
     private static final int CONNECT_MS = 1000;
@@ -86,10 +88,40 @@
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
     private InetSocketAddress address;
+    private final Pace pace;
     private long version;
     private boolean closed;
+    /** Whether the module has it watch. */
+    private boolean watching;
+    /** Whether the last call failed. */
+    private boolean failing;
+
+    /** How closely the list is watched, where others may do so for this proxy. */
+    public interface Pace {
+        /** Whether a call is to be out at all times; else there is one only when {@link DiscoveryClient#ask} says so. */
+        boolean closely();
+
+        /** A list of this version has come. */
+        void have(long version);
+
+        /** Nobody else watches. */
+        Pace ALONE = new Pace() {
+            @Override
+            public boolean closely() {
+                return true;
+            }
+
+            @Override
+            public void have(long version) { }
+        };
+    }
 
     public DiscoveryClient(Core core, Source source, Dispatcher dispatcher) {
+        this(core, source, dispatcher, Pace.ALONE);
+    }
+
+    public DiscoveryClient(Core core, Source source, Dispatcher dispatcher, Pace pace) {
+        this.pace = pace;
         this.core = core;
         loop = core.loop();
         Settings settings = dispatcher.settings();
@@ -141,13 +173,39 @@
 
     @Override
     public void watch(boolean on) {
-        if (on) {
-            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + WAIT_MS, WAIT_MS, this::watched);
+        watching = on;
+        if (on && (version == 0 || failing || pace.closely())) {
+            call(WAIT_MS);
         } else {
             watchLine.close();
         }
     }
 
+    private void call(int waitMs) {
+        watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + waitMs, waitMs, this::watched);
+    }
+
+    /** Whether a call that waits is out; for who decides on the pace. */
+    public boolean isWatching() {
+        return watching && watchLine.waiting != null;
+    }
+
+    /** Calls once, for what has changed, if no call is out. */
+    public void ask() {
+        if (watching && watchLine.waiting == null) {
+            call(ASK_MS);
+        }
+    }
+
+    /** The pace has changed: a call is to be out from now on, or only the one that is. */
+    public void pace(boolean closely) {
+        if (watching && closely && watchLine.waiting == null) {
+            call(WAIT_MS);
+        } else if (watching && !closely && version != 0 && watchLine.waiting != null && !failing) {
+            watchLine.close(); // discovery need not keep it
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -175,8 +233,10 @@
             if (json == null) {
                 throw new IllegalArgumentException("no answer");
             }
+            failing = false;
             apply(json);
         } catch (RuntimeException e) {
+            failing = true;
             if (source.ask()) {
                 failed(e);
             } else {
@@ -185,7 +245,8 @@
             return;
         }
         // A watch lasts only while each call follows the last answer within 200 ms. Without the next one the list
-        // stays as it is for good: drained and departed servers go on being sent to, also at reused addresses.
+        // stays as it is for good, but where another proxy says when to call: drained and departed servers go on being
+        // sent to, also at reused addresses.
         watch(true);
     }
 
@@ -201,6 +262,7 @@
             core.after(newsMs, this::tellNews);
         }
         version = seq;
+        pace.have(seq);
         doubt.told(seq, whole, hosts.stream().map(Host::member).toList());
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
@@ -247,10 +309,14 @@
     /** A watch that has fallen silent is begun anew; between two watches the module asks by itself. */
     private void doubt() {
         lookAt = Double.POSITIVE_INFINITY;
-        if (!closed && doubt.ask(core.now()) && watchLine.waiting != null) {
-            dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
-            watchLine.close();
-            watch(true);
+        if (!closed && doubt.ask(core.now())) {
+            if (watchLine.waiting != null) {
+                dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
+                watchLine.close();
+                watch(true);
+            } else if (!pace.closely()) {
+                ask();
+            }
         }
         look();
     }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 
 /**
@@ -35,7 +36,8 @@
 public final class Dispatcher implements Actions {
     /** What a request that the module left unanswered at its due time may still wait for it. */
     private static final double OVERDUE_MS = 10;
-    private static final double PROBE_TIMEOUT_MS = 250;
+    /** What a test of a server takes at the most, ms. */
+    public static final double PROBE_TIMEOUT_MS = 250;
     private static final double RETIRE_AT = 0.7;
     private static final long SWEEP_MS = 1000;
 
@@ -51,6 +53,7 @@
     private Recollections recollections;
     private Siblings siblings = Siblings.NONE;
     private Questions questions = Questions.NONE;
+    private Probes probes = Probes.OWN;
     private PeerSocket peers;
     private Future<?> sweeper;
     private boolean busy;
@@ -112,6 +115,14 @@
         };
     }
 
+    /** Where the module's tests of servers go. */
+    public interface Probes {
+        /** Whether the test of a server is taken over: then {@link Dispatcher#probed} is to tell of its end. */
+        boolean take(int server);
+
+        Probes OWN = server -> false;
+    }
+
     /**
      * A pool's fixed figures.
      *
@@ -162,6 +173,11 @@
         questions = to;
     }
 
+    /** Others may test servers for this pool. Before the start. */
+    public void probes(Probes to) {
+        probes = to;
+    }
+
     String classAt(int server) {
         return questions.classAt(server);
     }
@@ -394,7 +410,11 @@
         double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : core.now()) - a.sentMs;
         Exchange x = a.exchange;
         if (x == null) {
-            tell(() -> module.onProbed(core.now(), a.server, outcome, elapsed, report, this));
+            if (a.asked != null) {
+                a.asked.accept(outcome);
+            } else {
+                tell(() -> module.onProbed(core.now(), a.server, outcome, elapsed, report, this));
+            }
             return;
         }
         x.out--;
@@ -569,9 +589,17 @@
 
     @Override
     public void probe(int server) {
+        if (!probes.take(server)) {
+            probe(server, null);
+        }
+    }
+
+    /** Tests a server; who asked hears of its end, and the module does where that is nobody (null). */
+    public void probe(int server, Consumer<Outcome> asked) {
         Upstream u = upstreams.get(server);
         double now = core.now();
         Attempt a = new Attempt(this, null, 0, server, now, now + PROBE_TIMEOUT_MS);
+        a.asked = asked;
         if (u == null || !u.send(a)) {
             tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null, null));
         } else {
@@ -579,6 +607,11 @@
         }
     }
 
+    /** The end of a test that others have taken over. */
+    public void probed(int server, boolean sound) {
+        tell(() -> module.onProbed(core.now(), server, sound ? Outcome.OK : Outcome.TIMEOUT, 0, null, this));
+    }
+
     @Override
     public void closeIdle(int server) {
         Upstream u = upstreams.get(server);
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -1,8 +1,10 @@
 package damsonworks.proxy;
 
+import damsonworks.RoutingApi.Outcome;
 import damsonworks.proxy.Timers.Timer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** A request in a pool's hands, with its attempts. */
 public final class Exchange implements RequestHandler.Handle {
@@ -68,6 +70,8 @@
         boolean ended;
         /** When the first bytes of a long answer came, else 0. */
         double firstByteMs;
+        /** Who hears of a probe's end; null: the module. */
+        Consumer<Outcome> asked;
         Timer timer;
 
         Attempt(Dispatcher owner, Exchange exchange, int index, int server, double sentMs, double untilMs) {
--- a/src/main/java/damsonworks/rig/ChildFiles.java
+++ b/src/main/java/damsonworks/rig/ChildFiles.java
@@ -119,7 +119,8 @@
         if (text.contains("{peers}")) {
             for (int i = 0; i < s.proxies(); i++) {
                 peers.append("[[fleet.peer]]\nname = \"").append(Endpoints.proxy(i)).append("\"\naddress = \"")
-                        .append(AddressSpace.text(space.face(i, AddressSpace.PEERS))).append("\"\n");
+                        .append(AddressSpace.text(space.face(i, AddressSpace.PEERS))).append("\"\nzone = \"")
+                        .append(s.zones().get(names.zoneOfProxy(i))).append("\"\n");
             }
         }
         return text.replace("{me}", Endpoints.proxy(proxy)).replace("{ip}", space.proxy(proxy))
--- /dev/null
+++ b/src/main/java/damsonworks/rig/DutyActs.java
@@ -0,0 +1,48 @@
+package damsonworks.rig;
+
+import damsonworks.lease.EpochGuard;
+import damsonworks.lease.Ids;
+import damsonworks.rig.check.Event;
+import damsonworks.rig.plan.Endpoints;
+import io.netty.channel.EventLoop;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What is done under duties, counted where it is received: a job beside each proxy that hears that it may act does so, some after having
+ * stood still in the midst of it for longer than any lease, and a store takes what it writes unless it comes under an older epoch than it
+ * has seen. On one event loop.
+ */
+final class DutyActs {
+    private static final double STANDS_STILL = 0.05;
+    private static final double LONGEST_MS = 4000;
+    private static final double USUAL_MS = 20;
+
+    private final EventLoop loop;
+    private final History history;
+    private final SplittableRandom random;
+    private final EpochGuard guard = new EpochGuard();
+    /** By proxy and duty: whether a job is at it. */
+    private final boolean[][] busy;
+
+    DutyActs(EventLoop loop, History history, int proxies, int duties, long seed) {
+        this.loop = loop;
+        this.history = history;
+        random = new SplittableRandom(seed + 7);
+        busy = new boolean[proxies][duties];
+    }
+
+    /** A proxy has said that the job beside it may act. */
+    void may(int proxy, int number, String duty, long epoch) {
+        if (busy[proxy][number]) {
+            return;
+        }
+        busy[proxy][number] = true;
+        double takes = random.nextDouble() * (random.nextDouble() < STANDS_STILL ? LONGEST_MS : USUAL_MS);
+        loop.schedule(() -> {
+            busy[proxy][number] = false;
+            boolean accepted = guard.accepts(Ids.of(duty), epoch);
+            history.add(0, Endpoints.proxy(proxy), Event.ACT, duty, accepted ? "accepted" : "refused", epoch);
+        }, (long) (takes * 1000), TimeUnit.MICROSECONDS);
+    }
+}
--- a/src/main/java/damsonworks/rig/DutyPolls.java
+++ b/src/main/java/damsonworks/rig/DutyPolls.java
@@ -26,16 +26,18 @@
     private final EventLoop loop;
     private final AddressSpace space;
     private final History history;
+    private final DutyActs acts;
     private Future<?> ticks;
 
-    private DutyPolls(EventLoop loop, AddressSpace space, History history) {
+    private DutyPolls(EventLoop loop, AddressSpace space, History history, DutyActs acts) {
+        this.acts = acts;
         this.loop = loop;
         this.space = space;
         this.history = history;
     }
 
-    static DutyPolls start(EventLoop loop, AddressSpace space, History history, int proxies, List<String> duties) {
-        DutyPolls polls = new DutyPolls(loop, space, history);
+    static DutyPolls start(EventLoop loop, AddressSpace space, History history, int proxies, List<String> duties, long seed) {
+        DutyPolls polls = new DutyPolls(loop, space, history, new DutyActs(loop, history, proxies, duties.size(), seed));
         boolean[][] out = new boolean[proxies][duties.size()];
         polls.ticks = loop.scheduleAtFixedRate(() -> {
             for (int p = 0; p < proxies; p++) {
@@ -44,7 +46,7 @@
                         out[p][d] = true;
                         int proxy = p;
                         int duty = d;
-                        polls.ask(proxy, duties.get(duty), () -> out[proxy][duty] = false);
+                        polls.ask(proxy, duty, duties.get(duty), () -> out[proxy][duty] = false);
                     }
                 }
             }
@@ -56,13 +58,13 @@
         ticks.cancel(false);
     }
 
-    private void ask(int proxy, String duty, Runnable over) {
+    private void ask(int proxy, int number, String duty, Runnable over) {
         InetSocketAddress to = space.proxy(proxy, AddressSpace.CONTROL);
         new Bootstrap().group(loop).channel(Transport.BEST.socket()).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new Call(Endpoints.proxy(proxy), duty));
+                        channel.pipeline().addLast(new Call(proxy, number, duty));
                     }
                 }).connect(to).addListener(f -> {
                     Channel channel = ((io.netty.channel.ChannelFuture) f).channel();
@@ -76,13 +78,15 @@
     }
 
     private final class Call extends ChannelInboundHandlerAdapter {
-        private final String proxy;
+        private final int proxy;
+        private final int number;
         private final String duty;
         private final StringBuilder text = new StringBuilder();
         private long sentUs;
 
-        Call(String proxy, String duty) {
+        Call(int proxy, int number, String duty) {
             this.proxy = proxy;
+            this.number = number;
             this.duty = duty;
         }
 
@@ -102,8 +106,11 @@
                 return;
             }
             boolean yes = text.indexOf("HTTP/1.1 200") == 0;
-            history.add(history.now() - sentUs, proxy, Event.DUTY, duty, yes ? "yes" : "no",
-                    yes ? Long.parseLong(text.substring(body + 4).strip()) : 0);
+            long epoch = yes ? Long.parseLong(text.substring(body + 4).strip()) : 0;
+            history.add(history.now() - sentUs, Endpoints.proxy(proxy), Event.DUTY, duty, yes ? "yes" : "no", epoch);
+            if (yes) {
+                acts.may(proxy, number, duty, epoch);
+            }
             ctx.close();
         }
 
--- a/src/main/java/damsonworks/rig/Rig.java
+++ b/src/main/java/damsonworks/rig/Rig.java
@@ -2,6 +2,7 @@
 
 import damsonworks.config.ConfigException;
 import damsonworks.proxy.Transport;
+import damsonworks.rig.check.ActsInOrder;
 import damsonworks.rig.check.Checker;
 import damsonworks.rig.check.Event;
 import damsonworks.rig.check.OneHolder;
@@ -35,9 +36,11 @@
      * @param residentMb of a proxy, at the load's end: the mean and the most
      * @param datagrams that came through between proxies, their bytes, and how many faults lost
      * @param discoveryCalls since the load began
+     * @param watches calls that waited at discovery at the load's end
+     * @param tests of nodes since the load began
      */
     public record Outcome(Run run, Verdict verdict, Quality quality, Service service, double startSeconds, double[] residentMb,
-            long[] datagrams, int discoveryCalls, int unreached, int unsent) {
+            long[] datagrams, int discoveryCalls, int watches, int tests, int unreached, int unsent) {
         private static double loadFromMs(Run run) {
             return run.events().stream().filter(e -> e.what().equals(Event.DUTY)).mapToDouble(Event::ms).findFirst().orElse(0);
         }
@@ -51,8 +54,9 @@
                             s.program(), s.nodes(), s.seed(), seconds, startSeconds, residentMb[0], residentMb[1]),
                     service.toString(),
                     String.format("unreached %d, no connection free %d; datagrams a second a proxy %.2f, bytes %.0f, lost by faults %d; "
-                            + "calls to discovery a second %.2f", unreached, unsent, datagrams[0] / seconds / s.proxies(),
-                            datagrams[1] / seconds / s.proxies(), datagrams[2], discoveryCalls / seconds),
+                            + "calls to discovery %d, %.2f a second, waiting at the end %d; tests of nodes %d", unreached, unsent,
+                            datagrams[0] / seconds / s.proxies(), datagrams[1] / seconds / s.proxies(), datagrams[2], discoveryCalls,
+                            discoveryCalls / seconds, watches, tests),
                     String.format("lag ms: relay p99 %.1f max %.1f, load p99 %.1f, proxies without a fault p99 %.1f; all processors busy %.2f", quality.relayP99(),
                             quality.relayMax(), quality.loadP99(), quality.childP99(), quality.busy())));
             for (String duty : s.duties()) {
@@ -60,6 +64,9 @@
                 lines.add(String.format("duty %s: epochs %d, gaps of 100 ms and more: %s", duty, OneHolder.moves(run, duty),
                         String.join(" ", gaps.stream().map(g -> String.format("%.0f ms at %.1f s", g[1] - g[0], g[0] / 1000)).toList())));
             }
+            if (!s.duties().isEmpty()) {
+                lines.add("acts under older epochs, refused where they were received: " + ActsInOrder.refused(run));
+            }
             lines.addAll(verdict.lines());
             return lines;
         }
@@ -84,6 +91,8 @@
         double[] resident;
         long[] datagrams;
         int calls;
+        int watches;
+        int tests;
         double[] lags;
         long dropped;
         long relayDropped;
@@ -107,17 +116,20 @@
             Lag lag = Lag.of(relayLoop);
             long[] before = {relay.passed(), relay.bytes(), relay.lost()};
             int callsBefore = standIns.discoveryCalls();
+            int testsBefore = standIns.tests();
             load = new FleetLoad(loadGroup.next(), scenario, proxies.addresses(), history);
             try (Director director = new Director(scenario, proxies, standIns, links, relayLoop, connections, history)) {
                 director.start();
                 DutyPolls polls = scenario.duties().isEmpty() ? null
-                        : DutyPolls.start(loadGroup.next(), space, history, scenario.proxies(), scenario.duties());
+                        : DutyPolls.start(loadGroup.next(), space, history, scenario.proxies(), scenario.duties(), scenario.seed());
                 load.start().get();
                 if (polls != null) {
                     polls.stop();
                 }
                 datagrams = new long[] {relay.passed() - before[0], relay.bytes() - before[1], relay.lost() - before[2]};
                 calls = standIns.discoveryCalls() - callsBefore;
+                watches = standIns.waitingAtDiscovery();
+                tests = standIns.tests() - testsBefore;
                 resident = resident(proxies, scenario.proxies());
                 director.finish(LAST_MS);
             } catch (java.util.concurrent.ExecutionException e) {
@@ -137,7 +149,7 @@
         Run run = History.read(file);
         Quality quality = new Quality(lags[0], lags[1], lags[2], pulseP99(run), lags[3], dropped, relayDropped);
         return new Outcome(run, Verdict.of(run, quality.faults(), checkers), quality, Service.of(run, 0, Double.MAX_VALUE), startSeconds,
-                resident, datagrams, calls, load.unreached(), load.unsent());
+                resident, datagrams, calls, watches, tests, load.unreached(), load.unsent());
     }
 
     /** Checks a history that was written before. The machine's part in it is judged by the empty calls alone. */
--- a/src/main/java/damsonworks/rig/StandIns.java
+++ b/src/main/java/damsonworks/rig/StandIns.java
@@ -145,6 +145,16 @@
         return views.stream().mapToInt(StandInDiscovery::calls).sum();
     }
 
+    /** Calls that wait there for a change. */
+    int waitingAtDiscovery() {
+        return views.stream().mapToInt(StandInDiscovery::waiting).sum();
+    }
+
+    /** Tests of nodes: empty commands of proxies. */
+    int tests() {
+        return nodes.stream().mapToInt(StandInNode::tested).sum();
+    }
+
     Lag lag() {
         return lag;
     }
--- /dev/null
+++ b/src/main/java/damsonworks/rig/check/ActsInOrder.java
@@ -0,0 +1,37 @@
+package damsonworks.rig.check;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** No act under a duty is taken once one of a later epoch was: whatever stood still in the midst of it does no harm. */
+public final class ActsInOrder implements Checker {
+    @Override
+    public String name() {
+        return "acts-in-order";
+    }
+
+    @Override
+    public Findings check(Run run) {
+        Findings f = new Findings();
+        Map<String, Event> last = new HashMap<>();
+        for (Event e : run.events()) {
+            if (!e.what().equals(Event.ACT) || !e.detail().equals("accepted")) {
+                continue;
+            }
+            f.looked();
+            Event before = last.get(e.id());
+            if (before != null && before.value() > e.value()) {
+                f.broken(e, "an act of " + e.who() + " under " + e.id() + ", epoch " + (long) e.value() + ", was taken after one of " + before.who()
+                        + " under epoch " + (long) before.value());
+            } else {
+                last.put(e.id(), e);
+            }
+        }
+        return f;
+    }
+
+    /** Acts of older epochs that were refused where they were received. */
+    public static long refused(Run run) {
+        return run.events().stream().filter(e -> e.what().equals(Event.ACT) && e.detail().equals("refused")).count();
+    }
+}
--- a/src/main/java/damsonworks/rig/check/Event.java
+++ b/src/main/java/damsonworks/rig/check/Event.java
@@ -53,6 +53,9 @@
     /** Proxy {@code who} was asked whether it holds duty {@code id}; from the question on; detail: yes or no; value: its epoch. */
     public static final String DUTY = "duty";
 
+    /** What a job beside proxy {@code who} did under duty {@code id} has reached its store; detail: accepted, refused; value: its epoch. */
+    public static final String ACT = "act";
+
     /** The earliest that it can have been. */
     public long earliest() {
         return us - offUs;
--- a/src/main/java/damsonworks/standin/StandInDiscovery.java
+++ b/src/main/java/damsonworks/standin/StandInDiscovery.java
@@ -134,6 +134,11 @@
         return calls.get();
     }
 
+    /** Calls that wait for a change. */
+    public int waiting() {
+        return loop.submit(watches::size).syncUninterruptibly().getNow();
+    }
+
     @Override
     public void close() {
         server.close().syncUninterruptibly();
--- a/src/main/java/damsonworks/standin/StandInNode.java
+++ b/src/main/java/damsonworks/standin/StandInNode.java
@@ -45,6 +45,7 @@
     private final Set<String> keys = new HashSet<>();
     private final ChannelGroup connections;
     private final AtomicInteger commands = new AtomicInteger();
+    private final AtomicInteger tested = new AtomicInteger();
     private Channel server;
     private int port;
     private Missed missed;
@@ -108,6 +109,11 @@
         return commands.get();
     }
 
+    /** Tests that have come since the start: empty commands. */
+    public int tested() {
+        return tested.get();
+    }
+
     void onMiss(Missed listener) {
         missed = listener;
     }
@@ -244,6 +250,7 @@
 
         private void take(ChannelHandlerContext ctx, String line, byte[] value) {
             if (line.equals("mn")) {
+                tested.incrementAndGet();
                 say(ctx, "MN\r\n");
                 return;
             }
--- /dev/null
+++ b/src/main/java/damsonworks/trials/TrialDesk.java
@@ -0,0 +1,297 @@
+package damsonworks.trials;
+
+import damsonworks.lease.EpochGuard;
+import damsonworks.lease.Ids;
+import damsonworks.lease.Tenure;
+import damsonworks.trials.TrialMessage.Kind;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Trials of servers that seem to be sick, made once for a whole fleet: servers are dealt into shares, each share is a duty, and who
+ * holds it makes the trial that any proxy wants; the others ask it and take its word. Whoever gets no word in time goes by
+ * itself, and now and then does so where word contradicts what it sees: the way to a server may be at fault on one side only. So
+ * this saves trials and never keeps a server out for longer than {@link TrialRules#OWN_EVERY} of them. Free of I/O and
+ * clocks.
+ */
+public final class TrialDesk {
+    /** Servers that are asked about at once; for more one goes by oneself. */
+    public static final int MOST_WANTS = 1024;
+    /** Trials for others at once, and of who waits for each: who gets no word goes by itself. */
+    public static final int MOST_TRIALS = 64;
+    public static final int MOST_WAITING = 256;
+    /** Servers whose outcomes, or whose word, are kept in mind. */
+    public static final int MOST_KNOWN = 4096;
+    /** Asked in turn until one knows who holds the share. */
+    private static final int MOST_HOPS = 3;
+
+    /** Where messages and trials go, and who is told. */
+    public interface Out {
+        void send(long to, TrialMessage m);
+
+        /** Makes a trial from here, whose outcome comes by {@link #ended}; false: the server is not known here. */
+        boolean trial(int server);
+
+        /** The outcome of what was wanted. */
+        void told(int server, boolean sound);
+    }
+
+    /** Counts since the start, for operators. */
+    public record Counts(long own, long forOthers, long byWord, long tooLate, long olderEpochs) { }
+
+    private record Waiter(long peer, long number) { }
+
+    private static final class Want {
+        final long number;
+        final double untilMs;
+        int hops;
+
+        Want(long number, double untilMs) {
+            this.number = number;
+            this.untilMs = untilMs;
+        }
+    }
+
+    private static final class Trial {
+        final List<Waiter> waiting = new ArrayList<>();
+        boolean wanted;
+    }
+
+    private record Known(double atMs, boolean sound) { }
+
+    private static final class Word {
+        int unsound;
+        double soundAtMs = Double.NEGATIVE_INFINITY;
+    }
+
+    private final long me;
+    private final Out out;
+    private final EpochGuard guard = new EpochGuard();
+    private final Map<Integer, Want> wants = new HashMap<>();
+    private final Map<Integer, Trial> trials = new HashMap<>();
+    private final Map<Integer, Known> known = new HashMap<>();
+    private final Map<Integer, Word> words = new HashMap<>();
+    private TrialRules rules;
+    private List<Tenure> shares;
+    private long numbers;
+    private long own;
+    private long forOthers;
+    private long byWord;
+    private long tooLate;
+    private long olderEpochs;
+
+    /**
+     * @param numbers where the numbers of its questions begin: another process of this name began elsewhere
+     * @param shares the duties, the same number at all proxies
+     */
+    public TrialDesk(long me, long numbers, TrialRules rules, List<Tenure> shares, Out out) {
+        this.me = me;
+        this.numbers = numbers;
+        this.out = out;
+        use(rules, shares);
+    }
+
+    /** Other figures from now on. */
+    public void use(TrialRules other, List<Tenure> duties) {
+        rules = other;
+        shares = List.copyOf(duties);
+    }
+
+    /** In which share a server is: by its number, so that all agree and neighbours are apart. */
+    public static int share(int server, int shares) {
+        return Math.floorMod((server * 0x9E3779B9) >>> 8, shares);
+    }
+
+    private Tenure tenure(int server) {
+        return shares.get(share(server, shares.size()));
+    }
+
+    // ---- what is wanted here
+
+    /** The module wants a trial; {@link Out#told} comes once, at the latest when one's own trial after the patience has ended. */
+    public void wanted(double now, int server) {
+        if (wants.containsKey(server)) {
+            return;
+        }
+        Tenure t = tenure(server);
+        long to = whom(now, t);
+        if (wants.size() >= MOST_WANTS || mistrusts(now, server) || to == me || to == Ids.NOBODY) {
+            alone(server);
+            return;
+        }
+        Want w = new Want(++numbers, now + rules.patienceMs());
+        wants.put(server, w);
+        out.send(to, new TrialMessage(Kind.WANT, t.id(), server, w.number, 0, 0, false, 0));
+    }
+
+    private long whom(double now, Tenure t) {
+        if (t.permit(now, rules.probeMs()) >= 0) {
+            return me;
+        }
+        long holder = t.holder(now);
+        return holder != Ids.NOBODY && holder != me ? holder
+                : t.order().stream().filter(p -> p != me).findFirst().orElse(Ids.NOBODY);
+    }
+
+    /** Whether others' word on a server is at odds with what is seen here, or has stood alone for long. */
+    private boolean mistrusts(double now, int server) {
+        Word w = words.get(server);
+        return w != null && (w.unsound >= TrialRules.OWN_EVERY - 1 || now - w.soundAtMs < TrialRules.CONTRADICTED_MS);
+    }
+
+    private void alone(int server) {
+        wants.remove(server);
+        own++;
+        Trial t = trials.get(server);
+        if (t == null) {
+            t = new Trial();
+            trials.put(server, t);
+            t.wanted = true;
+            if (!out.trial(server)) {
+                trials.remove(server);
+                settled(server, false);
+            }
+        } else {
+            t.wanted = true;
+        }
+    }
+
+    private void settled(int server, boolean sound) {
+        words.remove(server);
+        out.told(server, sound);
+    }
+
+    // ---- messages
+
+    public void heard(double now, long from, TrialMessage m) {
+        switch (m.kind()) {
+            case WANT -> asked(now, from, m);
+            case ANSWER -> answered(now, m);
+            default -> elsewhere(from, m);
+        }
+    }
+
+    private void asked(double now, long from, TrialMessage m) {
+        Tenure t = tenure(m.server());
+        if (t.id() != m.duty()) {
+            return; // it deals them out otherwise, and will go by itself
+        }
+        if (t.permit(now, rules.probeMs()) < 0) {
+            refer(from, m, t.holder(now) == me ? Ids.NOBODY : t.holder(now));
+            return;
+        }
+        Known k = known.get(m.server());
+        if (k != null && now - k.atMs <= rules.reuseMs()) {
+            answer(now, from, m.server(), m.number(), k);
+            return;
+        }
+        Trial trial = trials.get(m.server());
+        if (trial == null) {
+            trial = new Trial();
+            trials.put(m.server(), trial);
+            if (trials.size() > MOST_TRIALS || !out.trial(m.server())) {
+                trials.remove(m.server());
+                refer(from, m, Ids.NOBODY);
+                return;
+            }
+            forOthers++;
+        }
+        if (trial.waiting.size() < MOST_WAITING) {
+            trial.waiting.add(new Waiter(from, m.number()));
+        }
+    }
+
+    private void refer(long to, TrialMessage m, long holder) {
+        out.send(to, new TrialMessage(Kind.ELSEWHERE, m.duty(), m.server(), m.number(), 0, holder, false, 0));
+    }
+
+    /** The epoch is asked for right before word goes out: who lost the duty during the trial says nothing. */
+    private void answer(double now, long to, int server, long number, Known k) {
+        Tenure t = tenure(server);
+        long epoch = t.permit(now, 0);
+        if (epoch >= 0) {
+            out.send(to, new TrialMessage(Kind.ANSWER, t.id(), server, number, epoch, 0, k.sound, (int) Math.max(0, Math.round(now - k.atMs))));
+        }
+    }
+
+    private void answered(double now, TrialMessage m) {
+        Want w = wants.get(m.server());
+        if (w == null || w.number != m.number() || now > w.untilMs || m.ageMs() > rules.reuseMs() + rules.probeMs()) {
+            tooLate++;
+            return;
+        }
+        if (!guard.accepts(m.duty(), m.epoch())) {
+            olderEpochs++;
+            return;
+        }
+        wants.remove(m.server());
+        byWord++;
+        if (words.size() >= MOST_KNOWN) {
+            words.clear(); // as if all were new: trust, with the same bounds
+        }
+        Word word = words.computeIfAbsent(m.server(), k -> new Word());
+        word.unsound = m.sound() ? 0 : word.unsound + 1;
+        word.soundAtMs = m.sound() ? now : Double.NEGATIVE_INFINITY;
+        out.told(m.server(), m.sound());
+    }
+
+    private void elsewhere(long from, TrialMessage m) {
+        Want w = wants.get(m.server());
+        if (w == null || w.number != m.number()) {
+            return;
+        }
+        if (m.holder() == Ids.NOBODY || m.holder() == me || m.holder() == from || ++w.hops >= MOST_HOPS) {
+            alone(m.server());
+        } else {
+            out.send(m.holder(), new TrialMessage(Kind.WANT, m.duty(), m.server(), w.number, 0, 0, false, 0));
+        }
+    }
+
+    // ---- trials from here
+
+    /** What a trial from here has shown. */
+    public void ended(double now, int server, boolean sound) {
+        Trial t = trials.remove(server);
+        if (t == null) {
+            return;
+        }
+        if (known.size() >= MOST_KNOWN) {
+            forget(now);
+        }
+        Known k = new Known(now, sound);
+        if (known.size() < MOST_KNOWN) {
+            known.put(server, k);
+        }
+        t.waiting.forEach(w -> answer(now, w.peer, server, w.number, k));
+        if (t.wanted) {
+            settled(server, sound);
+        }
+    }
+
+    private void forget(double now) {
+        known.values().removeIf(k -> now - k.atMs > rules.reuseMs());
+    }
+
+    /** Goes by itself where no word came in time; when to call again, at the latest. */
+    public double tick(double now) {
+        double next = Double.POSITIVE_INFINITY;
+        List<Integer> overdue = new ArrayList<>();
+        for (Iterator<Map.Entry<Integer, Want>> it = wants.entrySet().iterator(); it.hasNext();) {
+            Map.Entry<Integer, Want> e = it.next();
+            if (now >= e.getValue().untilMs) {
+                overdue.add(e.getKey());
+            } else {
+                next = Math.min(next, e.getValue().untilMs);
+            }
+        }
+        overdue.forEach(this::alone);
+        return next;
+    }
+
+    public Counts counts() {
+        return new Counts(own, forOthers, byWord, tooLate, olderEpochs);
+    }
+}
