Move memory and hooks onto the daemon's parts, and their keys out of the file's reader

Need: each subsystem added fields, checks and closing to Daemon, DaemonFile and DaemonFileReader.

Change: MemorySection, HookSection, SiblingSection read and check their own keys, with what they may refer to in one record; MemoryKeeper and HooksPart are parts; a part may have things to finish at the process's end and to wait for after it is closed, off the loop. A memory that another is to take the path of is ended first and takes it back if the file is not used.

--- a/src/main/java/damsonworks/config/DaemonFile.java
+++ b/src/main/java/damsonworks/config/DaemonFile.java
@@ -2,30 +2,23 @@
 
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Tenant;
-import damsonworks.hooks.HookModule;
 import damsonworks.routes.KeyForm;
 import damsonworks.routes.PlaceBy;
 import damsonworks.routes.RouteTable;
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The daemon's file, checked: what {@code run} serves. All times in milliseconds.
  *
  * @param keys what keys are
- * @param hooks in the order in which they are called
  * @param pools by name, in the file's order
- * @param memory null: what is learned ends with the process
- * @param icp null: no sibling caches are asked or answered
  * @param parts sections that subsystems have read for themselves, by their classes
  */
 public record DaemonFile(String path, Site site, KeyForm keys, Limits limits, List<ServiceClass> classes, List<Tenant> tenants,
-        List<Listen> listeners, List<Hook> hooks, Map<String, Pool> pools,
-        RouteTable routes, Memory memory, Icp icp, List<Sibling> siblings, Map<Class<?>, Object> parts) {
+        List<Listen> listeners, Map<String, Pool> pools, RouteTable routes, Map<Class<?>, Object> parts) {
 
     /**
      * What is true of the whole installation.
@@ -88,63 +81,11 @@
     /** A list of servers that is followed. */
     public record Discovery(InetSocketAddress address, List<String> zones, List<String> kinds, String originKind) { }
 
-    /**
-     * A plug-in.
-     *
-     * @param at place in the file, for errors
-     * @param module path of the WebAssembly module
-     * @param sha256 what it must be; null: not checked
-     * @param listeners whose requests it gets; empty: all
-     * @param routes whose requests it gets, by the routes' names; empty: all
-     * @param refuse whether a request is refused where it fails; else it goes on as it was
-     * @param queue calls that may wait
-     * @param breakerShare of calls that may fail before it is switched off
-     */
-    public record Hook(String name, String at, Path module, String sha256, Set<String> listeners, Set<String> routes, int order,
-            HookModule.Limits limits, boolean refuse, double refuseMs, int queue, double breakerShare, double breakerOffMs,
-            String config) { }
-
-    /**
-     * Where what the modules learn is kept.
-     *
-     * @param path the file; three more stand beside it
-     * @param periodMs between two writings, at the least
-     * @param keys hot keys of a pool that are kept, at most
-     * @param bytesPerSecond bound on what is written
-     */
-    public record Memory(Path path, double periodMs, int keys, double bytesPerSecond) { }
-
-    /**
-     * Where siblings are asked from and answered at, by ICP.
-     *
-     * @param urlPrefix with the key behind it, the URL in ICP
-     * @param listener where siblings fetch; its routes say which pool answers for a key; null: no question is answered with a hit
-     * @param keys that are remembered as answered lately, a power of two
-     * @param holdMs for so long
-     * @param questions out at once
-     * @param perSecond questions, and answers, a second, at most
-     */
-    public record Icp(InetSocketAddress address, String urlPrefix, String listener, int keys, double holdMs, int questions, double perSecond) { }
-
-    /**
-     * Another proxy's fleet.
-     *
-     * @param icp where it is asked, and from where it asks
-     * @param fetch its listener for fetches
-     * @param className the class that it has for them
-     */
-    public record Sibling(String name, int id, InetSocketAddress icp, InetSocketAddress fetch, String className) { }
-
     /** What a subsystem has read of the file; null where the file says nothing of it. */
     public <T> T part(Class<T> of) {
         return of.cast(parts.get(of));
     }
 
-    /** A sibling by its name. */
-    public Sibling sibling(String name) {
-        return siblings.stream().filter(s -> s.name().equals(name)).findFirst().orElseThrow();
-    }
-
     /** A pool and those that follow it by its own {@code fallback}. */
     public List<String> chain(List<String> named) {
         List<String> chain = new ArrayList<>(named);
--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -5,15 +5,11 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Tenant;
 import damsonworks.config.DaemonFile.Discovery;
-import damsonworks.config.DaemonFile.Hook;
 import damsonworks.config.DaemonFile.Limits;
 import damsonworks.config.DaemonFile.Listen;
-import damsonworks.config.DaemonFile.Memory;
 import damsonworks.config.DaemonFile.Pool;
 import damsonworks.config.DaemonFile.Server;
 import damsonworks.config.DaemonFile.Site;
-import damsonworks.hooks.HookModule;
-import damsonworks.memory.MemoryFormat;
 import damsonworks.placement.NginxConsistentPlacement;
 import damsonworks.placement.Placements;
 import damsonworks.placement.ServerId;
@@ -37,17 +33,36 @@
 public final class DaemonFileReader {
     /** A file of 10,000 routes has some 2 MB; bounds what a wrong path can make us read. */
     static final long MAX_BYTES = 32L << 20;
-    private static final double HOUR_MS = 3_600_000;
-    /** Each has a thread. */
-    private static final int MAX_HOOKS = 16;
-    private static final int MAX_CONFIG = 32_768;
+    static final double HOUR_MS = 3_600_000;
 
     /** Sections that their subsystems bring with them, each a class of its own. */
-    private static final List<PartReader> PARTS = List.of((root, file) -> ControlSection.read(root), FleetSection::read);
+    private static final List<PartReader> PARTS = List.of((root, known) -> ControlSection.read(root), FleetSection::read,
+            MemorySection::read, HookSection::read, SiblingSection::read);
 
     /** Reads one subsystem's sections; null where the file has none. */
     interface PartReader {
-        Object read(Section root, String file);
+        Object read(Section root, Known known);
+    }
+
+    /**
+     * What a subsystem's sections may refer to.
+     *
+     * @param file the file's path
+     * @param serverNames by the servers' numbers
+     */
+    record Known(String file, Section.Errors errors, Set<String> listeners, Set<String> routes, Map<String, Pool> pools,
+            Map<String, Section> poolSections, Map<Integer, String> serverNames) {
+
+        /** A path in the file is relative to the file's own directory. */
+        Path beside(Section s, String key, String text) {
+            try {
+                Path parent = Path.of(file).toAbsolutePath().getParent();
+                return parent == null ? Path.of(text) : parent.resolve(text);
+            } catch (java.nio.file.InvalidPathException e) {
+                s.error(key, key + " is no path of a file");
+                return Path.of("");
+            }
+        }
     }
 
     private final Section.Errors errors;
@@ -103,20 +118,7 @@
         root.sections("class").forEach(this::serviceClass);
         root.sections("tenant").forEach(this::tenant);
         root.sections("listen").forEach(this::listen);
-        root.sections("sibling").forEach(this::sibling);
         root.sections("pool").forEach(this::pool);
-        List<Hook> hooks = new ArrayList<>();
-        Set<String> hookNames = new HashSet<>();
-        root.sections("hook").forEach(h -> hooks.add(hook(path, h, hookNames)));
-        if (hooks.size() > MAX_HOOKS) {
-            errors.add(null, hooks.size() + " hooks; at most " + MAX_HOOKS);
-        }
-        hooks.sort(java.util.Comparator.comparingInt(Hook::order));
-        Memory memory = memory(path, root.section("memory"));
-        DaemonFile.Icp icp = icp(root.section("icp"));
-        if (icp == null && !siblings.isEmpty()) {
-            errors.add(null, "siblings are asked by ICP; write [icp] with an address");
-        }
         List<Section> routes = root.sections("route");
         if (classes.isEmpty()) {
             errors.add(null, "no class; write [[class]] with a name, an effect and times");
@@ -132,21 +134,16 @@
                 root.sections("host"), routes, keys);
         Set<String> routeNames = new HashSet<>();
         table.routes().forEach(r -> routeNames.add(r.name()));
-        for (Section h : root.sections("hook")) {
-            for (String r : h.texts("route")) {
-                if (!routeNames.contains(r)) {
-                    h.error("route", "there is no route '" + r + "'; there are: " + String.join(", ", sorted(routeNames)));
-                }
-            }
-        }
+        Known known = new Known(path, errors, Set.copyOf(listenerNames), routeNames, Map.copyOf(pools), Map.copyOf(poolSections),
+                Map.copyOf(namesById));
         Map<Class<?>, Object> parts = new HashMap<>();
         PARTS.forEach(p -> {
-            Object part = p.read(root, path);
+            Object part = p.read(root, known);
             if (part != null) {
                 parts.put(part.getClass(), part);
             }
         });
-        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, hooks, pools, table, memory, icp, siblings, Map.copyOf(parts));
+        return new DaemonFile(path, site, keys, limits, classes, tenants, listeners, pools, table, Map.copyOf(parts));
     }
 
     private Site site(Section s) {
@@ -273,7 +270,7 @@
     }
 
     /** A name that must be one of those; null where it is absent. */
-    private String known(Section s, String key, Set<String> names, String kind) {
+    static String known(Section s, String key, Set<String> names, String kind) {
         String value = s.text(key, null);
         if (value != null && !names.contains(value)) {
             s.error(key, "there is no " + kind + " '" + value + "'; there are: " + String.join(", ", sorted(names)));
@@ -285,92 +282,6 @@
         return names.stream().sorted().toList();
     }
 
-    /** A path in the file is relative to the file's own directory. */
-    private static Path besideFile(String file, Section s, String key, String text) {
-        try {
-            Path parent = Path.of(file).toAbsolutePath().getParent();
-            return parent == null ? Path.of(text) : parent.resolve(text);
-        } catch (java.nio.file.InvalidPathException e) {
-            s.error(key, key + " is no path of a file");
-            return Path.of("");
-        }
-    }
-
-    private static Memory memory(String file, Section s) {
-        if (s == null) {
-            return null;
-        }
-        Memory memory = new Memory(besideFile(file, s, "path", s.text("path")), s.number("period_ms", 2000, 50, HOUR_MS),
-                s.integer("keys", 256, 0, MemoryFormat.MAX_KEYS), s.number("bytes_per_second", 65_536, 1024, 1e9));
-        s.end();
-        return memory;
-    }
-
-    private final List<DaemonFile.Sibling> siblings = new ArrayList<>();
-    private final Set<String> siblingNames = new HashSet<>();
-
-    private void sibling(Section s) {
-        String name = name(s, siblingNames, "sibling");
-        int id = ServerId.of("sibling/" + name);
-        namesById.putIfAbsent(id, "sibling " + name);
-        String className = s.text("class");
-        if (!className.isEmpty() && !word(className)) {
-            s.error("class", "class '" + className + "' is no word");
-        }
-        siblings.add(new DaemonFile.Sibling(name, id, address(s, "icp", false), address(s, "fetch", false), className));
-        s.end();
-    }
-
-    private DaemonFile.Icp icp(Section s) {
-        if (s == null) {
-            return null;
-        }
-        int keys = s.integer("keys", 65_536, 8, 1 << 22);
-        if (Integer.bitCount(keys) != 1) {
-            s.error("keys", "keys is " + keys + "; a power of two is wanted");
-            keys = 8;
-        }
-        String prefix = s.text("url_prefix", "http://coralbay/");
-        if (!prefix.matches("[!-~]{1,1000}")) {
-            s.error("url_prefix", "url_prefix is 1 to 1000 printing characters without space");
-        }
-        DaemonFile.Icp icp = new DaemonFile.Icp(address(s, "address", true), prefix, known(s, "listener", listenerNames, "listener"),
-                keys, s.number("hold_ms", 60_000, 100, 24 * HOUR_MS), s.integer("questions", 1024, 1, 1 << 20),
-                s.number("per_second", 2000, 1, 1e9));
-        s.end();
-        return icp;
-    }
-
-    private Hook hook(String path, Section s, Set<String> names) {
-        String name = name(s, names, "hook");
-        String text = s.text("module");
-        Path module = besideFile(path, s, "module", text);
-        String digest = s.text("sha256", null);
-        if (digest != null && !digest.matches("[0-9a-f]{64}")) {
-            s.error("sha256", "sha256 is 64 lower-case hexadecimal digits");
-        }
-        Set<String> from = new HashSet<>();
-        for (String l : s.texts("listener")) {
-            from.add(l);
-            if (!listenerNames.contains(l)) {
-                s.error("listener", "there is no listener '" + l + "'; there are: " + String.join(", ", sorted(listenerNames)));
-            }
-        }
-        double fuel = s.number("fuel", 200_000, 1000, 1e9);
-        HookModule.Limits limits = new HookModule.Limits(s.integer("memory_pages", 16, 1, 1024), (long) fuel,
-                (long) s.number("load_fuel", 10_000_000, 1000, 1e10), s.number("time_ms", 50, 1, 10_000),
-                s.flag("compiled", true));
-        Hook hook = new Hook(name, path + ":" + s.at("name").line() + ":" + s.at("name").column(), module, digest, from,
-                Set.copyOf(s.texts("route")), s.integer("order", 0, -1_000_000, 1_000_000), limits, s.oneOf("on_failure", "skip", "skip", "refuse").equals("refuse"),
-                s.number("refuse_ms", 100, 1, HOUR_MS), s.integer("queue", 256, 1, 65_536), s.number("breaker_share", 0.5, 0, 1),
-                s.number("breaker_off_ms", 5000, 1, HOUR_MS), s.text("config", ""));
-        if (hook.config().length() > MAX_CONFIG) {
-            s.error("config", "config has more than " + MAX_CONFIG + " characters");
-        }
-        s.end();
-        return hook;
-    }
-
     private void pool(Section s) {
         String name = name(s, new HashSet<>(pools.keySet()), "pool");
         List<Server> servers = new ArrayList<>();
@@ -404,24 +315,11 @@
                 s.integer("streams", 64, 1, 10_000), s.integer("in_hand", 10_000, 1, 1_000_000),
                 s.number("per_second", 0, 0.1, 1e9), s.number("retry_share", 0.2, 0, 10),
                 s.number("retries_always", 5, 0, 1e6), s.oneOf("nodes", "platform", "platform", "plain").equals("plain"),
-                s.text("dedup_group", null), s.text("fallback", null), poolSiblings(s, origin)));
+                s.text("dedup_group", null), s.text("fallback", null), s.texts("siblings")));
         poolSections.put(name, s);
         s.end();
     }
 
-    private List<String> poolSiblings(Section s, Server origin) {
-        List<String> names = s.texts("siblings");
-        for (String n : names) {
-            if (!siblingNames.contains(n)) {
-                s.error("siblings", "there is no sibling '" + n + "'; there are: " + String.join(", ", sorted(siblingNames)));
-            }
-        }
-        if (!names.isEmpty() && origin == null) {
-            s.error("siblings", "siblings are asked before a pool's own origin, and this pool has none in the file");
-        }
-        return names;
-    }
-
     /** What nginx's placements ask of a pool. */
     private static void nginxPlacement(Section s, String placement, List<Server> servers, Discovery discovery) {
         if (discovery != null) {
--- a/src/main/java/damsonworks/config/FleetSection.java
+++ b/src/main/java/damsonworks/config/FleetSection.java
@@ -105,7 +105,7 @@
         return WATCH + zone() + "." + pool;
     }
 
-    static FleetSection read(Section root, String file) {
+    static FleetSection read(Section root, DaemonFileReader.Known known) {
         Section s = root.section("fleet");
         List<Section> duties = root.sections("duty");
         if (s == null) {
@@ -139,7 +139,7 @@
         if (peers.size() > MOST_PEERS) {
             s.error("peer", peers.size() + " peers; at most " + MOST_PEERS);
         }
-        FleetSection fleet = new FleetSection(me, DaemonFileReader.address(s, "listen", true), keys(s, file), longest, peers,
+        FleetSection fleet = new FleetSection(me, DaemonFileReader.address(s, "listen", true), keys(s, known.file()), longest, peers,
                 duties(duties, longest), probe(s.section("probe"), longest), watch(s.section("watch"), longest));
         if (!peers.isEmpty() && fleet.names().isEmpty()) {
             s.error("peer", "all peers are leaving; at least one stays");
--- /dev/null
+++ b/src/main/java/damsonworks/config/SiblingSection.java
@@ -0,0 +1,110 @@
+package damsonworks.config;
+
+import damsonworks.placement.ServerId;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * {@code [icp]} and {@code [[sibling]]}: other fleets' proxies that are asked before the origin.
+ *
+ * @param icp null: none are asked or answered
+ */
+public record SiblingSection(Icp icp, List<Sibling> siblings) {
+    private static final SiblingSection NONE = new SiblingSection(null, List.of());
+
+    /**
+     * Where siblings are asked from and answered at, by ICP.
+     *
+     * @param urlPrefix with the key behind it, the URL in ICP
+     * @param listener where siblings fetch; its routes say which pool answers for a key; null: no question is answered with a hit
+     * @param keys that are remembered as answered lately, a power of two
+     * @param holdMs for so long
+     * @param questions out at once
+     * @param perSecond questions, and answers, a second, at most
+     */
+    public record Icp(InetSocketAddress address, String urlPrefix, String listener, int keys, double holdMs, int questions, double perSecond) { }
+
+    /**
+     * Another proxy's fleet.
+     *
+     * @param icp where it is asked, and from where it asks
+     * @param fetch its listener for fetches
+     * @param className the class that it has for them
+     */
+    public record Sibling(String name, int id, InetSocketAddress icp, InetSocketAddress fetch, String className) { }
+
+    /** What a file says of them; never null. */
+    public static SiblingSection of(DaemonFile file) {
+        SiblingSection s = file.part(SiblingSection.class);
+        return s == null ? NONE : s;
+    }
+
+    /** A sibling by its name. */
+    public Sibling sibling(String name) {
+        return siblings.stream().filter(s -> s.name().equals(name)).findFirst().orElseThrow();
+    }
+
+    static SiblingSection read(Section root, DaemonFileReader.Known known) {
+        List<Sibling> siblings = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        Set<Integer> ids = new HashSet<>();
+        for (Section s : root.sections("sibling")) {
+            siblings.add(sibling(known, s, names, ids));
+        }
+        Icp icp = icp(known, root.section("icp"));
+        if (icp == null && !siblings.isEmpty()) {
+            known.errors().add(null, "siblings are asked by ICP; write [icp] with an address");
+        }
+        known.pools().values().forEach(p -> pool(p, known.poolSections().get(p.name()), names));
+        return icp == null && siblings.isEmpty() ? null : new SiblingSection(icp, List.copyOf(siblings));
+    }
+
+    private static Sibling sibling(DaemonFileReader.Known known, Section s, Set<String> names, Set<Integer> ids) {
+        String name = DaemonFileReader.name(s, names, "sibling");
+        int id = ServerId.of("sibling/" + name);
+        if (known.serverNames().containsKey(id) || !ids.add(id)) {
+            s.error("name", "sibling '" + name + "' has the number of another server, " + Integer.toHexString(id) + "; rename one");
+        }
+        String className = s.text("class");
+        if (!className.isEmpty() && !DaemonFileReader.word(className)) {
+            s.error("class", "class '" + className + "' is no word");
+        }
+        Sibling sibling = new Sibling(name, id, DaemonFileReader.address(s, "icp", false), DaemonFileReader.address(s, "fetch", false), className);
+        s.end();
+        return sibling;
+    }
+
+    private static void pool(DaemonFile.Pool pool, Section s, Set<String> known) {
+        for (String n : pool.siblings()) {
+            if (!known.contains(n)) {
+                s.error("siblings", "there is no sibling '" + n + "'; there are: " + String.join(", ", DaemonFileReader.sorted(known)));
+            }
+        }
+        if (!pool.siblings().isEmpty() && pool.origin() == null) {
+            s.error("siblings", "siblings are asked before a pool's own origin, and this pool has none in the file");
+        }
+    }
+
+    private static Icp icp(DaemonFileReader.Known known, Section s) {
+        if (s == null) {
+            return null;
+        }
+        int keys = s.integer("keys", 65_536, 8, 1 << 22);
+        if (Integer.bitCount(keys) != 1) {
+            s.error("keys", "keys is " + keys + "; a power of two is wanted");
+            keys = 8;
+        }
+        String prefix = s.text("url_prefix", "http://coralbay/");
+        if (!prefix.matches("[!-~]{1,1000}")) {
+            s.error("url_prefix", "url_prefix is 1 to 1000 printing characters without space");
+        }
+        Icp icp = new Icp(DaemonFileReader.address(s, "address", true), prefix, DaemonFileReader.known(s, "listener", known.listeners(), "listener"),
+                keys, s.number("hold_ms", 60_000, 100, 24 * DaemonFileReader.HOUR_MS), s.integer("questions", 1024, 1, 1 << 20),
+                s.number("per_second", 2000, 1, 1e9));
+        s.end();
+        return icp;
+    }
+}
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -63,7 +63,8 @@
     private final List<Generation> older = new ArrayList<>();
     private final CountDownLatch ready = new CountDownLatch(1);
     private ColdBudget cold;
-    private volatile MemoryKeeper memory;
+    /** Whose memory counts where there is none of one's own; null: nobody's. Only at the start. */
+    private Path seedFrom;
     private final Parts parts;
 
     /** A pool that no new request comes to. */
@@ -86,6 +87,8 @@
         clients = new Clients(core, Math.max(16, sockets - sockets / 3 - OWN_DESCRIPTORS));
         router = new Router(core);
         parts = new Parts(task -> loop.submit(task).syncUninterruptibly(), List.of(
+                (f, before) -> MemoryKeeper.open(f, before, core, this::snapshot, seedFrom),
+                (f, before) -> HooksPart.open(f, core),
                 (f, before) -> SiblingSocket.open(f, before, core, seeds.nextInt(), router::generation),
                 (f, before) -> FleetPart.open(f, before, core, seeds.nextLong(), router::generation),
                 (f, before) -> ControlPart.open(f, before, loop, FleetPart.answers(() -> part(FleetPart.class)))));
@@ -103,14 +106,14 @@
     /** The same with what a sibling has learned, for what this one remembers nothing of. {@code seedFrom} may be null. */
     public static Daemon start(DaemonFile file, long seed, Path seedFrom) throws ConfigException, InterruptedException {
         Daemon daemon = new Daemon(file, seed);
-        daemon.memory = MemoryKeeper.open(file, daemon.core, daemon::snapshot);
-        daemon.memory.remember(seedFrom);
+        daemon.seedFrom = seedFrom;
         try {
             daemon.load(file);
         } catch (ConfigException e) {
             daemon.close();
             throw e;
         }
+        daemon.seedFrom = null;
         daemon.ready.await();
         daemon.loop.submit(() -> {
             daemon.core.observe(daemon.new Restarts());
@@ -160,7 +163,8 @@
 
     /** Memory files written and their bytes, for measurements. */
     public long[] memoryWritten() {
-        return memory.written();
+        MemoryKeeper memory = part(MemoryKeeper.class);
+        return memory == null ? new long[2] : memory.written();
     }
 
     /** Pools at work, those that are leaving among them; for tests. */
@@ -195,31 +199,19 @@
             fresh.values().forEach(Listener::close);
             throw ConfigException.of(faults);
         }
-        List<HookRunner> hooks;
-        try {
-            hooks = Hooks.load(file);
-        } catch (ConfigException e) {
-            fresh.values().forEach(Listener::close);
-            throw e;
-        }
         Parts.Change change;
         try {
             change = parts.prepare(file);
         } catch (ConfigException e) {
             fresh.values().forEach(Listener::close);
-            hooks.forEach(HookRunner::stop);
             throw e;
         }
-        if (!memory.fits(file)) {
-            memory.close(); // first: the new one may want the same path
-            memory = MemoryKeeper.open(file, core, this::snapshot);
-        }
         loop.submit(() -> {
             change.commit();
-            commit(file, fresh, hooks);
+            commit(file, fresh);
             change.closeOld();
         }).sync();
-        memory.start();
+        change.endOld();
     }
 
     private OpenMeta open(DaemonFile file, DaemonFile.Listen l) {
@@ -235,12 +227,13 @@
                 keyed, () -> idPrefix + Long.toHexString(ids.incrementAndGet()));
     }
 
-    private void commit(DaemonFile file, Map<String, Listener> fresh, List<HookRunner> hooks) {
+    private void commit(DaemonFile file, Map<String, Listener> fresh) {
         double now = core.now();
         Generation before = router.generation();
         figures(file);
         births(file, before, now);
-        if (before == null) {
+        MemoryKeeper memory = part(MemoryKeeper.class);
+        if (before == null && memory != null) {
             memory.births(births, now);
         }
         Map<String, PoolRunner> pools = new LinkedHashMap<>();
@@ -251,15 +244,12 @@
                 pools.put(p.name(), standing);
             } else {
                 pools.put(p.name(), new PoolRunner(core, file, p, seeds.nextLong(), cold, births,
-                        standing == null ? memory.recollections(file, p) : MemoryKeeper.handOver(file, p, standing, now),
+                        standing != null ? MemoryKeeper.handOver(file, p, standing, now)
+                        : memory == null ? null : memory.recollections(file, p),
                         part(SiblingSocket.class), () -> part(FleetPart.class)));
             }
         }
-        hooks.forEach(h -> {
-            h.log(core);
-            h.begin();
-        });
-        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants()), hooks));
+        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants()), HooksPart.of(part(HooksPart.class))));
         if (before != null) {
             older.add(before);
             for (PoolRunner p : before.pools.values()) {
@@ -415,7 +405,7 @@
             leave();
             return leavingListeners.isEmpty();
         }).run(() -> router.generation().file.classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0));
-        memory.finish();
+        parts.finish();
     }
 
     /** All that is worth remembering, with at most so many hot keys a pool. */
@@ -445,7 +435,7 @@
             older.forEach(Generation::end);
             parts.close();
         }).syncUninterruptibly();
-        memory.close();
+        parts.end();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/damsonworks/daemon/Generation.java
+++ b/src/main/java/damsonworks/daemon/Generation.java
@@ -1,6 +1,7 @@
 package damsonworks.daemon;
 
 import damsonworks.config.DaemonFile;
+import damsonworks.config.SiblingSection;
 import damsonworks.hooks.HookRules;
 import damsonworks.proxy.Intake;
 import damsonworks.routes.Route;
@@ -13,6 +14,8 @@
 /** What one file has made of the daemon. A request keeps to that under which it came. */
 final class Generation {
     final DaemonFile file;
+    /** Kept here since each request asks. */
+    final SiblingSection siblings;
     final Map<String, PoolRunner> pools;
     final Intake intake;
     final HookRules rules;
@@ -26,6 +29,7 @@
 
     Generation(DaemonFile file, Map<String, PoolRunner> pools, Intake intake, List<HookRunner> runners) {
         this.file = file;
+        siblings = SiblingSection.of(file);
         this.pools = pools;
         this.intake = intake;
         this.runners = runners;
--- a/src/main/java/damsonworks/daemon/HookRunner.java
+++ b/src/main/java/damsonworks/daemon/HookRunner.java
@@ -1,6 +1,6 @@
 package damsonworks.daemon;
 
-import damsonworks.config.DaemonFile;
+import damsonworks.config.HookSection;
 import damsonworks.hooks.HookBreaker;
 import damsonworks.hooks.HookCall;
 import damsonworks.hooks.HookException;
@@ -23,7 +23,7 @@
     private static final long STACK_BYTES = 512 << 10;
     private static final long START_SECONDS = 10;
 
-    final DaemonFile.Hook spec;
+    final HookSection.Hook spec;
     final HookBreaker breaker;
     private final HookModule module;
     private final ArrayBlockingQueue<Task> queue;
@@ -82,7 +82,7 @@
         }
     }
 
-    private HookRunner(DaemonFile.Hook spec, HookModule module, HookInstance first) {
+    private HookRunner(HookSection.Hook spec, HookModule module, HookInstance first) {
         this.spec = spec;
         this.module = module;
         instance = first;
@@ -94,7 +94,7 @@
     }
 
     /** Loads and starts a hook; not on the event loop. {@code on_load} has a thread of its own that is not waited for long. */
-    static HookRunner start(DaemonFile.Hook spec, byte[] bytes) throws HookException {
+    static HookRunner start(HookSection.Hook spec, byte[] bytes) throws HookException {
         HookModule module = HookModule.load(bytes, spec.limits(), spec.config());
         HookInstance[] first = new HookInstance[1];
         HookException[] failed = new HookException[1];
--- a/src/main/java/damsonworks/daemon/Hooks.java
+++ b/src/main/java/damsonworks/daemon/Hooks.java
@@ -2,6 +2,7 @@
 
 import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
+import damsonworks.config.HookSection;
 import damsonworks.hooks.HookException;
 import damsonworks.hooks.HookModule;
 import java.io.IOException;
@@ -20,7 +21,7 @@
     static List<HookRunner> load(DaemonFile file) throws ConfigException {
         List<HookRunner> all = new ArrayList<>();
         List<String> faults = new ArrayList<>();
-        for (DaemonFile.Hook h : file.hooks()) {
+        for (HookSection.Hook h : HookSection.of(file)) {
             try {
                 all.add(HookRunner.start(h, read(h)));
             } catch (HookException e) {
@@ -38,7 +39,7 @@
         load(file);
     }
 
-    private static byte[] read(DaemonFile.Hook h) throws HookException {
+    private static byte[] read(HookSection.Hook h) throws HookException {
         byte[] bytes;
         try {
             if (Files.isDirectory(h.module()) || Files.size(h.module()) > MAX_BYTES) {
--- a/src/main/java/damsonworks/daemon/MemoryKeeper.java
+++ b/src/main/java/damsonworks/daemon/MemoryKeeper.java
@@ -2,6 +2,7 @@
 
 import damsonworks.config.Addresses;
 import damsonworks.config.DaemonFile;
+import damsonworks.config.MemorySection;
 import damsonworks.knowledge.Recollection;
 import damsonworks.limits.Births;
 import damsonworks.memory.MemoryFiles;
@@ -23,18 +24,19 @@
  * Keeps what the modules learn in a file, where one is configured, and gives it to modules that start. Reading is done before the daemon
  * begins, writing on a thread of its own; the event loop only puts together what is to be written.
  */
-final class MemoryKeeper {
+final class MemoryKeeper implements Part {
     /** What a last write may take at the end of the process; the clients have had their answers by then. */
     private static final long FINISH_MS = 1000;
     /** A sibling's knowledge is of the same servers, but not from where this proxy stands. */
     static final double SIBLING_TRUST = 0.5;
 
-    private final DaemonFile.Memory spec;
+    private final MemorySection spec;
     private final Core core;
     private final IntFunction<Recollection> snapshot;
     /** Null where nothing is written. */
-    private final MemoryWriter writer;
-    private final MemoryFiles files;
+    private volatile MemoryWriter writer;
+    private MemoryFiles files;
+    private volatile boolean ended;
     /** Null: nothing is remembered. */
     private Recollection remembered;
     private double trust = 1;
@@ -42,7 +44,7 @@
     private Future<?> ticks;
 
     private MemoryKeeper(DaemonFile file, Core core, IntFunction<Recollection> snapshot, MemoryFiles files) {
-        spec = file.memory();
+        spec = file.part(MemorySection.class);
         this.file = file;
         this.core = core;
         this.snapshot = snapshot;
@@ -55,6 +57,10 @@
                 core.log("memory: goes by the generation before the newest");
             }
         }
+        write();
+    }
+
+    private void write() {
         writer = files == null ? null : new MemoryWriter(files, spec.bytesPerSecond(), line -> core.loop().execute(() -> core.log(line)));
     }
 
@@ -62,12 +68,24 @@
      * One for this file; what can't be used is told in the log, and the daemon runs without. Blocks.
      *
      * @param snapshot what is to be remembered, with at most so many hot keys a pool; called on the event loop
+     * @param sibling whose memory counts where there is none of one's own; null: nobody's
      */
-    static MemoryKeeper open(DaemonFile file, Core core, IntFunction<Recollection> snapshot) {
-        DaemonFile.Memory spec = file.memory();
-        if (spec == null) {
-            return new MemoryKeeper(file, core, snapshot, null);
+    static Part open(DaemonFile file, Part before, Core core, IntFunction<Recollection> snapshot, Path sibling) {
+        MemorySection spec = file.part(MemorySection.class);
+        if (spec == null && sibling == null) {
+            return null;
+        }
+        MemoryKeeper old = (MemoryKeeper) before;
+        if (old != null && spec != null && old.spec != null && old.spec.path().equals(spec.path())) {
+            old.end(); // both would write there
         }
+        MemoryKeeper keeper = new MemoryKeeper(file, core, snapshot, spec == null ? null : lock(spec, core));
+        keeper.remember(sibling);
+        return keeper;
+    }
+
+    /** Null, and told in the log, where they can't be had. */
+    private static MemoryFiles lock(MemorySection spec, Core core) {
         MemoryFiles files = MemoryFiles.at(spec.path());
         String why;
         try {
@@ -78,16 +96,28 @@
         if (why != null) {
             core.log("memory: can't use " + spec.path() + ": " + why + "; goes on without");
         }
-        return new MemoryKeeper(file, core, snapshot, why == null ? files : null);
+        return why == null ? files : null;
     }
 
-    /** Whether it can go on under another file. */
-    boolean fits(DaemonFile other) {
-        return java.util.Objects.equals(spec, other.memory());
+    @Override
+    public boolean fits(DaemonFile other) {
+        return java.util.Objects.equals(spec, other.part(MemorySection.class));
+    }
+
+    @Override
+    public void restore(DaemonFile asked) {
+        if (ended && spec != null) {
+            ended = false;
+            files = lock(spec, core);
+            if (files != null) {
+                files.read(); // what stands there is what the next generation takes the place of
+            }
+            write();
+        }
     }
 
     /** A sibling's memory, where there is none of one's own. Before the daemon begins; blocks. Null: none is given. */
-    void remember(Path sibling) {
+    private void remember(Path sibling) {
         if (sibling == null) {
             return;
         }
@@ -154,20 +184,28 @@
     }
 
     /** Begins to write, if it has not. */
-    void start() {
+    @Override
+    public void apply(DaemonFile other) {
         if (writer != null && ticks == null) {
-            ticks = core.loop().scheduleWithFixedDelay(() -> writer.offer(snapshot.apply(spec.keys())), Math.round(spec.periodMs()),
+            ticks = core.loop().scheduleWithFixedDelay(this::offer, Math.round(spec.periodMs()),
                     Math.round(spec.periodMs()), TimeUnit.MILLISECONDS);
         }
     }
 
+    private void offer() {
+        if (!ended) {
+            writer.offer(snapshot.apply(spec.keys()));
+        }
+    }
+
     /** Files written and bytes in all, for measurements. */
     long[] written() {
         return writer == null ? new long[2] : new long[] {writer.writes(), writer.bytes()};
     }
 
-    /** Writes a last time. Not on the event loop. */
-    void finish() {
+    /** Writes a last time. */
+    @Override
+    public void finish() {
         if (writer != null && ticks != null) {
             ticks.cancel(false);
             Recollection last = core.loop().submit(() -> snapshot.apply(spec.keys())).syncUninterruptibly().getNow();
@@ -179,12 +217,21 @@
         }
     }
 
-    /** Ends without another write. Not on the event loop. */
-    void close() {
+    @Override
+    public void close() {
+        if (ticks != null) {
+            ticks.cancel(false);
+        }
+    }
+
+    /** Ends without another write. */
+    @Override
+    public void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
         if (writer != null) {
-            if (ticks != null) {
-                ticks.cancel(false);
-            }
             try {
                 writer.abandon();
             } catch (InterruptedException e) {
--- a/src/main/java/damsonworks/daemon/Part.java
+++ b/src/main/java/damsonworks/daemon/Part.java
@@ -36,6 +36,12 @@
     /** The process is to end; it goes on for as long as requests are being answered. */
     default void drain() { }
 
+    /** The last request has been answered and the process ends: what is worth keeping is kept. Not on the event loop: may wait. */
+    default void finish() { }
+
     /** It ends at once; nothing of it is in use any more. */
     void close();
+
+    /** After {@link #close}, what has to be waited for. Not on the event loop. */
+    default void end() { }
 }
--- a/src/main/java/damsonworks/daemon/Parts.java
+++ b/src/main/java/damsonworks/daemon/Parts.java
@@ -47,7 +47,16 @@
 
         /** Nothing uses the old ones any more; on the event loop. */
         void closeOld() {
-            before.stream().filter(p -> p != null && !next.contains(p)).forEach(Part::close);
+            old().forEach(Part::close);
+        }
+
+        /** Not on the event loop. */
+        void endOld() {
+            old().forEach(Part::end);
+        }
+
+        private List<Part> old() {
+            return before.stream().filter(p -> p != null && !next.contains(p)).toList();
         }
 
         /** The file is not taken after all; not on the event loop. */
@@ -55,6 +64,7 @@
             for (Part p : next) {
                 if (p != null && !present.contains(p)) {
                     onLoop.execute(p::close);
+                    p.end();
                 }
             }
             for (Part p : present) {
@@ -85,6 +95,16 @@
         present.stream().filter(p -> p != null).forEach(Part::drain);
     }
 
+    /** Not on the event loop. */
+    void finish() {
+        present.stream().filter(p -> p != null).forEach(Part::finish);
+    }
+
+    /** Not on the event loop. */
+    void end() {
+        present.stream().filter(p -> p != null).forEach(Part::end);
+    }
+
     /** On the event loop. */
     void close() {
         present.stream().filter(p -> p != null).forEach(Part::close);
--- a/src/main/java/damsonworks/daemon/PoolRunner.java
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -5,6 +5,7 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.config.Addresses;
 import damsonworks.config.DaemonFile;
+import damsonworks.config.SiblingSection;
 import damsonworks.knowledge.Knowledge;
 import damsonworks.knowledge.Recollection;
 import damsonworks.limits.Births;
@@ -111,7 +112,7 @@
                 && spec.originConnections() == next.originConnections() && spec.streams() == next.streams()
                 && spec.plainNodes() == next.plainNodes() && spec.placement().equals(next.placement())
                 && java.util.Objects.equals(spec.discovery(), next.discovery())
-                && java.util.Objects.equals(file.icp(), other.icp()) && file.siblings().equals(other.siblings())
+                && SiblingSection.of(file).equals(SiblingSection.of(other))
                 && spec.siblings().equals(next.siblings())
                 && file.limits().idleCloseMs() == other.limits().idleCloseMs();
     }
@@ -163,7 +164,7 @@
             }
         }
         for (String s : spec.siblings()) {
-            DaemonFile.Sibling sibling = file.sibling(s);
+            SiblingSection.Sibling sibling = SiblingSection.of(file).sibling(s);
             hosts.add(new DiscoveryClient.Host(PoolSettings.sibling(spec, sibling), sibling.fetch()));
         }
         return hosts;
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -6,6 +6,7 @@
 import damsonworks.RoutingApi.State;
 import damsonworks.config.DaemonFile;
 import damsonworks.config.FleetSection;
+import damsonworks.config.SiblingSection;
 import damsonworks.placement.BackupPlacement;
 import damsonworks.placement.Peer;
 import damsonworks.placement.Placement;
@@ -90,7 +91,7 @@
     }
 
     /** A sibling as the module gets it. */
-    static Member sibling(DaemonFile.Pool pool, DaemonFile.Sibling s) {
+    static Member sibling(DaemonFile.Pool pool, SiblingSection.Sibling s) {
         return new Member(s.id(), 0, kinds(pool).indexOf("\0sibling"), 0, State.READY, 1, 0);
     }
 
--- a/src/main/java/damsonworks/daemon/PoolSiblings.java
+++ b/src/main/java/damsonworks/daemon/PoolSiblings.java
@@ -3,6 +3,7 @@
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.config.DaemonFile;
+import damsonworks.config.SiblingSection;
 import damsonworks.proxy.Dispatcher;
 import damsonworks.siblings.Asking;
 import damsonworks.siblings.SiblingRecord;
@@ -17,7 +18,7 @@
 /** One pool's siblings: what its module is told of them, and its questions on their way to the socket. On the event loop only. */
 final class PoolSiblings implements Siblings, Dispatcher.Questions {
     private final SiblingSocket socket;
-    private final List<DaemonFile.Sibling> siblings;
+    private final List<SiblingSection.Sibling> siblings;
     private final List<SiblingRecord> records = new ArrayList<>();
     private final Map<Integer, Integer> indexById = new HashMap<>();
     private final SplittableRandom random;
@@ -25,11 +26,11 @@
     private double siblingMs = 5;
     private Asking.Plan plan;
 
-    PoolSiblings(SiblingSocket socket, List<DaemonFile.Sibling> siblings, SplittableRandom random) {
+    PoolSiblings(SiblingSocket socket, List<SiblingSection.Sibling> siblings, SplittableRandom random) {
         this.socket = socket;
         this.siblings = siblings;
         this.random = random;
-        for (DaemonFile.Sibling s : siblings) {
+        for (SiblingSection.Sibling s : siblings) {
             indexById.put(s.id(), records.size());
             records.add(socket.record(s));
         }
@@ -60,7 +61,7 @@
     /** Called by way of the module, right after it was told how long to wait. */
     @Override
     public void ask(String key, double waitMs, IntConsumer answer) {
-        List<DaemonFile.Sibling> whom = new ArrayList<>();
+        List<SiblingSection.Sibling> whom = new ArrayList<>();
         plan.siblings().forEach(i -> whom.add(siblings.get(i)));
         socket.ask(key, whom, waitMs, answer);
     }
--- a/src/main/java/damsonworks/daemon/Router.java
+++ b/src/main/java/damsonworks/daemon/Router.java
@@ -75,7 +75,7 @@
             return null;
         }
         // Whoever asks from another proxy gets what our nodes have, and nothing is fetched for him: no loops.
-        if (g.file.icp() != null && listener.equals(g.file.icp().listener()) && (command.write()
+        if (g.siblings.icp() != null && listener.equals(g.siblings.icp().listener()) && (command.write()
                 || !g.chain(route).stream().allMatch(p -> p.spec().origin() == null && p.spec().discovery() == null))) {
             core.closeId(command);
             command.release(core);
--- a/src/main/java/damsonworks/daemon/SiblingSocket.java
+++ b/src/main/java/damsonworks/daemon/SiblingSocket.java
@@ -2,6 +2,7 @@
 
 import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
+import damsonworks.config.SiblingSection;
 import damsonworks.icp.IcpCodec;
 import damsonworks.icp.IcpMessage;
 import damsonworks.icp.IcpMessage.Opcode;
@@ -39,14 +40,14 @@
     /** How long answers that come too late are known as such, and measured. */
     private static final double LATE_MS = 2000;
 
-    private final DaemonFile file;
+    private final SiblingSection spec;
     private final Core core;
     private final SplittableRandom random;
     private final KeyDigest digest;
     private final QuestionTable<InetSocketAddress> questions;
     private final DenialWatch<InetSocketAddress> denials = new DenialWatch<>(MOST_STRANGERS);
     private final Map<String, SiblingRecord> records;
-    private final Map<InetSocketAddress, DaemonFile.Sibling> byAddress = new HashMap<>();
+    private final Map<InetSocketAddress, SiblingSection.Sibling> byAddress = new HashMap<>();
     private final Map<Integer, IntConsumer> waiting = new HashMap<>();
     private final TokenBucket questionRate;
     /** Each sibling has one, so that none can use up another's; all strangers share a small one. */
@@ -59,16 +60,16 @@
     private long overRate;
 
     private SiblingSocket(DaemonFile file, Core core, SiblingSocket before, int seed) {
-        this.file = file;
+        spec = SiblingSection.of(file);
         this.core = core;
         random = new SplittableRandom(seed);
-        DaemonFile.Icp icp = file.icp();
+        SiblingSection.Icp icp = spec.icp();
         digest = new KeyDigest(icp.keys(), icp.holdMs(), MOST_SERVERS);
         questions = new QuestionTable<>(icp.questions(), LATE_MS, random.nextInt());
         records = before == null ? new HashMap<>() : before.records;
         questionRate = new TokenBucket(icp.perSecond(), Math.max(1, icp.perSecond() / 10));
         strangersRate = new TokenBucket(Math.max(1, icp.perSecond() / 10), Math.max(1, icp.perSecond() / 100));
-        file.siblings().forEach(s -> {
+        spec.siblings().forEach(s -> {
             byAddress.put(s.icp(), s);
             answerRates.put(s.icp(), new TokenBucket(icp.perSecond(), Math.max(1, icp.perSecond() / 10)));
         });
@@ -77,7 +78,7 @@
     /** Null where the file has no ICP. */
     static Part open(DaemonFile file, Part before, Core core, int seed, Supplier<Generation> generation) throws ConfigException,
             InterruptedException {
-        if (file.icp() == null) {
+        if (SiblingSection.of(file).icp() == null) {
             return null;
         }
         SiblingSocket s = bind(file, core, (SiblingSocket) before, seed);
@@ -87,7 +88,7 @@
 
     private static SiblingSocket bind(DaemonFile file, Core core, SiblingSocket before, int seed) throws ConfigException, InterruptedException {
         SiblingSocket s = new SiblingSocket(file, core, before, seed);
-        if (before != null && Binding.same(before.file.icp().address(), file.icp().address())) {
+        if (before != null && Binding.same(before.spec.icp().address(), s.spec.icp().address())) {
             before.channel.close().sync(); // there is no second socket at its address
         }
         s.listen(file);
@@ -95,7 +96,7 @@
     }
 
     private void listen(DaemonFile asked) throws ConfigException, InterruptedException {
-        channel = Binding.datagrams(core, asked, "icp", file.icp().address(), IcpMessage.MAX_LENGTH, new Handler());
+        channel = Binding.datagrams(core, asked, "icp", spec.icp().address(), IcpMessage.MAX_LENGTH, new Handler());
     }
 
     @Override
@@ -107,19 +108,19 @@
 
     @Override
     public boolean fits(DaemonFile other) {
-        return file.icp().equals(other.icp()) && file.siblings().equals(other.siblings());
+        return spec.equals(SiblingSection.of(other));
     }
 
     InetSocketAddress address() {
         return (InetSocketAddress) channel.localAddress();
     }
 
-    SiblingRecord record(DaemonFile.Sibling s) {
+    SiblingRecord record(SiblingSection.Sibling s) {
         return records.computeIfAbsent(s.name(), n -> new SiblingRecord());
     }
 
     PoolSiblings of(DaemonFile.Pool pool) {
-        return new PoolSiblings(this, pool.siblings().stream().map(file::sibling).toList(), random.split());
+        return new PoolSiblings(this, pool.siblings().stream().map(spec::sibling).toList(), random.split());
     }
 
     @Override
@@ -149,14 +150,14 @@
     // ---- asking
 
     /** Asks; where a bound is reached nothing goes out, and the module goes on when its wait is over. */
-    void ask(String key, List<DaemonFile.Sibling> whom, double waitMs, IntConsumer answer) {
+    void ask(String key, List<SiblingSection.Sibling> whom, double waitMs, IntConsumer answer) {
         double now = core.now();
         if (!questionRate.take(now)) {
             overRate++;
             return;
         }
-        String url = file.icp().urlPrefix() + key;
-        QuestionTable<InetSocketAddress>.Question q = questions.ask(now, url, whom.stream().map(DaemonFile.Sibling::icp).toList(), waitMs);
+        String url = spec.icp().urlPrefix() + key;
+        QuestionTable<InetSocketAddress>.Question q = questions.ask(now, url, whom.stream().map(SiblingSection.Sibling::icp).toList(), waitMs);
         if (q == null) {
             return;
         }
@@ -165,7 +166,7 @@
             q.end();
             waiting.remove(q.number);
         });
-        for (DaemonFile.Sibling s : whom) {
+        for (SiblingSection.Sibling s : whom) {
             record(s).asked(now);
             channel.write(new DatagramPacket(IcpCodec.encode(channel.alloc(), IcpMessage.query(q.number, 0, url)), s.icp()));
         }
@@ -201,13 +202,13 @@
             return Opcode.DENIED;
         }
         Generation g = generation.get();
-        String prefix = file.icp().urlPrefix();
+        String prefix = spec.icp().urlPrefix();
         if (g == null || !query.url().startsWith(prefix)) {
             return Opcode.ERR;
         }
         String key = query.url().substring(prefix.length());
-        Subject s = key.isEmpty() || key.length() > 250 || file.icp().listener() == null ? null
-                : g.file.keys().subject(file.icp().listener(), key, 0, 0, false);
+        Subject s = key.isEmpty() || key.length() > 250 || spec.icp().listener() == null ? null
+                : g.file.keys().subject(spec.icp().listener(), key, 0, 0, false);
         Route route = s == null ? null : g.file.routes().find(s);
         String poolKey = route == null || !(route.action() instanceof Route.ToPools) ? null : route.poolKey(s);
         if (poolKey == null) {
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -180,9 +180,9 @@
 
     @Test
     void aMemoryHasAPathBesideTheFileAndItsBounds() throws Exception {
-        assertThat(DaemonFileReader.parse("f", GOOD).memory()).isNull();
-        DaemonFile.Memory m = DaemonFileReader.parse("/etc/c/f", GOOD + "[memory]\npath = \"m\"\nkeys = 7\n").memory();
-        assertThat(m).isEqualTo(new DaemonFile.Memory(Path.of("/etc/c/m"), 2000, 7, 65_536));
+        assertThat(DaemonFileReader.parse("f", GOOD).part(MemorySection.class)).isNull();
+        MemorySection m = DaemonFileReader.parse("/etc/c/f", GOOD + "[memory]\npath = \"m\"\nkeys = 7\n").part(MemorySection.class);
+        assertThat(m).isEqualTo(new MemorySection(Path.of("/etc/c/m"), 2000, 7, 65_536));
         assertThat(errors(GOOD + "[memory]\nperiod_ms = 1\nkeys = 5000\nbytes_per_second = 1\nsize = 3\n")).satisfiesExactlyInAnyOrder(
                 e -> assertThat(e).startsWith("f:26:1: memory has no path"),
                 e -> assertThat(e).startsWith("f:27:1: period_ms is 1; a number from 50 to "),
@@ -200,8 +200,8 @@
                 "name = \"a\"\nsiblings = [\"east\"]\n");
         DaemonFile f = DaemonFileReader.parse("f", pool + icp + sibling);
         assertThat(f.pools().get("a").siblings()).containsExactly("east");
-        assertThat(f.sibling("east").className()).isEqualTo("sibling");
-        assertThat(f.icp().urlPrefix()).isEqualTo("http://coralbay/");
+        assertThat(SiblingSection.of(f).sibling("east").className()).isEqualTo("sibling");
+        assertThat(SiblingSection.of(f).icp().urlPrefix()).isEqualTo("http://coralbay/");
         assertThat(errors(pool + sibling)).singleElement().asString().contains("write [icp]");
         assertThat(errors(pool + icp)).singleElement().asString().contains("there is no sibling 'east'");
         assertThat(errors(GOOD.replace("name = \"a\"\n", "name = \"a\"\nsiblings = [\"east\"]\n") + icp + sibling)).singleElement()
