Let a stand-in node that stands still answer nothing, not even that it is busy

Saw: at 100 proxies nodes that stood still for 15 s got all their traffic (6,100 commands) and 3 tests. Checked: the history's faults were there, the proxies' logs had no shunning; StandInNode.take judged its queue full at once, since a stall counted as work to come, and said busy; and it answered empty commands at once. So no fault of this kind had tested the program. Now what comes is held, in order, until the stall is over; a mute node answers no empty command either.

Polls of duties can be rarer (poll_ms): 15,000 a second were too many for the machine.

--- a/src/main/java/damsonworks/rig/DutyPolls.java
+++ b/src/main/java/damsonworks/rig/DutyPolls.java
@@ -20,7 +20,6 @@
 
 /** Asks each proxy at its control address whether it holds a duty, as those who act under it would, one call of each at a time. */
 final class DutyPolls {
-    private static final long EVERY_MS = 20;
     private static final long PATIENCE_MS = 60_000;
 
     private final EventLoop loop;
@@ -36,7 +35,7 @@
         this.history = history;
     }
 
-    static DutyPolls start(EventLoop loop, AddressSpace space, History history, int proxies, List<String> duties, long seed) {
+    static DutyPolls start(EventLoop loop, AddressSpace space, History history, int proxies, List<String> duties, double everyMs, long seed) {
         DutyPolls polls = new DutyPolls(loop, space, history, new DutyActs(loop, history, proxies, duties.size(), seed));
         boolean[][] out = new boolean[proxies][duties.size()];
         polls.ticks = loop.scheduleAtFixedRate(() -> {
@@ -50,7 +49,7 @@
                     }
                 }
             }
-        }, EVERY_MS, EVERY_MS, TimeUnit.MILLISECONDS);
+        }, (long) everyMs, (long) everyMs, TimeUnit.MILLISECONDS);
         return polls;
     }
 
--- a/src/main/java/damsonworks/rig/Rig.java
+++ b/src/main/java/damsonworks/rig/Rig.java
@@ -60,8 +60,8 @@
                     String.format("lag ms: relay p99 %.1f max %.1f, load p99 %.1f, proxies without a fault p99 %.1f; all processors busy %.2f", quality.relayP99(),
                             quality.relayMax(), quality.loadP99(), quality.childP99(), quality.busy())));
             for (String duty : s.duties()) {
-                List<double[]> gaps = OneHolder.gaps(run, duty, 100, run.events().isEmpty() ? 0 : loadFromMs(run), run.endUs() / 1000.0);
-                lines.add(String.format("duty %s: epochs %d, gaps of 100 ms and more: %s", duty, OneHolder.moves(run, duty),
+                List<double[]> gaps = OneHolder.gaps(run, duty, Math.max(100, 2.5 * s.pollMs()), run.events().isEmpty() ? 0 : loadFromMs(run), run.endUs() / 1000.0);
+                lines.add(String.format("duty %s: epochs %d, longest gaps: %s", duty, OneHolder.moves(run, duty),
                         String.join(" ", gaps.stream().map(g -> String.format("%.0f ms at %.1f s", g[1] - g[0], g[0] / 1000)).toList())));
             }
             if (!s.duties().isEmpty()) {
@@ -121,7 +121,7 @@
             try (Director director = new Director(scenario, proxies, standIns, links, relayLoop, connections, history)) {
                 director.start();
                 DutyPolls polls = scenario.duties().isEmpty() ? null
-                        : DutyPolls.start(loadGroup.next(), space, history, scenario.proxies(), scenario.duties(), scenario.seed());
+                        : DutyPolls.start(loadGroup.next(), space, history, scenario.proxies(), scenario.duties(), scenario.pollMs(), scenario.seed());
                 load.start().get();
                 if (polls != null) {
                     polls.stop();
--- a/src/main/java/damsonworks/standin/StandInNode.java
+++ b/src/main/java/damsonworks/standin/StandInNode.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -54,6 +55,8 @@
     private double delayMs;
     private double busyUntilMs;
     private double stalledUntilMs;
+    /** Commands that came while it stood still. */
+    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
     private boolean mute;
     private int busy;
     private int room = Integer.MAX_VALUE;
@@ -153,7 +156,21 @@
 
     /** It answers nothing for so long, and then all that came. */
     public void stall(double ms) {
-        run(() -> stalledUntilMs = Math.max(stalledUntilMs, now() + ms));
+        run(() -> {
+            stalledUntilMs = Math.max(stalledUntilMs, now() + ms);
+            loop.schedule(this::goOn, (long) (ms * 1e6), TimeUnit.NANOSECONDS);
+        });
+    }
+
+    private void goOn() {
+        double left = stalledUntilMs - now();
+        if (left > 0) {
+            loop.schedule(this::goOn, (long) (left * 1e6), TimeUnit.NANOSECONDS); // another stall, or a clock's rounding
+            return;
+        }
+        for (Runnable r; (r = held.poll()) != null;) {
+            r.run();
+        }
     }
 
     /** From now on it takes commands and answers none, or answers again. */
@@ -179,6 +196,7 @@
             connections.forEach(c -> c.config().setOption(ChannelOption.SO_LINGER, 0));
             values.clear();
             keys.clear();
+            held.clear();
             stalledUntilMs = 0;
             busyUntilMs = 0;
         });
@@ -249,15 +267,25 @@
         }
 
         private void take(ChannelHandlerContext ctx, String line, byte[] value) {
-            if (line.equals("mn")) {
-                tested.incrementAndGet();
-                say(ctx, "MN\r\n");
-                return;
+            boolean test = line.equals("mn");
+            (test ? tested : commands).incrementAndGet();
+            if (observer != null && !test) {
+                observer.arrived(Lines.flag(line, 'O'));
             }
-            commands.incrementAndGet();
+            if (now() < stalledUntilMs || !held.isEmpty()) {
+                held.add(() -> serve(ctx, line, value)); // not even to say that it is busy
+            } else {
+                serve(ctx, line, value);
+            }
+        }
+
+        private void serve(ChannelHandlerContext ctx, String line, byte[] value) {
             double now = now();
-            if (observer != null) {
-                observer.arrived(Lines.flag(line, 'O'));
+            if (line.equals("mn")) {
+                if (!mute) {
+                    say(ctx, "MN\r\n");
+                }
+                return;
             }
             if (watch != null) {
                 watch.arrived(now);
@@ -271,7 +299,7 @@
                 say(ctx, "SERVER_ERROR busy\r\n");
                 return;
             }
-            busyUntilMs = Math.max(Math.max(now, busyUntilMs), stalledUntilMs) + workMs;
+            busyUntilMs = Math.max(now, busyUntilMs) + workMs;
             double at = busyUntilMs + delayMs;
             if (at <= now) {
                 answer(ctx, line, value);
