Tell operators which peers go by another list, and test old files among new ones by processes

Need: the second step of a change of peers is safe only once all have taken the first, and nothing in the program could say so.

Change: peers.ListSteps, one datagram of 16 bytes a second to one peer in turn; GET /fleet and one line in the log. Rig: proxies with another release's file (old, old_extra). lazy_ms is at most 10 s, as any proxy without a watch has to ask so often. Tests: questions of a fleet that is replaced are given back to the pools, a silent peer, a memory that changes its figures in place, walks of 100 proxies with 200 duties.

--- a/src/main/java/damsonworks/config/FleetSection.java
+++ b/src/main/java/damsonworks/config/FleetSection.java
@@ -23,6 +23,8 @@
 public record FleetSection(String me, InetSocketAddress listen, List<String> keys, double longestLeaseMs, List<Peer> peers, List<Duty> duties,
         Probe probe, Watch watch) {
     private static final String WORD = "[A-Za-z0-9_.-]{1,64}";
+    /** A proxy that has no watch asks discovery at least so often, whatever others say. */
+    private static final double MOST_LAZY_MS = 10_000;
     private static final int MOST_PEERS = 1000;
     private static final int MOST_DUTIES = 1000;
     private static final int LEAST_KEY = 16;
@@ -162,9 +164,9 @@
         if (s == null) {
             return null;
         }
-        double beat = s.number("beat_ms", 1000, 20, 60_000);
-        double word = s.number("word_ms", 3 * beat, 40, 600_000);
-        Watch watch = new Watch(lease(s, longest, 1000), voters(s), beat, word, s.number("lazy_ms", Math.max(30_000, word), 40, 3_600_000),
+        double beat = s.number("beat_ms", 1000, 20, MOST_LAZY_MS);
+        double word = s.number("word_ms", Math.min(3 * beat, MOST_LAZY_MS), 40, MOST_LAZY_MS);
+        Watch watch = new Watch(lease(s, longest, 1000), voters(s), beat, word, s.number("lazy_ms", MOST_LAZY_MS, 40, MOST_LAZY_MS),
                 s.number("gather_ms", 300, 0, 60_000));
         if (word <= beat) {
             s.error("word_ms", "word_ms is " + word + " and no longer than beat_ms: each lost word would have all watch");
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/FleetLists.java
@@ -0,0 +1,83 @@
+package damsonworks.daemon;
+
+import com.google.gson.JsonObject;
+import damsonworks.config.DaemonFile;
+import damsonworks.config.FleetSection;
+import damsonworks.lease.Ids;
+import damsonworks.peers.ListSteps;
+import damsonworks.peers.ListSteps.Standing;
+import damsonworks.proxy.Core;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Tells the others by which list of peers this process goes, one of them a second, and operators of those that go by another. */
+final class FleetLists implements FleetUser {
+    static final byte TOPIC = 4;
+    private static final double EVERY_MS = 1000;
+    /** While a file is being taken up by all, they differ for some time. */
+    private static final double TELL_AFTER_MS = 10_000;
+
+    private final Core core;
+    private final Link link;
+    private final ListSteps steps = new ListSteps();
+    private final Map<Long, String> names = new LinkedHashMap<>();
+    private final Map<Long, Double> differsSince = new LinkedHashMap<>();
+    private final Set<Long> told = new HashSet<>();
+    private List<Long> others = List.of();
+    private int next;
+    private double dueMs = Double.NEGATIVE_INFINITY;
+
+    FleetLists(Core core, Link link) {
+        this.core = core;
+        this.link = link;
+    }
+
+    @Override
+    public byte topic() {
+        return TOPIC;
+    }
+
+    @Override
+    public void apply(DaemonFile file, double now) {
+        FleetSection spec = file.part(FleetSection.class);
+        names.clear();
+        spec.peers().forEach(p -> names.put(Ids.of(p.name()), p.name()));
+        others = new ArrayList<>(names.keySet());
+        others.remove(link.me());
+        steps.use(Set.copyOf(spec.names()), Set.copyOf(spec.namesBefore()), Set.copyOf(others));
+        differsSince.clear();
+        told.clear();
+    }
+
+    @Override
+    public void heard(double now, long from, byte[] payload) {
+        steps.heard(now, from, payload);
+        if (steps.of(from, now) != Standing.DIFFERENT) {
+            differsSince.remove(from);
+            told.remove(from);
+        } else if (now - differsSince.computeIfAbsent(from, k -> now) > TELL_AFTER_MS && told.add(from)) {
+            core.log("fleet: " + names.get(from) + " goes by another list of peers, more than one step from this one's; duties may have two holders. "
+                    + "Give all the same [[fleet.peer]]");
+        }
+    }
+
+    @Override
+    public double tick(double now) {
+        if (now >= dueMs && !others.isEmpty()) {
+            dueMs = now + EVERY_MS;
+            link.send(others.get(next++ % others.size()), this, steps.message());
+        }
+        return dueMs;
+    }
+
+    @Override
+    public void tell(JsonObject state) {
+        JsonObject o = new JsonObject();
+        others.forEach(p -> o.addProperty(names.get(p), steps.of(p, core.now()).name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')));
+        state.add("lists", o);
+    }
+}
--- a/src/main/java/damsonworks/daemon/FleetPart.java
+++ b/src/main/java/damsonworks/daemon/FleetPart.java
@@ -90,7 +90,7 @@
         Link link = new Link();
         probes = new FleetProbes(core, link, generation, random.nextLong());
         watches = new FleetWatches(core, link, generation, random.split());
-        users = List.of(probes, watches);
+        users = List.of(probes, watches, new FleetLists(core, link));
         envelope = new Envelope(Ids.of(me), (long) now, spec.keys().stream().map(k -> k.getBytes(StandardCharsets.UTF_8)).toList(), List.of());
     }
 
--- a/src/main/java/damsonworks/rig/ChildFiles.java
+++ b/src/main/java/damsonworks/rig/ChildFiles.java
@@ -105,7 +105,7 @@
                 "[[pool]]", "name = \"pages\"", "[pool.discovery]", "address = \""
                 + AddressSpace.text(space.face(proxy, AddressSpace.DISCOVERY)) + "\"", "zones = " + zones,
                 "kinds = [\"node\", \"origin\"]", "origin_kind = \"origin\"", "", "[[route]]", "name = \"all\"", "pools = [\"pages\"]", "",
-                replaced(s.extra(), proxy), "");
+                replaced(s.old().contains(Endpoints.proxy(proxy)) ? s.oldExtra() : s.extra(), proxy), "");
     }
 
     private String serviceClass(String name, String effect, String more) {
@@ -116,8 +116,8 @@
     /** The words that a scenario's own text may have. */
     private String replaced(String text, int proxy) {
         StringBuilder peers = new StringBuilder();
-        if (text.contains("{peers}")) {
-            for (int i = 0; i < s.proxies(); i++) {
+        if (text.contains("{peers}") || text.contains("{peers-but-last}")) {
+            for (int i = 0; i < s.proxies() - (text.contains("{peers}") ? 0 : 1); i++) {
                 peers.append("[[fleet.peer]]\nname = \"").append(Endpoints.proxy(i)).append("\"\naddress = \"")
                         .append(AddressSpace.text(space.face(i, AddressSpace.PEERS))).append("\"\nzone = \"")
                         .append(s.zones().get(names.zoneOfProxy(i))).append("\"\n");
@@ -125,6 +125,7 @@
         }
         return text.replace("{me}", Endpoints.proxy(proxy)).replace("{ip}", space.proxy(proxy))
                 .replace("{control}", AddressSpace.text(space.proxy(proxy, AddressSpace.CONTROL)))
-                .replace("{listen}", AddressSpace.text(space.proxy(proxy, AddressSpace.PEERS))).replace("{peers}", peers.toString());
+                .replace("{listen}", AddressSpace.text(space.proxy(proxy, AddressSpace.PEERS))).replace("{peers}", peers.toString())
+                .replace("{peers-but-last}", peers.toString());
     }
 }
--- a/src/main/java/damsonworks/rig/ScenarioReader.java
+++ b/src/main/java/damsonworks/rig/ScenarioReader.java
@@ -54,7 +54,8 @@
         long seed = given != null ? given : own;
         Scenario bare = new Scenario(name, f.oneOf("program", "serve", "serve", "run"), proxies, nodes, zones, seed,
                 f.number("node_per_second", 500, 1, 1e5), f.integer("node_room", 20, 1, 100_000), f.flag("warm", true),
-                f.flag("relay_nodes", false), f.flag("own_discovery", false), f.text("extra", ""), f.texts("duties"), f.number("poll_ms", 20, 5, 10_000), f.integer("waves", 16, 1, 200),
+                f.flag("relay_nodes", false), f.flag("own_discovery", false), f.text("extra", ""), f.has("old") ? choose(f, "old", endpoints, new SplittableRandom(seed)) : List.of(),
+                f.text("old_extra", ""), f.texts("duties"), f.number("poll_ms", 20, 5, 10_000), f.integer("waves", 16, 1, 200),
                 load(root.section("load")), List.of());
         f.end();
         SplittableRandom random = new SplittableRandom(seed);
--- a/src/main/java/damsonworks/rig/plan/Scenario.java
+++ b/src/main/java/damsonworks/rig/plan/Scenario.java
@@ -13,12 +13,13 @@
  * @param relayNodes whether connections to nodes go through the rig; those to discovery always do
  * @param ownDiscovery whether each zone has a discovery of its own, with the same lists
  * @param extra for {@code run}: text at the end of each proxy's file, with {@code {me}}, {@code {peers}} and others replaced
+ * @param old proxies that have {@code oldExtra} instead: another release's file, or one that is wrong
  * @param duties that each proxy is asked for at its control address
  * @param pollMs so often, at the most
  * @param waves proxies that start at the same time
  */
 public record Scenario(String name, String program, int proxies, int nodes, List<String> zones, long seed, double nodePerSecond,
-        int nodeRoom, boolean warm, boolean relayNodes, boolean ownDiscovery, String extra, List<String> duties, double pollMs, int waves, Load load, List<Fault> faults) {
+        int nodeRoom, boolean warm, boolean relayNodes, boolean ownDiscovery, String extra, List<String> old, String oldExtra, List<String> duties, double pollMs, int waves, Load load, List<Fault> faults) {
 
     /**
      * What clients ask.
@@ -38,7 +39,7 @@
     /** The same with other faults. */
     public Scenario with(List<Fault> others) {
         return new Scenario(name, program, proxies, nodes, zones, seed, nodePerSecond, nodeRoom, warm, relayNodes, ownDiscovery, extra,
-                duties, pollMs, waves, load, List.copyOf(others));
+                old, oldExtra, duties, pollMs, waves, load, List.copyOf(others));
     }
 
     /** As a file, with each fault by its names and times. */
@@ -48,6 +49,7 @@
                 + "\nnode_room = " + nodeRoom + "\nwarm = " + warm + "\nrelay_nodes = " + relayNodes + "\nown_discovery = "
                 + ownDiscovery + "\nwaves = " + waves + "\n"
                 + (duties.isEmpty() ? "" : "duties = [\"" + String.join("\", \"", duties) + "\"]\npoll_ms = " + pollMs + "\n")
+                + (old.isEmpty() ? "" : "old = \"" + String.join(",", old) + "\"\nold_extra = '''\n" + oldExtra + "'''\n")
                 + (extra.isEmpty() ? "" : "extra = '''\n" + extra + "'''\n")
                 + "\n[load]\nseconds = " + load.seconds + "\nper_second = " + load.perSecond + "\nskew = " + load.skew + "\nkeys = "
                 + load.keys + "\nhot = " + load.hot + "\nwrites = " + load.writes + "\ndeadline_ms = " + load.deadlineMs + "\n");
--- a/src/test/java/damsonworks/daemon/FleetPartTest.java
+++ b/src/test/java/damsonworks/daemon/FleetPartTest.java
@@ -10,17 +10,21 @@
 import damsonworks.lease.Ids;
 import damsonworks.lease.LeaseMessage;
 import damsonworks.peers.Envelope;
+import damsonworks.standin.LoadClient;
 import damsonworks.standin.StandInFleet;
+import damsonworks.standin.StandInNode;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -262,4 +266,78 @@
         assertThat(moving.names()).containsExactly("p1", "p3");
         assertThat(moving.namesBefore()).containsExactly("p1", "p2");
     }
+
+    /** A pool's test of a server that was asked of a peer, with the peer's socket; returns once the question has come. */
+    private void askedFor(Daemon d, StandInNode mute, DatagramSocket peer) throws Exception {
+        DatagramPacket in = new DatagramPacket(new byte[Envelope.MOST], Envelope.MOST);
+        peer.setSoTimeout(50);
+        for (int from = 0;; from += 20) {
+            int first = from;
+            new LoadClient(fleet.loop(), d.address("main"), 20, i -> DaemonRig.read("k/" + (first + i))).start(4, 1).get(100, TimeUnit.SECONDS);
+            try {
+                while (true) {
+                    peer.receive(in);
+                    if (in.getData()[2] == FleetProbes.TOPIC) {
+                        return;
+                    }
+                }
+            } catch (SocketTimeoutException e) {
+                assertThat(mute.tested()).as("nobody tests while the question is out").isZero();
+            }
+        }
+    }
+
+    private String withMute(String more) {
+        return "[limits]\nconnect_timeout_ms = 10\nmax_retry_after_ms = 5\n" + DaemonRig.CLASSES.replace("aim_ms = 10000", "aim_ms = 100")
+                .replace("deadline_ms = 20000", "deadline_ms = 1000") + DaemonRig.MAIN + DaemonRig.pool("pages", fleet, "",
+                fleet.nodes.toArray(new StandInNode[0])) + DaemonRig.route("all", "", "pages") + "[control]\nlisten = \"127.0.0.1:0\"\n" + more;
+    }
+
+    @Test
+    void aTestThatIsAskedOfAPeerIsMadeHereWhenTheFleetIsReplacedOrThePeerIsSilent() throws Exception {
+        fleet.close();
+        fleet = new StandInFleet(2);
+        StandInNode mute = fleet.nodes.get(1);
+        int port = Ports.free();
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            String two = fleetOf("p1", port, "", "p1@" + port, "p2@" + peer.getLocalPort());
+            mute.mute(true);
+            try (Daemon d = Daemon.start(DaemonFileReader.parse("f", withMute(two + "[fleet.probe]\nlease_ms = 150\npatience_ms = 10000\n")), 5)) {
+                askedFor(d, mute, peer);
+                mute.mute(false);
+                d.load(DaemonFileReader.parse("f", withMute(two.replace("longest_lease_ms = 150", "longest_lease_ms = 160")
+                        + "[fleet.probe]\nlease_ms = 150\npatience_ms = 10000\n")));
+                while (mute.tested() == 0) {
+                    Thread.onSpinWait();
+                }
+                assertThat(call(d, "GET /fleet")).startsWith("200 {\"me\":\"p1\"").contains("\"trials\":{\"own\":0").contains("\"p2\":\"unknown\"");
+            }
+            int before = mute.tested();
+            mute.mute(true);
+            try (Daemon d = Daemon.start(DaemonFileReader.parse("f", withMute(two + "[fleet.probe]\nlease_ms = 150\npatience_ms = 300\n")), 5)) {
+                for (int from = 0; mute.tested() == before; from += 20) {
+                    int first = from;
+                    new LoadClient(fleet.loop(), d.address("main"), 20, i -> DaemonRig.read("k/" + (first + i))).start(4, 1).get(100, TimeUnit.SECONDS);
+                }
+                assertThat(call(d, "POST /fleet")).startsWith("405");
+            }
+        }
+    }
+
+    @Test
+    void whatIsWrongInTheProgramsOwnDutiesIsToldWithItsPlace() throws Exception {
+        String one = fleetOf("p1", 9, "", "p1@9");
+        assertThatThrownBy(() -> DaemonFileReader.parse("f", file(one.replace("[[fleet.peer]]\n", "[[fleet.peer]]\nzone = \"a.b\"\n") + duty("probe.1")
+                + duty("watch.x") + "[fleet.probe]\nvoters = 2\nshares = 0\npatience_ms = 100\n[fleet.watch]\nbeat_ms = 500\nword_ms = 400\nlazy_ms = 300\n")))
+                .isInstanceOfSatisfying(ConfigException.class, e -> assertThat(String.join("\n", e.errors())).contains("zone 'a.b'")
+                .contains("names that begin with probe. or watch.").contains("odd number").contains("shares is 0").contains("patience_ms is 100")
+                .contains("no longer than beat_ms").contains("shorter than word_ms"));
+        FleetSection two = DaemonFileReader.parse("f", file(fleetOf("p1", 9, "", "p1@9", "p2@8").replace("127.0.0.1:8\"\n", "127.0.0.1:8\"\nzone = \"b\"\n")
+                + "[fleet.watch]\n")).part(FleetSection.class);
+        assertThat(two.names("here")).containsExactly("p1");
+        assertThat(two.names("b")).containsExactly("p2");
+        assertThat(two.watchDuty("pages")).isEqualTo("watch.here.pages");
+        assertThat(two.probeDuties()).isEmpty();
+        assertThat(two.watch().leaseMs()).isEqualTo(150);
+    }
 }
--- a/src/test/java/damsonworks/daemon/MemoryTest.java
+++ b/src/test/java/damsonworks/daemon/MemoryTest.java
@@ -1,6 +1,7 @@
 package damsonworks.daemon;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import damsonworks.config.DaemonFileReader;
 import damsonworks.knowledge.Knowledge;
@@ -103,6 +104,24 @@
         }
     }
 
+    @Test
+    void aFileThatKeepsItOtherwiseGoesOnInTheSamePlaceAndOneThatCanNotBeUsedTakesItFromNobody() throws Exception {
+        try (fleet; Daemon daemon = daemon(file(""))) {
+            assertThat(ask(daemon, 40, 0).faults).isEmpty();
+            while (!Files.exists(folder.resolve("memory"))) {
+                Thread.onSpinWait();
+            }
+            daemon.load(DaemonFileReader.parse("rig", file("keys = 7\n")));
+            long generation = written().generation();
+            assertThatThrownBy(() -> daemon.load(DaemonFileReader.parse("rig", file("keys = 8\n[control]\nlisten = \"192.0.2.1:9\"\n"))))
+                    .hasMessageContaining("control can't be bound");
+            assertThat(ask(daemon, 40, 100).faults).isEmpty();
+            daemon.drain();
+            assertThat(written().generation()).isGreaterThan(generation);
+            assertThat(MemoryFiles.at(folder.resolve("memory")).read().notes()).isEmpty();
+        }
+    }
+
     private static int id(StandInNode node) {
         return ServerId.of(DaemonRig.name(node));
     }
--- a/src/test/java/damsonworks/lease/LeaseWalkTest.java
+++ b/src/test/java/damsonworks/lease/LeaseWalkTest.java
@@ -17,6 +17,7 @@
 class LeaseWalkTest {
     private static final double LEASE = 1000;
     private static final int SCHEDULES = Integer.getInteger("lease.schedules", 300);
+    private static final int LARGE = Integer.getInteger("lease.large", 0);
     private static final double TROUBLE_MS = 12_000;
     /** After the troubles' end somebody holds each duty within: silence, lease, the last one's wait and two tries. */
     private static final double CALM_MS = 6_000;
@@ -31,6 +32,11 @@
 
     /** @param steps in which the list of peers is changed to one that shares two of five with it; 0: it is not */
     private static Walked walk(LeaseRules rules, long seed, int count, List<String> names, boolean trouble, int steps) {
+        return walk(rules, seed, count, names, trouble, steps, 0);
+    }
+
+    /** @param judgedMs the least time between two looks at all duties; 0: after each event */
+    private static Walked walk(LeaseRules rules, long seed, int count, List<String> names, boolean trouble, int steps, double judgedMs) {
         SplittableRandom random = new SplittableRandom(seed);
         LeaseWorld w = new LeaseWorld(rules, LEASE, count, names);
         if (steps > 0) {
@@ -61,6 +67,7 @@
         double end = TROUBLE_MS + CALM_MS;
         boolean calm = false;
         double nextTick = 0;
+        double nextJudge = 0;
         while (w.now < end && w.faults().isEmpty()) {
             LeaseWorld.Mail m = w.mail.peek();
             double at = Math.min(Math.min(nextTick, nextTrouble), m == null ? Double.POSITIVE_INFINITY : m.atMs());
@@ -94,6 +101,10 @@
                     }
                 }
             }
+            if (w.now < nextJudge) {
+                continue;
+            }
+            nextJudge = judgedMs == 0 ? 0 : w.now + judgedMs;
             w.judge();
             boolean held = names.stream().allMatch(w::held);
             idleSince = held ? -1 : idleSince < 0 ? w.now : idleSince;
@@ -185,6 +196,23 @@
         System.out.printf("walks %d, gains %d, messages %d, longest without a holder once calm %.0f ms%n", SCHEDULES, gains, mails, longest);
     }
 
+    /** A hundred proxies and two hundred duties, looked at every 25 ms: {@code -Dlease.large=N} of them. */
+    @Test
+    void aHundredProxiesWithTwoHundredDutiesHaveOneHolderOfEach() {
+        List<String> names = java.util.stream.IntStream.range(0, 200).mapToObj(i -> "d" + i).toList();
+        int gains = 0;
+        long mails = 0;
+        double longest = 0;
+        for (int seed = 0; seed < LARGE; seed++) {
+            Walked walked = walk(SOUND, seed, 100, names, true, 0, 25);
+            assertThat(walked.faults()).as("seed " + seed).isEmpty();
+            gains += walked.gains();
+            mails += walked.mails();
+            longest = Math.max(longest, walked.longestIdleMs());
+        }
+        System.out.printf("large walks %d, gains %d, messages %d, longest without a holder once calm %.0f ms%n", LARGE, gains, mails, longest);
+    }
+
     @Test
     void withoutFaultsADutyStaysWhereItIs() {
         List<String> names = List.of("a", "b", "c", "d", "e", "f", "g", "h");
