Listen for clients only once the pools have their lists: what had connected waited past its deadline

Ruled out: load (processors busy 0.00), faults between proxies (others under the same cuts answered).

Cause: Daemon.load bound the listener, so that the system took connections, and Daemon.openOnceListed took them off only once each pool had a list, up to 3 s later; the module spreads first calls to discovery over up to 5 s by the number of proxies (at 7: 0.9 s).

Change: Listener.reserve has the address without listening; it listens once there is a list, so a client is refused and goes elsewhere. Test: nobody can connect before discovery has answered.

--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package damsonworks.daemon;
 
+import damsonworks.config.Addresses;
 import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
 import damsonworks.config.DaemonFileReader;
@@ -14,9 +15,9 @@
 import damsonworks.proxy.OpenMeta;
 import damsonworks.proxy.Servers;
 import damsonworks.proxy.Transport;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -41,7 +42,7 @@
     private static final int OWN_DESCRIPTORS = 64;
     private static final long SWEEP_MS = 250;
     private static final long LEAVE_MS = 20;
-    /** Connections are taken once every pool has its list, or after so long without it. */
+    /** Clients are listened for once every pool has its list, or after so long without it. */
     private static final double LIST_WAIT_MS = 3000;
     /** Requests in hand may be sent to servers that a new file lacks for this part of the drain grace. */
     private static final double GRACE_PART = 0.5;
@@ -189,10 +190,11 @@
                 continue;
             }
             Listener listener = new Listener(core, clients, router.from(l.name()), open(file, l));
-            ChannelFuture bound = listener.reserve(l.address()).await();
             fresh.put(l.name(), listener);
-            if (!bound.isSuccess()) {
-                faults.add(Binding.fault(file, "listener " + l.name(), l.address(), bound.cause()));
+            try {
+                listener.reserve(l.address());
+            } catch (IOException e) {
+                faults.add(Binding.fault(file, "listener " + l.name(), l.address(), e));
             }
         }
         if (!faults.isEmpty()) {
@@ -329,8 +331,20 @@
             core.after(5, () -> openOnceListed(fresh, latestMs));
             return;
         }
-        fresh.forEach(Listener::bound);
-        ready.countDown();
+        int[] left = {fresh.size()};
+        for (Listener l : fresh) {
+            l.listen().addListener(f -> {
+                if (!f.isSuccess()) { // somebody else listens there since it was reserved
+                    core.log("listener at " + Addresses.text(l.address()) + ": " + f.cause().getMessage());
+                }
+                if (--left[0] == 0) {
+                    ready.countDown();
+                }
+            });
+        }
+        if (fresh.isEmpty()) {
+            ready.countDown();
+        }
     }
 
     private void leave(Listener listener) {
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -9,7 +9,10 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.unix.UnixChannelOption;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -29,7 +32,8 @@
     private double endsUnder;
     private boolean takesClients = true;
     private boolean draining;
-    private boolean held;
+    /** Has the address until the channel has; null where there is none to wait for. */
+    private Socket reserved;
     private long accepted;
 
     /** @param open what stock clients' commands are given; null for the platform's clients */
@@ -40,24 +44,43 @@
         this.open = open;
     }
 
-    /** Takes the address, but no connections before {@link #bound()}. */
-    public ChannelFuture reserve(SocketAddress address) {
-        held = true;
-        return bind(address);
+    /**
+     * Takes the address without listening there until {@link #listen}: what connected before would wait in the system's queue, its
+     * requests' time running, where a refused connection goes elsewhere at once. The exception says why it can't be had.
+     */
+    public void reserve(SocketAddress address) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.setReuseAddress(true); // else the listening socket could not have the address as long as this has it
+            socket.bind(address);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+        reserved = socket;
     }
 
-    /** Takes connections from now on. */
-    public void bound() {
-        held = false;
-        if (!draining) {
-            accept(true);
+    /** Takes connections at the reserved address from now on, unless it drains already. */
+    public Future<?> listen() {
+        if (draining) {
+            return core.loop.newSucceededFuture(null);
+        }
+        return bind(reserved.getLocalSocketAddress()).addListener(f -> unreserve());
+    }
+
+    private void unreserve() {
+        try {
+            if (reserved != null) {
+                reserved.close();
+            }
+        } catch (IOException e) {
+            // it has no connection that could be lost
         }
     }
 
     /** Gives the address back where it was only reserved. */
     public void close() {
-        channel.close();
-        core.loop.execute(() -> clients.remove(this));
+        unreserve();
     }
 
     /** Binds; connections are taken from then on. Its future's channel has the address. */
@@ -68,7 +91,7 @@
     /** @param shared whether another process may listen at the same address, which then shares its connections */
     ChannelFuture bind(SocketAddress address, boolean shared) {
         ServerBootstrap bootstrap = bootstrap().channel(Transport.BEST.server())
-                .option(ChannelOption.AUTO_READ, !held).option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true);
         if (shared && Transport.BEST.server() == EpollServerSocketChannel.class) {
             bootstrap.option(UnixChannelOption.SO_REUSEPORT, true);
@@ -104,11 +127,11 @@
     }
 
     public InetSocketAddress address() {
-        return (InetSocketAddress) channel.localAddress();
+        return (InetSocketAddress) (channel == null ? reserved.getLocalSocketAddress() : channel.localAddress());
     }
 
     void accept(boolean on) {
-        if (!held && channel.config().isAutoRead() != on) {
+        if (channel.config().isAutoRead() != on) {
             channel.config().setAutoRead(on);
         }
     }
@@ -129,6 +152,10 @@
     void stopListening() {
         if (!draining) {
             draining = true;
+            if (channel == null) {
+                unreserve();
+                return;
+            }
             // Another process may have the same socket. Then closing ours would not take it out of our selector.
             channel.deregister().addListener(f -> channel.close());
             clients.remove(this);
--- a/src/test/java/damsonworks/daemon/ListenersTest.java
+++ b/src/test/java/damsonworks/daemon/ListenersTest.java
@@ -1,12 +1,19 @@
 package damsonworks.daemon;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
 import damsonworks.config.DaemonFileReader;
 import damsonworks.routes.Subject;
+import damsonworks.standin.ScriptedServer;
 import damsonworks.standin.StandInFleet;
 import damsonworks.standin.StandInNode;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
 /** What clients of an open listener may send, and what routes make of keys. */
@@ -118,4 +125,42 @@
         assertThat(explain.lines(new Subject("main", "zz", 0, 0, false), false)).containsExactly(
                 "zz route=- answer=rejected (no route takes it)");
     }
+
+    /** What connected earlier would wait for the list with its time running; the first that can connect is served at once. */
+    @Test
+    void nobodyCanConnectBeforeThereIsAListAndAnAddressThatIsTakenIsTold() throws Exception {
+        StandInFleet fleet = new StandInFleet(1);
+        StandInNode node = fleet.nodes.get(0);
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch known = new CountDownLatch(1);
+        String host = "{\"host\":\"s-0000beef\",\"dial\":\"" + node.dial() + "\",\"site\":\"here\",\"class\":\"node\",\"block\":0,"
+                + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0}";
+        try (fleet; ScriptedServer discovery = new ScriptedServer(c -> {
+            c.request();
+            asked.countDown();
+            known.await();
+            c.sayHttp(200, "", "{\"seq\":5,\"whole\":true,\"hosts\":[" + host + "]}");
+            c.awaitEnd();
+        })) {
+            int port = Ports.free();
+            String text = DaemonRig.CLASSES + DaemonRig.listener("main", "127.0.0.1:" + port) + "[[pool]]\nname = \"a\"\n[pool.discovery]\naddress = \""
+                    + discovery.dial() + "\"\nzones = [\"here\"]\nkinds = [\"node\"]\n" + DaemonRig.route("all", "", "a");
+            CompletableFuture<Daemon> starting = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return Daemon.start(DaemonFileReader.parse("f", text), 3);
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            asked.await();
+            assertThatThrownBy(() -> new Socket("127.0.0.1", port)).isInstanceOf(ConnectException.class);
+            known.countDown();
+            try (Daemon daemon = starting.get(); DaemonRig.Talk t = new DaemonRig.Talk(daemon.address("main"))) {
+                t.say("ms k 1\r\nx\r\nmg k v\r\n");
+                assertThat(t.line()).startsWith("HD");
+                assertThatThrownBy(() -> Daemon.start(DaemonFileReader.parse("f", text), 3)).isInstanceOf(ConfigException.class)
+                        .hasMessageContaining("listener main can't be bound to 127.0.0.1:" + port);
+            }
+        }
+    }
 }
