--- a/src/test/java/damsonworks/lease/LeaseStatesTest.java
+++ b/src/test/java/damsonworks/lease/LeaseStatesTest.java
@@ -11,14 +11,16 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * All that can happen to three voters and two candidates, breadth first, over the real code: each message that is on its way may come
+ * All that can happen to some voters and candidates, three and two, breadth first, over the real code: each message that is on its way may come
  * next, in any order, may be lost or come twice; time goes on in quarters of a lease; one process restarts with nothing, one stands
  * still and goes on. A state is a path of choices, played again from the start; states that are alike are looked at once. More of
- * them: {@code -Dlease.states=1000000}.
+ * them: {@code -Dlease.states=1000000 -Dlease.voters=5 -Dlease.candidates=3}.
  */
 class LeaseStatesTest {
     private static final double LEASE = 1000;
     private static final int STATES = Integer.getInteger("lease.states", 25_000);
+    private static final int VOTERS = Integer.getInteger("lease.voters", 3);
+    private static final int CANDIDATES = Integer.getInteger("lease.candidates", 2);
     private static final int MOST_MAIL = 8;
     private static final double STEP_MS = 260;
 
@@ -48,9 +50,9 @@
         int copies;
 
         Bag(LeaseRules rules, boolean held) {
-            w = new LeaseWorld(rules, LEASE, 3, List.of("d"));
-            w.voters = 3;
-            w.standing = 2;
+            w = new LeaseWorld(rules, LEASE, VOTERS, List.of("d"));
+            w.voters = VOTERS;
+            w.standing = CANDIDATES;
             w.sent = (from, to, bytes) -> mail.add(new LeaseWorld.Mail(0, mail.size(), from, to, bytes));
             w.processes.get(0).rate = 1 - LeaseRules.DRIFT * 0.99;
             w.processes.get(1).rate = 1 + LeaseRules.DRIFT * 0.99;
