Let a fault befall whoever holds a duty, and count how long until another has it

Need: p50 and p99 of the time without a holder; faults by lot befall a holder in one of five at five processes, one of a hundred at a hundred. A fault may have holder_of = DUTY, times and every_ms; the rig tells of each kind how long until another grant was seen. Tests of the checkers of acts, takeovers and sick nodes with planted faults.

--- a/src/main/java/damsonworks/rig/Director.java
+++ b/src/main/java/damsonworks/rig/Director.java
@@ -11,9 +11,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /**
  * Puts the faults of a scenario in and takes them back, each at its time. Where two befall the same thing the later one has no
@@ -36,10 +38,13 @@
     /** Nodes that a fault has taken away or calls draining. */
     private final Set<Integer> nodesDown = new HashSet<>();
     private final List<String> troubles = new ArrayList<>();
+    /** Who holds a duty; null: not known. */
+    private final UnaryOperator<String> holders;
     private int restarting;
 
     Director(Scenario scenario, Proxies proxies, StandIns standIns, Links links, EventLoop relayLoop, TcpRelay connections,
-            History history) {
+            History history, UnaryOperator<String> holders) {
+        this.holders = holders;
         this.scenario = scenario;
         names = scenario.endpoints();
         this.proxies = proxies;
@@ -70,11 +75,28 @@
         for (int n = 0; n < scenario.faults().size(); n++) {
             Fault f = scenario.faults().get(n);
             String id = Integer.toString(n);
-            if (f.onLinks()) {
-                at(f.atMs(), () -> links(id, f, true));
-                at(f.endMs(), () -> links(id, f, false));
-                continue;
+            if (f.holderOf().isEmpty()) {
+                put(id, f);
+            } else {
+                at(f.atMs(), () -> put(id, onHolder(f)));
             }
+        }
+    }
+
+    /** The same from now on, befalling who holds the duty. */
+    private Fault onHolder(Fault f) {
+        String holder = holders.apply(f.holderOf());
+        List<String> who = holder == null ? f.who() : List.of(holder);
+        List<String> rest = new ArrayList<>(names.choose("proxies", new SplittableRandom(0)));
+        rest.removeAll(who);
+        return f.at(0, who, f.onLinks() ? rest : List.of());
+    }
+
+    private void put(String id, Fault f) {
+        if (f.onLinks()) {
+            at(f.atMs(), () -> links(id, f, true));
+            at(f.endMs(), () -> links(id, f, false));
+        } else {
             for (int w = 0; w < f.who().size(); w++) {
                 int index = names.index(f.who().get(w));
                 befall(f, index, f.atMs() + w * f.staggerMs());
--- a/src/main/java/damsonworks/rig/DutyPolls.java
+++ b/src/main/java/damsonworks/rig/DutyPolls.java
@@ -15,6 +15,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -26,6 +28,7 @@
     private final AddressSpace space;
     private final History history;
     private final DutyActs acts;
+    private final Map<String, String> holders = new ConcurrentHashMap<>();
     private Future<?> ticks;
 
     private DutyPolls(EventLoop loop, AddressSpace space, History history, DutyActs acts) {
@@ -53,6 +56,11 @@
         return polls;
     }
 
+    /** Who said last that it holds a duty; null: nobody has. From any thread. */
+    String holder(String duty) {
+        return holders.get(duty);
+    }
+
     void stop() {
         ticks.cancel(false);
     }
@@ -108,6 +116,7 @@
             long epoch = yes ? Long.parseLong(text.substring(body + 4).strip()) : 0;
             history.add(history.now() - sentUs, Endpoints.proxy(proxy), Event.DUTY, duty, yes ? "yes" : "no", epoch);
             if (yes) {
+                holders.put(duty, Endpoints.proxy(proxy));
                 acts.may(proxy, number, duty, epoch);
             }
             ctx.close();
--- a/src/main/java/damsonworks/rig/Rig.java
+++ b/src/main/java/damsonworks/rig/Rig.java
@@ -64,6 +64,8 @@
                 lines.add(String.format("duty %s: epochs %d, longest gaps: %s", duty, OneHolder.moves(run, duty),
                         String.join(" ", gaps.stream().map(g -> String.format("%.0f ms at %.1f s", g[1] - g[0], g[0] / 1000)).toList())));
             }
+            OneHolder.takeovers(run).forEach((kind, gaps) -> lines.add(String.format("%s of the holder: %d, without another for ms p50 %.0f p99 %.0f max %.0f",
+                    kind, gaps.length, gaps[gaps.length / 2], gaps[(gaps.length - 1) * 99 / 100], gaps[gaps.length - 1])));
             if (!s.duties().isEmpty()) {
                 lines.add("acts under older epochs, refused where they were received: " + ActsInOrder.refused(run));
             }
@@ -118,10 +120,13 @@
             int callsBefore = standIns.discoveryCalls();
             int testsBefore = standIns.tests();
             load = new FleetLoad(loadGroup.next(), scenario, proxies.addresses(), history);
-            try (Director director = new Director(scenario, proxies, standIns, links, relayLoop, connections, history)) {
-                director.start();
+            DutyPolls[] asking = new DutyPolls[1];
+            try (Director director = new Director(scenario, proxies, standIns, links, relayLoop, connections, history,
+                    duty -> asking[0] == null ? null : asking[0].holder(duty))) {
                 DutyPolls polls = scenario.duties().isEmpty() ? null
                         : DutyPolls.start(loadGroup.next(), space, history, scenario.proxies(), scenario.duties(), scenario.pollMs(), scenario.seed());
+                asking[0] = polls; // before the director's thread starts, which reads it
+                director.start();
                 load.start().get();
                 if (polls != null) {
                     polls.stop();
--- a/src/main/java/damsonworks/rig/ScenarioReader.java
+++ b/src/main/java/damsonworks/rig/ScenarioReader.java
@@ -90,7 +90,8 @@
         Kind kind = kind(s, s.text("kind"), "kind");
         double at = s.number("at_ms", 0, 0, 24 * HOUR_MS);
         double lasts = s.number("for_ms", 1000, 1, 24 * HOUR_MS);
-        List<String> who = choose(s, "who", endpoints, random);
+        String holderOf = s.text("holder_of", "");
+        List<String> who = !holderOf.isEmpty() && !s.has("who") ? List.of(Endpoints.proxy(0)) : choose(s, "who", endpoints, random);
         List<String> to = List.of();
         LinkFigures figures = null;
         boolean twoWay = false;
@@ -103,11 +104,15 @@
         double share = kind == Kind.SLOW ? s.number("share", 0.1, 0.01, 0.99) : 1;
         double beat = kind == Kind.SLOW ? s.number("beat_ms", 50, 5, 10_000) : 0;
         boolean loseDisk = (kind == Kind.TERM || kind == Kind.KILL) && s.flag("lose_disk", false);
-        Fault f = new Fault(kind, at, lasts, who, to, twoWay, figures, share, beat, loseDisk, s.number("stagger_ms", 0, 0, HOUR_MS));
+        Fault f = new Fault(kind, at, lasts, who, to, twoWay, figures, share, beat, loseDisk, s.number("stagger_ms", 0, 0, HOUR_MS), holderOf);
         if (who.stream().anyMatch(n -> !f.onLinks() && n.charAt(0) != (f.onNodes() ? 'n' : 'p'))) {
             s.error("who", Fault.word(kind) + " befalls " + (f.onNodes() ? "nodes" : "proxies") + " alone");
         }
-        faults.add(f);
+        int times = s.integer("times", 1, 1, MOST_FAULTS);
+        double every = s.number("every_ms", 10_000, 1, HOUR_MS);
+        for (int i = 0; i < times; i++) {
+            faults.add(f.at(at + i * every, f.who(), f.to()));
+        }
     }
 
     /** What a link's fault lies between where the file does not say: the chosen ones and all other proxies. */
--- a/src/main/java/damsonworks/rig/check/OneHolder.java
+++ b/src/main/java/damsonworks/rig/check/OneHolder.java
@@ -1,5 +1,6 @@
 package damsonworks.rig.check;
 
+import damsonworks.rig.plan.Fault;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,6 +13,9 @@
  * under one epoch.
  */
 public final class OneHolder implements Checker {
+    /** What comes later than this after a fault is not laid to it. */
+    private static final double MOST_TAKEOVER_MS = 8000;
+
     @Override
     public String name() {
         return "one-holder";
@@ -63,6 +67,40 @@
         return gaps;
     }
 
+    /**
+     * Of faults that befell a holder, by their kinds: after how many milliseconds another grant was first seen, sorted; those that left it
+     * holding don't count.
+     */
+    public static Map<String, double[]> takeovers(Run run) {
+        Map<String, List<Double>> gaps = new TreeMap<>();
+        List<Event> events = run.events();
+        for (int i = 0; i < events.size(); i++) {
+            Event e = events.get(i);
+            int index = e.what().equals(Event.FAULT) ? Integer.parseInt(e.id()) : -1;
+            if (index < 0 || index >= run.scenario().faults().size() || run.scenario().faults().get(index).holderOf().isEmpty()) {
+                continue;
+            }
+            Fault f = run.scenario().faults().get(index);
+            double epoch = -1;
+            for (int j = i - 1; j >= 0 && epoch < 0; j--) {
+                epoch = says(events.get(j), f.holderOf()) ? events.get(j).value() : -1;
+            }
+            for (int j = i + 1; j < events.size() && events.get(j).ms() < e.ms() + MOST_TAKEOVER_MS; j++) {
+                if (says(events.get(j), f.holderOf()) && events.get(j).value() > epoch) {
+                    gaps.computeIfAbsent(Fault.word(f.kind()) + (f.onLinks() && !f.twoWay() ? ", one way" : ""), k -> new ArrayList<>()).add(events.get(j).ms() - e.ms());
+                    break;
+                }
+            }
+        }
+        Map<String, double[]> sorted = new TreeMap<>();
+        gaps.forEach((kind, all) -> sorted.put(kind, all.stream().mapToDouble(x -> x).sorted().toArray()));
+        return sorted;
+    }
+
+    private static boolean says(Event e, String duty) {
+        return e.what().equals(Event.DUTY) && e.id().equals(duty) && e.detail().equals("yes");
+    }
+
     /** How often a duty was held under another epoch than before. */
     public static int moves(Run run, String duty) {
         return (int) run.events().stream().filter(e -> e.what().equals(Event.DUTY) && e.id().equals(duty) && e.detail().equals("yes"))
--- a/src/main/java/damsonworks/rig/plan/Fault.java
+++ b/src/main/java/damsonworks/rig/plan/Fault.java
@@ -15,10 +15,17 @@
  * @param share the part of its speed that a slowed process keeps, 0 to 1
  * @param beatMs length of one beat of a slowed process
  * @param loseDisk whether a process that is started again finds its folder empty
+ * @param holderOf a duty: it befalls who holds that when it begins, and {@code who} only where nobody is known to; empty: always {@code who}
  * @param staggerMs each of {@code who} is befallen so much later than the one before
  */
 public record Fault(Kind kind, double atMs, double forMs, List<String> who, List<String> to, boolean twoWay, LinkFigures figures,
-        double share, double beatMs, boolean loseDisk, double staggerMs) {
+        double share, double beatMs, boolean loseDisk, double staggerMs, String holderOf) {
+
+    /** One that befalls {@code who}. */
+    public Fault(Kind kind, double atMs, double forMs, List<String> who, List<String> to, boolean twoWay, LinkFigures figures, double share,
+            double beatMs, boolean loseDisk, double staggerMs) {
+        this(kind, atMs, forMs, who, to, twoWay, figures, share, beatMs, loseDisk, staggerMs, "");
+    }
 
     /** Figures that say nothing of its kind are set to what says nothing. */
     public Fault {
@@ -88,12 +95,17 @@
 
     /** The same, for as long. */
     public Fault lasting(double ms) {
-        return new Fault(kind, atMs, ms, who, to, twoWay, figures, share, beatMs, loseDisk, staggerMs);
+        return new Fault(kind, atMs, ms, who, to, twoWay, figures, share, beatMs, loseDisk, staggerMs, holderOf);
+    }
+
+    /** The same at another time, and befalling whoever it befalls then. */
+    public Fault at(double ms, List<String> whom, List<String> others) {
+        return new Fault(kind, ms, forMs, whom, others, twoWay, figures, share, beatMs, loseDisk, staggerMs, holderOf);
     }
 
     /** The same, befalling others. */
     public Fault befalling(List<String> whom, List<String> others) {
-        return new Fault(kind, atMs, forMs, whom, others, twoWay, figures, share, beatMs, loseDisk, staggerMs);
+        return new Fault(kind, atMs, forMs, whom, others, twoWay, figures, share, beatMs, loseDisk, staggerMs, holderOf);
     }
 
     /** As it is written in a scenario's file, so that a run can be repeated. */
@@ -110,6 +122,9 @@
         } else if (kind == Kind.TERM || kind == Kind.KILL) {
             text.append("lose_disk = ").append(loseDisk).append('\n');
         }
+        if (!holderOf.isEmpty()) {
+            text.append("holder_of = \"").append(holderOf).append("\"\n");
+        }
         return text.append("stagger_ms = ").append(figure(staggerMs)).append('\n').toString();
     }
 
--- a/src/test/java/damsonworks/rig/CheckersTest.java
+++ b/src/test/java/damsonworks/rig/CheckersTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.rig.check.ActsInOrder;
 import damsonworks.rig.check.Checker;
 import damsonworks.rig.check.ColdSum;
 import damsonworks.rig.check.DrainsKept;
@@ -14,6 +15,7 @@
 import damsonworks.rig.check.Run;
 import damsonworks.rig.check.Service;
 import damsonworks.rig.check.Verdict;
+import damsonworks.rig.plan.Scenario;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -191,6 +193,45 @@
         assertThat(findings(new OneHolder()).words()).last().asString().contains("p1 holds d under epoch 5 after p2");
     }
 
+    @Test
+    void anActOfAnOlderEpochThatWasTakenIsFoundAndARefusedOneIsCounted() throws Exception {
+        at(1000, "p1", Event.ACT, "d", "accepted", 5).at(1500, "p2", Event.ACT, "d", "accepted", 6).at(1600, "p2", Event.ACT, "e", "accepted", 1)
+                .at(1700, "p1", Event.ACT, "d", "refused", 5);
+        assertThat(findings(new ActsInOrder()).words()).isEmpty();
+        assertThat(findings(new ActsInOrder()).judged()).isEqualTo(3);
+        assertThat(ActsInOrder.refused(run())).isEqualTo(1);
+        at(1800, "p1", Event.ACT, "d", "accepted", 5); // as a store without a guard would
+        assertThat(findings(new ActsInOrder()).words()).singleElement().asString().contains("p1 under d, epoch 5, was taken after one of p2 under epoch 6");
+    }
+
+    @Test
+    void takeoversAreCountedFromTheFaultToTheNextGrant() throws Exception {
+        Scenario s = ScenarioReader.parse("s", """
+                [fleet]
+                proxies = 3
+                nodes = 1
+                duties = ["d"]
+                [[fault]]
+                kind = "stop"
+                holder_of = "d"
+                for_ms = 500
+                times = 2
+                every_ms = 5000
+                """, null);
+        assertThat(s.faults()).extracting(f -> f.atMs()).containsExactly(0.0, 5000.0);
+        assertThat(ScenarioReader.parse("s", s.toToml(), null)).isEqualTo(s);
+        at(900, "p1", Event.DUTY, "d", "yes", 5).at(1000, "rig", Event.FAULT, "0", "stop p1", 0).at(1010, "p1", Event.DUTY, "d", "yes", 5)
+                .at(1800, "p2", Event.DUTY, "d", "yes", 6).at(6000, "rig", Event.FAULT, "1", "stop p2", 0).at(6500, "p2", Event.DUTY, "d", "yes", 6);
+        assertThat(OneHolder.takeovers(new Run(s, events))).hasSize(1).containsEntry("stop", new double[] {800});
+    }
+
+    @Test
+    void commandsToNodesThatStandStillAreCounted() throws Exception {
+        at(100, "rig", Event.FAULT, "0", "node-stall n1,n2", 0).at(200, "n1", Event.ARRIVED, "r1", "", 0).at(250, "n3", Event.ARRIVED, "r2", "", 0)
+                .at(300, "rig", Event.HEALED, "0", "", 0).at(400, "n2", Event.ARRIVED, "r3", "", 0);
+        assertThat(Service.sentToSick(run())).isEqualTo(1);
+    }
+
     @Test
     void anEndThatNobodyOrderedIsACrash() throws Exception {
         sound().at(5000, "p1", Event.TERMED, "", "", 0).at(5500, "p1", Event.ENDED, "", "", 143).at(6000, "p1", Event.STARTED, "", "", 2);
--- a/src/test/java/damsonworks/rig/PlanTest.java
+++ b/src/test/java/damsonworks/rig/PlanTest.java
@@ -92,6 +92,13 @@
                 [control]
                 listen = "{control}"
                 '''
+                old = "p1,p2"
+                old_extra = '''
+                [control]
+                listen = "127.0.0.1:0"
+                '''
+                duties = ["x"]
+                poll_ms = 70
                 [load]
                 seconds = 3
                 [[fault]]
