Note a process's end before its next start in the rig's history

Checked: it was told to end at 145.020 and its next one started at 145.8866, 0.6 ms before the end was noted: the thread that reads a process's lines notes the end, and the restart waited for the process alone. Now it waits for that thread, too.

--- a/src/main/java/damsonworks/rig/Proxies.java
+++ b/src/main/java/damsonworks/rig/Proxies.java
@@ -31,6 +31,7 @@
  */
 final class Proxies implements AutoCloseable {
     private static final double READY_SECONDS = 120;
+    private static final long READER_MS = 20_000;
     private static final int MOST_LINE = 500;
     private static final int MOST_LINES = 5000;
 
@@ -47,6 +48,8 @@
 
     private static final class One {
         volatile Process process;
+        /** Writes its lines and its end into the history. */
+        volatile Thread reader;
         /** Faults that have it stand still at the moment. */
         int stops;
         /** Whether a fault has ended it and will start it again. */
@@ -117,6 +120,7 @@
         Files.writeString(own.resolve("pid"), process.pid() + "\n");
         Thread reader = new Thread(() -> read(name, process, own.resolve("log")), "log " + name);
         reader.setDaemon(true);
+        all[i].reader = reader;
         reader.start();
         awaitReady(i, process);
         history.add(0, name, Event.READY, "", "", process.pid());
@@ -254,6 +258,7 @@
         if (!o.process.waitFor(20, TimeUnit.SECONDS)) {
             throw new IOException(Endpoints.proxy(i) + " had not ended 20 s after it was told to");
         }
+        o.reader.join(READER_MS); // else its end could be noted behind the next one's start, as if that one had ended
         if (loseDisk) {
             empty(folder.resolve(Endpoints.proxy(i)).resolve("tmp"));
         }
