--- a/src/main/java/damsonworks/rig/StandIns.java
+++ b/src/main/java/damsonworks/rig/StandIns.java
@@ -130,9 +130,15 @@
     }
 
     void drain(int node, boolean on) {
-        // Told once the call returns, so a proxy may know earlier than the event says, never later.
+        // Proxies are told within the call. That it drains may be noted later than they know, that it is up again not: what they send
+        // by that word would seem to go to a draining node.
+        if (!on) {
+            history.add(0, Endpoints.node(node), Event.UP, "", "", 0);
+        }
         put(node, on ? "draining" : "up", 0);
-        history.add(0, Endpoints.node(node), on ? Event.DRAINING : Event.UP, "", "", 0);
+        if (on) {
+            history.add(0, Endpoints.node(node), Event.DRAINING, "", "", 0);
+        }
     }
 
     /** The list as it is now, as the platform gives it to a proxy that starts. */
--- a/src/test/java/damsonworks/DaemonJarIT.java
+++ b/src/test/java/damsonworks/DaemonJarIT.java
@@ -158,7 +158,7 @@
         }
         assertThat(run("memory", "show", memory.toString())).satisfies(r -> {
             assertThat(r.code).isZero();
-            assertThat(r.out).contains("site example, proxy 0").contains("pool pages: answers take").containsPattern("server \\w{8} at 127.0.0.1:2100");
+            assertThat(r.out).contains("site example, proxy 0").contains("pool pages: answers take").containsPattern("server \\w{8} at 127.0.0.1:2[13]00");
         });
         byte[] bad = Files.readAllBytes(memory);
         bad[bad.length - 1] ^= 1;
