Wait in a test for each connection's end, not for the first one's alone

Saw: red once in a fresh clone: the third of three writes went out on a connection that was just being closed.

--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -294,18 +294,18 @@
 
     @Test
     void anIdleConnectionThatTheNodeClosedIsNotWrittenTo() throws Exception {
-        CountDownLatch closed = new CountDownLatch(1);
+        java.util.concurrent.Semaphore closed = new java.util.concurrent.Semaphore(0); // once for each connection
         ScriptedServer origin = new ScriptedServer(c -> {
             c.request();
             c.sayHttp(200, "", "r1");
             c.socket.close();
-            closed.countDown();
+            closed.release();
         });
         try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 3; i++) {
                 client.say("ms 7f3a 5 O" + i + " Pc=fix,d=20000\r\nhello\r\n");
                 assertThat(client.line()).isEqualTo("HD O" + i + " cr1");
-                closed.await();
+                closed.acquire();
                 client.say("mn\r\n").line(); // the event loop has been round
             }
         }
