Mend what a second reading found in watch, trials and reach

Found by reading, each with its test or noted: a holder that was told of a later list did nothing while its silent call was out (DiscoveryClient.ask); all proxies that lose their servers at one time would have given all duties back, by word of before (Reach); a trial whose pool ended could have no end (TrialDesk); where discovery counts anew, lower, the holder no longer told (SharedWatch). serve loads two classes fewer (no stand-ins for absent Pace and Probes); isWatching and forget had no caller.

--- a/src/main/java/damsonworks/lease/Reach.java
+++ b/src/main/java/damsonworks/lease/Reach.java
@@ -2,7 +2,8 @@
 
 /**
  * Whether a process reaches the servers that others reach: one that does not, and so can do little under a duty, gives its duties back.
- * Where nobody reaches any, who holds a duty makes no difference, and all keep what they have. Times in milliseconds.
+ * Where nobody reaches any, who holds a duty makes no difference, and all keep what they have: word counts only if it was given so long after
+ * it reached one itself last that who lost them at the same time would have known. Times in milliseconds.
  */
 public final class Reach {
     private final double outMs;
@@ -35,6 +36,7 @@
 
     /** Whether it may hold duties. */
     public boolean able(double now) {
-        return now - lastHereMs < outMs || now - lastThereMs >= wordMs;
+        boolean othersDo = lastThereMs - lastHereMs >= outMs && now - lastThereMs < wordMs;
+        return now - lastHereMs < outMs || !othersDo;
     }
 }
--- a/src/main/java/damsonworks/membership/SharedWatch.java
+++ b/src/main/java/damsonworks/membership/SharedWatch.java
@@ -86,9 +86,9 @@
         return now >= wordUntilMs || holds(now);
     }
 
-    /** The version of the list that is had here. */
+    /** The version of the list that is had here; a lower one than before where discovery counts anew. */
     public void have(double now, long seq) {
-        if (seq > version) {
+        if (seq != version) {
             version = seq;
             if (holds(now)) {
                 beat(now);
@@ -100,12 +100,6 @@
         return version;
     }
 
-    /** Discovery stands elsewhere and counts anew. */
-    public void forget() {
-        version = 0;
-        wordUntilMs = Double.NEGATIVE_INFINITY;
-    }
-
     private void beat(double now) {
         long epoch = tenure.permit(now, 0);
         if (epoch >= 0) {
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -103,23 +103,13 @@
 
         /** A list of this version has come. */
         void have(long version);
-
-        /** Nobody else watches. */
-        Pace ALONE = new Pace() {
-            @Override
-            public boolean closely() {
-                return true;
-            }
-
-            @Override
-            public void have(long version) { }
-        };
     }
 
     public DiscoveryClient(Core core, Source source, Dispatcher dispatcher) {
-        this(core, source, dispatcher, Pace.ALONE);
+        this(core, source, dispatcher, null);
     }
 
+    /** @param pace null: it always watches closely */
     public DiscoveryClient(Core core, Source source, Dispatcher dispatcher, Pace pace) {
         this.pace = pace;
         this.core = core;
@@ -174,7 +164,7 @@
     @Override
     public void watch(boolean on) {
         watching = on;
-        if (on && (version == 0 || failing || pace.closely())) {
+        if (on && (version == 0 || failing || closely())) {
             call(WAIT_MS);
         } else {
             watchLine.close();
@@ -185,15 +175,16 @@
         watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + waitMs, waitMs, this::watched);
     }
 
-    /** Whether a call that waits is out; for who decides on the pace. */
-    public boolean isWatching() {
-        return watching && watchLine.waiting != null;
+    private boolean closely() {
+        return pace == null || pace.closely();
     }
 
-    /** Calls once, for what has changed, if no call is out. */
+    /** There is a later list: calls for it. A watch that is out should have told, so it has fallen silent and is begun anew. */
     public void ask() {
         if (watching && watchLine.waiting == null) {
             call(ASK_MS);
+        } else if (watching && closely()) {
+            call(WAIT_MS);
         }
     }
 
@@ -262,7 +253,9 @@
             core.after(newsMs, this::tellNews);
         }
         version = seq;
-        pace.have(seq);
+        if (pace != null) {
+            pace.have(seq);
+        }
         doubt.told(seq, whole, hosts.stream().map(Host::member).toList());
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
@@ -314,7 +307,7 @@
                 dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
                 watchLine.close();
                 watch(true);
-            } else if (!pace.closely()) {
+            } else if (!closely()) {
                 ask();
             }
         }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -53,7 +53,8 @@
     private Recollections recollections;
     private Siblings siblings = Siblings.NONE;
     private Questions questions = Questions.NONE;
-    private Probes probes = Probes.OWN;
+    /** Null: it makes them itself. */
+    private Probes probes;
     private PeerSocket peers;
     private Future<?> sweeper;
     private boolean busy;
@@ -119,8 +120,6 @@
     public interface Probes {
         /** Whether the test of a server is taken over: then {@link Dispatcher#probed} is to tell of its end. */
         boolean take(int server);
-
-        Probes OWN = server -> false;
     }
 
     /**
@@ -603,7 +602,7 @@
 
     @Override
     public void probe(int server) {
-        if (!probes.take(server)) {
+        if (probes == null || !probes.take(server)) {
             probe(server, null);
         }
     }
--- a/src/main/java/damsonworks/trials/TrialDesk.java
+++ b/src/main/java/damsonworks/trials/TrialDesk.java
@@ -25,6 +25,8 @@
     public static final int MOST_WAITING = 256;
     /** Servers whose outcomes, or whose word, are kept in mind. */
     public static final int MOST_KNOWN = 4096;
+    /** A trial without an end after so many times what it may take counts as failed. */
+    private static final double LATE = 2;
     /** Asked in turn until one knows who holds the share. */
     private static final int MOST_HOPS = 3;
 
@@ -57,7 +59,13 @@
 
     private static final class Trial {
         final List<Waiter> waiting = new ArrayList<>();
+        /** Its end should have come by then; a server whose trial never ends would stay out. */
+        final double untilMs;
         boolean wanted;
+
+        Trial(double untilMs) {
+            this.untilMs = untilMs;
+        }
     }
 
     private record Known(double atMs, boolean sound) { }
@@ -119,7 +127,7 @@
         Tenure t = tenure(server);
         long to = whom(now, t);
         if (wants.size() >= MOST_WANTS || mistrusts(now, server) || to == me || to == Ids.NOBODY) {
-            alone(server);
+            alone(now, server);
             return;
         }
         Want w = new Want(++numbers, now + rules.patienceMs());
@@ -142,12 +150,12 @@
         return w != null && (w.unsound >= TrialRules.OWN_EVERY - 1 || now - w.soundAtMs < TrialRules.CONTRADICTED_MS);
     }
 
-    private void alone(int server) {
+    private void alone(double now, int server) {
         wants.remove(server);
         own++;
         Trial t = trials.get(server);
         if (t == null) {
-            t = new Trial();
+            t = new Trial(now + LATE * rules.probeMs());
             trials.put(server, t);
             t.wanted = true;
             if (!out.trial(server)) {
@@ -170,7 +178,7 @@
         switch (m.kind()) {
             case WANT -> asked(now, from, m);
             case ANSWER -> answered(now, m);
-            default -> elsewhere(from, m);
+            default -> elsewhere(now, from, m);
         }
     }
 
@@ -190,7 +198,7 @@
         }
         Trial trial = trials.get(m.server());
         if (trial == null) {
-            trial = new Trial();
+            trial = new Trial(now + LATE * rules.probeMs());
             trials.put(m.server(), trial);
             if (trials.size() > MOST_TRIALS || !out.trial(m.server())) {
                 trials.remove(m.server());
@@ -238,13 +246,13 @@
         out.told(m.server(), m.sound());
     }
 
-    private void elsewhere(long from, TrialMessage m) {
+    private void elsewhere(double now, long from, TrialMessage m) {
         Want w = wants.get(m.server());
         if (w == null || w.number != m.number()) {
             return;
         }
         if (m.holder() == Ids.NOBODY || m.holder() == me || m.holder() == from || ++w.hops >= MOST_HOPS) {
-            alone(m.server());
+            alone(now, m.server());
         } else {
             out.send(m.holder(), new TrialMessage(Kind.WANT, m.duty(), m.server(), w.number, 0, 0, false, 0));
         }
@@ -287,7 +295,15 @@
                 next = Math.min(next, e.getValue().untilMs);
             }
         }
-        overdue.forEach(this::alone);
+        overdue.forEach(server -> alone(now, server));
+        List<Integer> endless = new ArrayList<>();
+        for (Map.Entry<Integer, Trial> e : trials.entrySet()) {
+            next = Math.min(next, Math.max(now, e.getValue().untilMs));
+            if (now >= e.getValue().untilMs) {
+                endless.add(e.getKey());
+            }
+        }
+        endless.forEach(server -> ended(now, server, false));
         return next;
     }
 
--- a/src/test/java/damsonworks/lease/ReachTest.java
+++ b/src/test/java/damsonworks/lease/ReachTest.java
@@ -17,6 +17,13 @@
         assertThat(r.able(63_501)).isFalse();
         assertThat(r.able(69_999)).isFalse();
         assertThat(r.able(70_001)).as("the word is old").isTrue();
+        // All lose them at one time: what others said just before says nothing.
+        Reach all = new Reach(0, 3000, 10_000);
+        all.here(100_000);
+        all.there(100_900);
+        assertThat(all.able(104_000)).isTrue();
+        all.there(103_500);
+        assertThat(all.able(104_000)).as("others still do").isFalse();
         assertThatThrownBy(() -> new Reach(0, 0, 1)).isInstanceOf(IllegalArgumentException.class);
     }
 }
--- a/src/test/java/damsonworks/membership/SharedWatchTest.java
+++ b/src/test/java/damsonworks/membership/SharedWatchTest.java
@@ -243,6 +243,24 @@
         assertThat(one.closely(5000)).isFalse();
     }
 
+    @Test
+    void whereDiscoveryCountsAnewTheNextVersionsAreToldAtOnceAllTheSame() {
+        World w = new World(5);
+        w.version = 1_000_000;
+        w.until(3000);
+        w.version = 1;
+        for (int i = 0; i < 5; i++) { // as each has the whole list anew, with its lower number
+            w.has[i] = 1;
+            w.all.get(i).have(w.now, 1);
+        }
+        w.until(w.now + 100);
+        int calls = w.calls;
+        w.version = 2;
+        w.until(w.now + RULES.gatherMs() + 60);
+        assertThat(w.has).containsOnly(2);
+        assertThat(w.calls - calls).isLessThanOrEqualTo(5);
+    }
+
     @Test
     void wordIsWholeOrNoneAndFiguresThatMakeNoSenseAreRefused() {
         WatchWord w = new WatchWord(true, 1, 2, 3, 4);
--- a/src/test/java/damsonworks/trials/TrialDeskTest.java
+++ b/src/test/java/damsonworks/trials/TrialDeskTest.java
@@ -243,6 +243,23 @@
         assertThat(w.desks.get(0).counts().tooLate()).isEqualTo(2);
     }
 
+    /** Its pool has gone in the midst of it: the server is not left waiting for an end that does not come. */
+    @Test
+    void aTrialWhoseEndNeverComesCountsAsFailedAndTheNextIsMade() {
+        World w = new World(1, 11);
+        w.desks.get(0).wanted(0, 7);
+        w.ends.clear();
+        w.until(RULES.probeMs());
+        assertThat(w.told).isEmpty();
+        w.until(3 * RULES.probeMs());
+        assertThat(w.told).singleElement().matches(t -> !t.sound);
+        w.desks.get(0).ended(w.now, 7, true);
+        assertThat(w.told).as("an end after that").hasSize(1);
+        w.desks.get(0).wanted(w.now, 7);
+        w.until(w.now + 100);
+        assertThat(w.told).hasSize(2).last().matches(t -> t.sound);
+    }
+
     /** Whoever lost the duty during the trial says nothing of it. */
     @Test
     void aTrialThatOutlastedTheDutyIsNotTold() {
