--- a/src/test/java/damsonworks/daemon/FleetPartTest.java
+++ b/src/test/java/damsonworks/daemon/FleetPartTest.java
@@ -9,8 +9,10 @@
 import damsonworks.config.FleetSection;
 import damsonworks.lease.Ids;
 import damsonworks.lease.LeaseMessage;
+import damsonworks.membership.WatchWord;
 import damsonworks.peers.Envelope;
 import damsonworks.standin.LoadClient;
+import damsonworks.standin.ScriptedServer;
 import damsonworks.standin.StandInFleet;
 import damsonworks.standin.StandInNode;
 import java.io.IOException;
@@ -324,6 +326,33 @@
         }
     }
 
+    /** Its watch is open and silent; another proxy has a later list and says so. */
+    @Test
+    void aHolderWhoseWatchIsSilentAsksAnewWhenAnotherHasALaterList() throws Exception {
+        String host = "{\"host\":\"s-0000beef\",\"dial\":\"" + fleet.nodes.get(0).dial() + "\",\"site\":\"here\",\"class\":\"node\",\"block\":0,"
+                + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0}";
+        int port = Ports.free();
+        try (ScriptedServer discovery = new ScriptedServer(c -> {
+            if (c.request().contains("since=0&")) {
+                c.sayHttp(200, "", "{\"seq\":5,\"whole\":true,\"hosts\":[" + host + "]}");
+                c.request();
+            }
+            c.awaitEnd();
+        }); DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                Daemon d = Daemon.start(DaemonFileReader.parse("f", DaemonRig.CLASSES + DaemonRig.MAIN + "[[pool]]\nname = \"a\"\n[pool.discovery]\naddress = \""
+                        + discovery.dial() + "\"\nzones = [\"here\"]\nkinds = [\"node\"]\n" + DaemonRig.route("all", "", "a")
+                        + "[control]\nlisten = \"127.0.0.1:0\"\n" + fleetOf("p1", port, "", "p1@" + port, "p2@" + peer.getLocalPort())
+                        + "zone = \"b\"\n[fleet.watch]\nlease_ms = 150\nbeat_ms = 100\nlazy_ms = 10000\n"), 5)) {
+            assertThat(discovery.commands.take()).contains("since=0&");
+            assertThat(discovery.commands.take()).contains("since=5&");
+            await(d, "GET /duties/watch.here.a", "200 ");
+            byte[] later = new Envelope(Ids.of("p2"), 1, List.of(), List.of(Ids.of("p1"))).seal(Ids.of("p1"), FleetWatches.TOPIC,
+                    new WatchWord(true, Ids.of("watch.here.a"), 0, 0, 6).bytes());
+            peer.send(new DatagramPacket(later, later.length, InetAddress.getByName("127.0.0.1"), port));
+            assertThat(discovery.commands.take()).as("long before the silent call is given up").contains("since=5&");
+        }
+    }
+
     @Test
     void whatIsWrongInTheProgramsOwnDutiesIsToldWithItsPlace() throws Exception {
         String one = fleetOf("p1", 9, "", "p1@9");
