Let one proxy's clients try a sick server for all where servers take no tests

Need: where tests are not allowed each proxy still tried a sick server with its own clients' requests; the lease's issue wants one trial for all there too. Change: [fleet.probe] by = "requests". Off without the key. Checked: DutyUsersIT plays 5 processes, nodes that stand still, a cut, a kill and a stop: all nodes get requests again, no empty command comes.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -737,7 +737,7 @@
         }
         // A trial that a cold server's limit turns away has no end that could clear it, and s would stay out.
         if (now < s.shunnedUntil || s.trial || !f.safe || f.attempts > 0 || trials < 1
-                || !cfg.mayProbe() && !warmEnough(now, f, s)) {
+                || !cfg.mayProbe() && !(warmEnough(now, f, s) && admission.trial(now, s.member))) {
             return false;
         }
         trials--;
--- a/src/main/java/damsonworks/config/FleetSection.java
+++ b/src/main/java/damsonworks/config/FleetSection.java
@@ -48,11 +48,12 @@
     /**
      * Sick servers are tried by one proxy for all.
      *
+     * @param requests whether clients' own requests are the trials, where servers take no tests; else empty commands are
      * @param shares duties among which servers are dealt out, the same at all proxies
      * @param patienceMs how long its word is waited for
      * @param reuseMs for so long an outcome is told again
      */
-    public record Probe(double leaseMs, int voters, int shares, double patienceMs, double reuseMs) { }
+    public record Probe(boolean requests, double leaseMs, int voters, int shares, double patienceMs, double reuseMs) { }
 
     /**
      * Discovery is watched by one proxy of a zone.
@@ -154,7 +155,7 @@
         if (s == null) {
             return null;
         }
-        Probe probe = new Probe(lease(s, longest, 1000), voters(s), s.integer("shares", 4, 1, 64), s.number("patience_ms", 600, 300, 10_000),
+        Probe probe = new Probe(s.oneOf("by", "tests", "tests", "requests").equals("requests"), lease(s, longest, 1000), voters(s), s.integer("shares", 4, 1, 64), s.number("patience_ms", 600, 300, 10_000),
                 s.number("reuse_ms", 1000, 0, 60_000));
         s.end();
         return probe;
--- a/src/main/java/damsonworks/daemon/FleetPart.java
+++ b/src/main/java/damsonworks/daemon/FleetPart.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import damsonworks.RoutingApi.Outcome;
 import damsonworks.config.Addresses;
 import damsonworks.config.ConfigException;
 import damsonworks.config.DaemonFile;
@@ -259,6 +260,16 @@
         return !closed && probes.take(pool, server);
     }
 
+    /** Whether a pool's module may send a client's request to a server that seemed sick, as its trial. */
+    boolean mayTry(Dispatcher pool, int server) {
+        return closed || probes.mayTry(pool, server);
+    }
+
+    /** An attempt of a request has ended. */
+    void attemptEnded(Dispatcher pool, int server, Outcome outcome) {
+        probes.attemptEnded(pool, server, outcome);
+    }
+
     /** Whether a pool's list is to be watched closely from here. */
     boolean closely(String pool) {
         return closed || watches.closely(pool);
--- a/src/main/java/damsonworks/daemon/FleetProbes.java
+++ b/src/main/java/damsonworks/daemon/FleetProbes.java
@@ -20,6 +20,8 @@
 /** Tests of servers that seem sick, by one proxy for all: carries what {@link TrialDesk} decides between pools and peers. */
 final class FleetProbes implements FleetUser {
     static final byte TOPIC = 2;
+    /** A request that may be a trial is waited for so long: less than the desk waits for the trial's end. */
+    private static final double BEGIN_MS = 1.5 * Dispatcher.PROBE_TIMEOUT_MS;
 
     private final Core core;
     private final Link link;
@@ -27,6 +29,12 @@
     private final long numbers;
     /** Pools that wait for word of a server. */
     private final Map<Integer, Set<Dispatcher>> waiting = new HashMap<>();
+    /**
+     * Where clients' requests are the trials: servers whose next attempt from here is one, with the time by which it is to begin.
+     * What a module believes to be sick gets one request; what it believes to be sound is judged by what it gets anyway.
+     */
+    private final Map<Integer, Double> armed = new HashMap<>();
+    private boolean requests;
     /** Null while the file has none. */
     private TrialDesk desk;
 
@@ -50,6 +58,7 @@
             close();
             return;
         }
+        requests = spec.probe().requests();
         TrialRules rules = new TrialRules(Dispatcher.PROBE_TIMEOUT_MS, spec.probe().patienceMs(), spec.probe().reuseMs());
         List<Tenure> shares = spec.probeDuties().stream().map(link::tenure).toList();
         if (desk == null) {
@@ -63,13 +72,17 @@
     void close() {
         Map<Integer, Set<Dispatcher>> left = Map.copyOf(waiting);
         waiting.clear();
+        armed.clear();
         desk = null;
+        if (requests) {
+            return; // its modules ask again with the next request
+        }
         left.forEach((server, pools) -> pools.forEach(p -> p.probe(server, null)));
     }
 
     /** Takes over a test that a pool's module has ordered; false: there is nobody to ask. */
     boolean take(Dispatcher pool, int server) {
-        if (desk == null) {
+        if (desk == null || requests) {
             return false;
         }
         waiting.computeIfAbsent(server, k -> new HashSet<>()).add(pool);
@@ -81,6 +94,33 @@
         return true;
     }
 
+    /** Whether a client's request may be the trial of a server that seemed sick; if not, word of its holder is asked for. */
+    boolean mayTry(Dispatcher pool, int server) {
+        if (desk == null || !requests) {
+            return true;
+        }
+        if (!armed.containsKey(server)) {
+            waiting.computeIfAbsent(server, k -> new HashSet<>()).add(pool);
+            desk.wanted(core.now(), server);
+        }
+        // It stays armed until an attempt ends: by then the module has marked the trial as its own.
+        return armed.containsKey(server);
+    }
+
+    /** The end of any attempt: where one is waited for, that is the trial's. */
+    void attemptEnded(Dispatcher pool, int server, Outcome outcome) {
+        if (armed.isEmpty() || outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT || armed.remove(server) == null) {
+            return;
+        }
+        boolean sound = outcome == Outcome.OK || outcome == Outcome.MISS;
+        waiting.getOrDefault(server, Set.of()).remove(pool); // its module has seen it
+        core.loop().execute(() -> {
+            if (desk != null) {
+                desk.ended(core.now(), server, sound);
+            }
+        });
+    }
+
     @Override
     public void heard(double now, long from, byte[] payload) {
         TrialMessage m = TrialMessage.of(payload);
@@ -91,7 +131,19 @@
 
     @Override
     public double tick(double now) {
-        return desk == null ? Double.POSITIVE_INFINITY : desk.tick(now);
+        if (desk == null) {
+            return Double.POSITIVE_INFINITY;
+        }
+        // No request came for it: that says nothing of the server. Modules ask again with the next.
+        armed.entrySet().removeIf(e -> {
+            boolean over = now >= e.getValue();
+            if (over) {
+                waiting.remove(e.getKey());
+                desk.abandon(e.getKey());
+            }
+            return over;
+        });
+        return desk.tick(now);
     }
 
     @Override
@@ -122,6 +174,10 @@
             if (by == null) {
                 return false;
             }
+            if (requests) {
+                armed.put(server, core.now() + BEGIN_MS);
+                return true;
+            }
             by.probe(server, outcome -> core.loop().execute(() -> {
                 if (desk != null) {
                     desk.ended(core.now(), server, outcome == Outcome.OK);
@@ -134,7 +190,7 @@
         public void told(int server, boolean sound) {
             Set<Dispatcher> pools = waiting.remove(server);
             if (pools != null) {
-                pools.forEach(p -> p.probed(server, sound));
+                core.loop().execute(() -> pools.forEach(p -> p.probed(server, sound))); // a module may be asking just now
             }
         }
     }
--- a/src/main/java/damsonworks/daemon/PoolRunner.java
+++ b/src/main/java/damsonworks/daemon/PoolRunner.java
@@ -2,6 +2,7 @@
 
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.config.Addresses;
 import damsonworks.config.DaemonFile;
@@ -52,7 +53,7 @@
         this.births = births;
         settings = PoolSettings.of(file, spec);
         number = PoolSettings.number(spec);
-        admission = new PoolAdmission(cold, retries(spec));
+        admission = new PoolAdmission(cold, retries(spec), server -> mayTry(fleet.get(), server));
         gate = new PoolGate(spec.inHand(), spec.perSecond());
         dispatcher = new Dispatcher(core, new Dispatcher.Pool(settings, seed, file.limits().idleCloseMs(),
                 spec.connections(), spec.originConnections(), spec.connections(), spec.streams(), spec.plainNodes(),
@@ -62,7 +63,7 @@
             PoolSiblings own = siblings.of(spec);
             dispatcher.siblings(own, own);
         }
-        dispatcher.probes(server -> fleet.get() != null && fleet.get().takeProbe(dispatcher, server));
+        dispatcher.probes(new Probes(fleet));
         if (spec.discovery() == null) {
             discovery = null;
             dispatcher.start(Dispatcher.ListSource.NONE);
@@ -76,6 +77,30 @@
         }
     }
 
+    private boolean mayTry(FleetPart fleet, int server) {
+        return fleet == null || fleet.mayTry(dispatcher, server);
+    }
+
+    private final class Probes implements Dispatcher.Probes {
+        private final Supplier<FleetPart> fleet;
+
+        Probes(Supplier<FleetPart> fleet) {
+            this.fleet = fleet;
+        }
+
+        @Override
+        public boolean take(int server) {
+            return fleet.get() != null && fleet.get().takeProbe(dispatcher, server);
+        }
+
+        @Override
+        public void ended(int server, Outcome outcome) {
+            if (fleet.get() != null) {
+                fleet.get().attemptEnded(dispatcher, server, outcome);
+            }
+        }
+    }
+
     /** Where the fleet has no say this proxy watches by itself. */
     private final class Pace implements DiscoveryClient.Pace {
         private final Supplier<FleetPart> fleet;
--- a/src/main/java/damsonworks/daemon/PoolSettings.java
+++ b/src/main/java/damsonworks/daemon/PoolSettings.java
@@ -73,7 +73,7 @@
         List<String> zones = zones(file, pool);
         boolean aside = listed ? pool.origin() != null : pool.discovery().originKind() != null;
         FleetSection fleet = file.part(FleetSection.class);
-        boolean probes = fleet != null && fleet.probe() != null; // else clients' requests try what was sick
+        boolean probes = fleet != null && fleet.probe() != null && !fleet.probe().requests(); // else clients' requests try what was sick
         int originKind = !aside ? -1 : listed ? kinds.size() - 1 : kinds.indexOf(pool.discovery().originKind());
         return new Settings(site.me(), site.instances(), Math.max(0, zones.indexOf(site.zone())), zones.size(),
                 kinds.size(), !listed, aside, originKind, Reports.NONE, List.of(), false,
--- a/src/main/java/damsonworks/limits/PoolAdmission.java
+++ b/src/main/java/damsonworks/limits/PoolAdmission.java
@@ -2,15 +2,21 @@
 
 import damsonworks.RoutingApi.Member;
 import damsonworks.placement.Admission;
+import java.util.function.IntPredicate;
 
 /** A pool's bounds towards its servers: its own retries, and cold servers together with all other pools. */
 public final class PoolAdmission implements Admission {
     private final ColdBudget cold;
+    private final IntPredicate trials;
     private RetryBudget retries;
 
-    /** @param cold that of all pools of the process */
-    public PoolAdmission(ColdBudget cold, RetryBudget retries) {
+    /**
+     * @param cold that of all pools of the process
+     * @param trials whether a client's request may now be the trial of this server
+     */
+    public PoolAdmission(ColdBudget cold, RetryBudget retries, IntPredicate trials) {
         this.cold = cold;
+        this.trials = trials;
         this.retries = retries;
     }
 
@@ -24,6 +30,11 @@
         return cold.take(now, server.id(), server.bornMs());
     }
 
+    @Override
+    public boolean trial(double now, Member server) {
+        return trials.test(server.id());
+    }
+
     @Override
     public void first(double now) {
         retries.first(now);
--- a/src/main/java/damsonworks/placement/Admission.java
+++ b/src/main/java/damsonworks/placement/Admission.java
@@ -16,6 +16,11 @@
         return true;
     }
 
+    /** Whether a client's request may now be the trial of a server that seemed sick. */
+    default boolean trial(double now, Member server) {
+        return true;
+    }
+
     /** A request's first attempt goes out. */
     default void first(double now) { }
 
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -120,6 +120,9 @@
     public interface Probes {
         /** Whether the test of a server is taken over: then {@link Dispatcher#probed} is to tell of its end. */
         boolean take(int server);
+
+        /** An attempt of a request at a server has ended. */
+        default void ended(int server, Outcome outcome) { }
     }
 
     /**
@@ -451,6 +454,9 @@
         if (questions != Questions.NONE) {
             tellSiblings(a, x.command, outcome);
         }
+        if (probes != null) {
+            probes.ended(a.server, outcome);
+        }
         x.missed |= outcome == Outcome.MISS;
         x.mayHaveRun |= outcome.mayHaveRun();
         boolean over = x.over;
--- a/src/main/java/damsonworks/trials/TrialDesk.java
+++ b/src/main/java/damsonworks/trials/TrialDesk.java
@@ -279,6 +279,11 @@
         }
     }
 
+    /** A trial from here can't be made after all: nothing is said of it, and who waits goes by itself. */
+    public void abandon(int server) {
+        trials.remove(server);
+    }
+
     private void forget(double now) {
         known.values().removeIf(k -> now - k.atMs > rules.reuseMs());
     }
--- a/src/test/java/damsonworks/rig/DutyUsersIT.java
+++ b/src/test/java/damsonworks/rig/DutyUsersIT.java
@@ -67,6 +67,21 @@
         }
     }
 
+    /** Where nodes take no tests one proxy's clients find out for all, and whoever is cut off finds out by its own. */
+    @Test
+    void clientsRequestsAreTheTrialsWhereNodesTakeNoTests() throws Exception {
+        Rig.Outcome o = play(PROBE + "by = \"requests\"\n", "\"probe.0\", \"probe.1\"", 13, fault("node-stall", 2000, 4500, "n1", "")
+                + fault("node-stall", 8000, 2500, "n2", "") + fault("link", 7500, 5000, "p5", "to = \"proxies\"\nlose = 1")
+                + fault("kill", 3000, 500, "p1", "") + fault("stop", 4000, 1500, "p2", ""));
+        assertThat(o.tests()).as("empty commands at nodes").isZero();
+        for (int p = 1; p <= 5; p++) {
+            String who = "n" + Math.min(p, 4);
+            assertThat(served(o, "p" + p, 11_500)).as("p" + p).isPositive();
+            assertThat(o.run().events()).as(who + " gets requests again").anyMatch(e -> e.what().equals(Event.ARRIVED) && e.who().equals(who)
+                    && e.ms() > 12_000);
+        }
+    }
+
     /** The holder of each share is stopped, killed, ended in turn while nodes are sick; nobody's test is left without an end. */
     @Test
     void holdersThatEndInTheMidstOfTrialsKeepNoNodeOut() throws Exception {
