Share limits among all proxies by loans that expire, and judge them at the nodes

Change: package quota (pure): each proxy owns a share, lends what it can do without, spends grants that end before the loans that cover them; a dealer by lease is asked first, whoever answers deals. [[fleet.limit]] in the daemon, GET /limits, model.LimitModel on virtual time, rig checker limit-kept with scenario limits.toml. Off without [[fleet.limit]]; serve has none of it.

--- a/src/main/java/damsonworks/config/DaemonFileReader.java
+++ b/src/main/java/damsonworks/config/DaemonFileReader.java
@@ -51,7 +51,8 @@
      * @param serverNames by the servers' numbers
      */
     record Known(String file, Section.Errors errors, Set<String> listeners, Set<String> routes, Map<String, Pool> pools,
-            Map<String, Section> poolSections, Map<Integer, String> serverNames) {
+            Map<String, Section> poolSections, Map<Integer, String> serverNames,
+            List<ServiceClass> classes, List<Tenant> tenants) {
 
         /** A path in the file is relative to the file's own directory. */
         Path beside(Section s, String key, String text) {
@@ -135,7 +136,7 @@
         Set<String> routeNames = new HashSet<>();
         table.routes().forEach(r -> routeNames.add(r.name()));
         Known known = new Known(path, errors, Set.copyOf(listenerNames), routeNames, Map.copyOf(pools), Map.copyOf(poolSections),
-                Map.copyOf(namesById));
+                Map.copyOf(namesById), List.copyOf(classes), List.copyOf(tenants));
         Map<Class<?>, Object> parts = new HashMap<>();
         PARTS.forEach(p -> {
             Object part = p.read(root, known);
--- a/src/main/java/damsonworks/config/FleetSection.java
+++ b/src/main/java/damsonworks/config/FleetSection.java
@@ -19,9 +19,10 @@
  * @param longestLeaseMs the longest lease of any duty, the same at all proxies
  * @param probe null: each proxy tries sick servers by itself, with clients' requests
  * @param watch null: each proxy watches discovery by itself
+ * @param limits of the whole fleet
  */
 public record FleetSection(String me, InetSocketAddress listen, List<String> keys, double longestLeaseMs, List<Peer> peers, List<Duty> duties,
-        Probe probe, Watch watch) {
+        Probe probe, Watch watch, LimitsSection limits) {
     private static final String WORD = "[A-Za-z0-9_.-]{1,64}";
     /** A proxy that has no watch asks discovery at least so often, whatever others say. */
     private static final double MOST_LAZY_MS = 10_000;
@@ -143,7 +144,8 @@
             s.error("peer", peers.size() + " peers; at most " + MOST_PEERS);
         }
         FleetSection fleet = new FleetSection(me, DaemonFileReader.address(s, "listen", true), keys(s, known.file()), longest, peers,
-                duties(duties, longest), probe(s.section("probe"), longest), watch(s.section("watch"), longest));
+                duties(duties, longest), probe(s.section("probe"), longest), watch(s.section("watch"), longest),
+                LimitsSection.read(s, known, longest));
         if (!peers.isEmpty() && fleet.names().isEmpty()) {
             s.error("peer", "all peers are leaving; at least one stays");
         }
@@ -179,11 +181,11 @@
         return watch;
     }
 
-    private static double lease(Section s, double longest, double usual) {
+    static double lease(Section s, double longest, double usual) {
         return s.number("lease_ms", Math.min(usual, longest), 100, longest);
     }
 
-    private static int voters(Section s) {
+    static int voters(Section s) {
         int voters = s.integer("voters", 5, 1, 9);
         if (voters % 2 == 0) {
             s.error("voters", "voters is " + voters + "; an odd number is wanted, one more voter makes no majority safer");
@@ -196,8 +198,8 @@
         Set<String> names = new HashSet<>();
         for (Section d : sections) {
             String name = name(d, names, "duty");
-            if (name.startsWith(PROBE) || name.startsWith(WATCH)) {
-                d.error("name", "names that begin with " + PROBE + " or " + WATCH + " are the program's own; take another");
+            if (name.startsWith(PROBE) || name.startsWith(WATCH) || name.startsWith(LimitsSection.DUTY)) {
+                d.error("name", "names that begin with " + PROBE + ", " + WATCH + " or " + LimitsSection.DUTY + " are the program's own; take another");
             }
             duties.add(new Duty(name, lease(d, longest, 2000), voters(d)));
             d.end();
@@ -208,7 +210,7 @@
         return duties;
     }
 
-    private static String name(Section s, Set<String> names, String what) {
+    static String name(Section s, Set<String> names, String what) {
         String name = s.text("name");
         if (!name.isEmpty() && !name.matches(WORD)) {
             s.error("name", what + " name '" + name + "' is not 1 to 64 letters, digits, dots, dashes and underscores");
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -251,7 +251,8 @@
                         part(SiblingSocket.class), () -> part(FleetPart.class)));
             }
         }
-        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants()), HooksPart.of(part(HooksPart.class))));
+        router.use(new Generation(file, pools, new Intake(core, file.classes(), file.tenants()), HooksPart.of(part(HooksPart.class)),
+                FleetPart.limits(part(FleetPart.class))));
         if (before != null) {
             older.add(before);
             for (PoolRunner p : before.pools.values()) {
--- /dev/null
+++ b/src/main/java/damsonworks/daemon/FleetLimits.java
@@ -0,0 +1,264 @@
+package damsonworks.daemon;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.config.DaemonFile;
+import damsonworks.config.FleetSection;
+import damsonworks.config.LimitsSection;
+import damsonworks.control.Calls.Answer;
+import damsonworks.proxy.Command;
+import damsonworks.proxy.Core;
+import damsonworks.quota.Bounds;
+import damsonworks.quota.Limit;
+import damsonworks.quota.LimitRules;
+import damsonworks.quota.Pocket;
+import damsonworks.quota.Quota;
+import damsonworks.quota.QuotaMessage;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** The fleet's limits at this proxy: carries what {@link Quota} decides between requests and peers, and tells operators. On the event loop only. */
+final class FleetLimits implements FleetUser {
+    static final byte TOPIC = 5;
+    private static final Pocket[] NONE = {};
+    /** Spent and refused are told over so long. */
+    private static final double COUNT_MS = 1000;
+
+    private final Core core;
+    private final Link link;
+    private final SplittableRandom random;
+    private final double startMs;
+    /** Null while the file has none. */
+    private Quota quota;
+    private LimitRules rules;
+    private int proxies;
+    /** By pool, "" for what concerns all: by class and tenant. */
+    private final Map<String, Pocket[][]> pockets = new HashMap<>();
+    private final Map<String, String> scopes = new HashMap<>();
+    private int tenants = 1;
+    private boolean hurrying;
+    private double dueMs = Double.POSITIVE_INFINITY;
+    private double countedMs = Double.NEGATIVE_INFINITY;
+    private final Map<String, long[]> counted = new HashMap<>();
+    private final Map<String, Double> alone = new LinkedHashMap<>();
+
+    FleetLimits(Core core, Link link, SplittableRandom random) {
+        this.core = core;
+        this.link = link;
+        this.random = random;
+        startMs = core.now();
+    }
+
+    @Override
+    public byte topic() {
+        return TOPIC;
+    }
+
+    @Override
+    public void apply(DaemonFile file, double now) {
+        FleetSection fleet = file.part(FleetSection.class);
+        LimitsSection spec = fleet.limits();
+        pockets.clear();
+        scopes.clear();
+        if (spec.limits().isEmpty()) {
+            quota = null;
+            return;
+        }
+        LimitRules figures = new LimitRules(spec.grantMs(), damsonworks.lease.LeaseRules.DRIFT);
+        if (quota == null || figures.grantMs() != rules.grantMs()) {
+            // Other times: what was lent by the old ones is over once the longer of them is, so it begins in silence.
+            double from = rules == null ? startMs : now + Math.max(0, rules.grantMs() - figures.grantMs()) * 4;
+            rules = figures;
+            quota = new Quota(link.me(), rules, random.split(), from, (to, m) -> link.send(to, this, m.bytes()));
+        }
+        boolean changing = fleet.peers().stream().anyMatch(p -> p.joining() || p.leaving());
+        boolean owns = fleet.peers().stream().anyMatch(p -> damsonworks.lease.Ids.of(p.name()) == link.me() && !p.joining() && !p.leaving());
+        proxies = fleet.peers().size();
+        Map<LimitsSection.Limit, List<String>> names = new LinkedHashMap<>();
+        List<Limit> limits = new ArrayList<>();
+        spec.limits().forEach(l -> names.put(l, new ArrayList<>()));
+        names.forEach((l, own) -> {
+            if ("*".equals(l.tenant()) && !file.tenants().isEmpty()) {
+                file.tenants().forEach(t -> own.add(l.name() + ":" + t.name()));
+            } else {
+                own.add(l.name());
+            }
+            own.forEach(name -> {
+                limits.add(limit(name, l, spec));
+                scopes.put(name, l.scope());
+            });
+        });
+        quota.use(limits, spec.duties().stream().map(link::tenure).toList(),
+                fleet.peers().stream().map(p -> damsonworks.lease.Ids.of(p.name())).toList(), proxies, changing, owns, now);
+        tenants = Math.max(1, file.tenants().size());
+        names.forEach((l, own) -> {
+            Pocket[][] table = pockets.computeIfAbsent(l.pool() == null ? "" : l.pool(), k -> table(file));
+            for (int c = 0; c < file.classes().size(); c++) {
+                for (int t = 0; t < tenants; t++) {
+                    boolean mine = (l.serviceClass() == null || file.classIndex(l.serviceClass()) == c)
+                            && (l.tenant() == null || l.tenant().equals("*") || file.tenantIndex(l.tenant()) == t);
+                    if (mine) {
+                        Pocket[] before = table[c * tenants + t];
+                        Pocket[] more = java.util.Arrays.copyOf(before, before.length + 1);
+                        more[before.length] = quota.pocket(own.get(own.size() > 1 ? t : 0));
+                        table[c * tenants + t] = more;
+                    }
+                }
+            }
+        });
+    }
+
+    private Pocket[][] table(DaemonFile file) {
+        Pocket[][] table = new Pocket[file.classes().size() * tenants][];
+        java.util.Arrays.fill(table, NONE);
+        return table;
+    }
+
+    private static Limit limit(String name, LimitsSection.Limit l, LimitsSection spec) {
+        boolean atOnce = l.atOnce() > 0;
+        return new Limit(name, atOnce, atOnce ? l.atOnce() : l.perSecond(), atOnce ? 0 : l.burst(),
+                Limit.Alone.valueOf(l.whenAlone().toUpperCase(Locale.ROOT)), l.sharePart(), atOnce ? spec.holdMs() : 0);
+    }
+
+    // ---- requests
+
+    /** What a request takes from; empty where no limit concerns it. @param pool "" for the limits that concern all pools */
+    Pocket[] of(String pool, Command c) {
+        Pocket[][] table = pockets.get(pool);
+        int at = table == null ? 0 : c.serviceClass() * tenants + c.tenant();
+        return table == null || at >= table.length ? NONE : table[at];
+    }
+
+    /** 0: one more may be taken of each; else milliseconds until it is worth coming again. */
+    double ask(Pocket[] of, double now) {
+        double wait = 0;
+        boolean hurry = false;
+        for (Pocket p : of) {
+            double own = p.ask(now);
+            wait = Math.max(wait, own);
+            hurry |= own > 0 && quota != null && quota.hurry(p, now);
+        }
+        if (hurry && !hurrying) {
+            hurrying = true;
+            core.loop().execute(() -> {
+                hurrying = false;
+                soon(core.now());
+            });
+        }
+        return wait;
+    }
+
+    /** Does what is due at once, and asks for the time of what is due before the part's own next look. */
+    private void soon(double now) {
+        if (quota == null) {
+            return;
+        }
+        double next = quota.tick(now);
+        if (next < dueMs || dueMs <= now) {
+            dueMs = next;
+            core.after(Math.max(1, next - now), () -> {
+                if (core.now() >= dueMs - 0.5) {
+                    dueMs = Double.POSITIVE_INFINITY;
+                    if (quota != null) {
+                        quota.tick(core.now());
+                    }
+                }
+            });
+        }
+    }
+
+    @Override
+    public void heard(double now, long from, byte[] payload) {
+        QuotaMessage m = QuotaMessage.of(payload);
+        if (quota != null && m != null) {
+            quota.heard(now, from, m);
+            soon(now);
+        }
+    }
+
+    @Override
+    public double tick(double now) {
+        if (quota == null) {
+            return Double.POSITIVE_INFINITY;
+        }
+        if (now - countedMs >= COUNT_MS) {
+            count(now);
+        }
+        return quota.tick(now);
+    }
+
+    // ---- operators
+
+    private void count(double now) {
+        double seconds = Math.min(10, (now - countedMs) / 1000);
+        countedMs = now;
+        for (Quota.Sight s : quota.sights(now)) {
+            long[] c = counted.computeIfAbsent(s.limit().name(), k -> new long[4]);
+            c[2] = Math.round((s.spent() - c[0]) / seconds);
+            c[3] = Math.round((s.refused() - c[1]) / seconds);
+            c[0] = s.spent();
+            c[1] = s.refused();
+            boolean isAlone = !Double.isNaN(s.aloneSinceMs());
+            Double since = alone.get(s.limit().name());
+            if (isAlone && since == null) {
+                alone.put(s.limit().name(), s.aloneSinceMs());
+                core.log("limit " + s.limit().name() + " alone: no proxy answers; this one spends "
+                        + String.format(Locale.ROOT, "%.1f", s.mine()) + (s.limit().atOnce() ? " at once" : " a second"));
+            } else if (!isAlone && since != null) {
+                alone.remove(s.limit().name());
+                core.log("limit " + s.limit().name() + " no longer alone after " + Math.round(now - since) + " ms");
+            }
+        }
+        counted.keySet().retainAll(scopes.keySet());
+    }
+
+    Answer call(String method, String uri) {
+        if (!method.equals("GET")) {
+            return new Answer(405, "use GET /limits", "GET");
+        }
+        JsonArray list = new JsonArray();
+        double now = core.now();
+        if (quota != null) {
+            quota.sights(now).forEach(s -> list.add(json(s, now)));
+        }
+        return new Answer(200, list.toString());
+    }
+
+    private JsonObject json(Quota.Sight s, double now) {
+        Limit l = s.limit();
+        long[] c = counted.getOrDefault(l.name(), new long[4]);
+        JsonObject o = new JsonObject();
+        o.addProperty("name", l.name());
+        o.addProperty("scope", scopes.get(l.name()));
+        o.addProperty("kind", l.atOnce() ? "at_once" : "per_second");
+        o.addProperty("limit", l.amount());
+        o.addProperty("mine", round(s.mine()));
+        o.addProperty("own", round(s.own()));
+        o.addProperty("lent", round(s.lent()));
+        o.addProperty("used", l.atOnce() ? s.inHand() : c[2]);
+        o.addProperty("waiting", c[3]);
+        if (!Double.isNaN(s.aloneSinceMs())) {
+            o.addProperty("alone_since_ms", Math.round(now - s.aloneSinceMs()));
+        }
+        o.addProperty("over_bound", round(Bounds.over(l, rules, proxies, 1000)));
+        o.addProperty("idle_bound_one_gone", round(Bounds.idle(l, proxies, 1)));
+        return o;
+    }
+
+    private static double round(double x) {
+        return Math.round(x * 100) / 100.0;
+    }
+
+    @Override
+    public void tell(JsonObject state) {
+        if (quota != null) {
+            state.addProperty("limits", scopes.size());
+            state.addProperty("grants_of_older_epochs", quota.olderEpochs());
+        }
+    }
+}
--- a/src/main/java/damsonworks/daemon/FleetPart.java
+++ b/src/main/java/damsonworks/daemon/FleetPart.java
@@ -62,6 +62,7 @@
     private final FleetProbes probes;
     private final FleetWatches watches;
     private final FleetLists lists;
+    private final FleetLimits limits;
     private final List<FleetUser> users;
     private final Envelope envelope;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
@@ -93,7 +94,8 @@
         probes = new FleetProbes(core, link, generation, random.nextLong());
         watches = new FleetWatches(core, link, generation, random.split());
         lists = new FleetLists(core, link, generation);
-        users = List.of(probes, watches, lists);
+        limits = new FleetLimits(core, link, random.split());
+        users = List.of(probes, watches, lists, limits);
         envelope = new Envelope(Ids.of(me), (long) now, spec.keys().stream().map(k -> k.getBytes(StandardCharsets.UTF_8)).toList(), List.of());
     }
 
@@ -166,6 +168,7 @@
         Map<String, Stand> all = new LinkedHashMap<>();
         f.duties().forEach(d -> all.put(d.name(), new Stand(d.leaseMs(), d.voters(), null)));
         f.probeDuties().forEach(d -> all.put(d, new Stand(f.probe().leaseMs(), f.probe().voters(), null)));
+        f.limits().duties().forEach(d -> all.put(d, new Stand(f.limits().leaseMs(), f.limits().voters(), null)));
         if (f.watch() != null && !f.names(f.zone()).isEmpty()) {
             watched(file).forEach(p -> all.put(f.watchDuty(p), new Stand(f.watch().leaseMs(), f.watch().voters(), f.zone())));
         }
@@ -231,6 +234,7 @@
     static Map<String, Supplier<CallHandler>> answers(Supplier<FleetPart> present) {
         Map<String, Supplier<CallHandler>> answers = new LinkedHashMap<>();
         answers.put("/duties", () -> present.get() == null ? null : present.get().calls);
+        answers.put("/limits", () -> present.get() == null ? null : present.get().limits::call);
         answers.put("/fleet", () -> present.get() == null ? null : present.get()::state);
         return answers;
     }
@@ -255,6 +259,11 @@
         return new Answer(200, o.toString());
     }
 
+    /** The fleet's limits at a daemon; null where it is of no fleet. */
+    static FleetLimits limits(FleetPart part) {
+        return part == null ? null : part.limits;
+    }
+
     /** Takes over a test of a server that a pool's module has ordered; false: the pool makes it. */
     boolean takeProbe(Dispatcher pool, int server) {
         return !closed && probes.take(pool, server);
--- a/src/main/java/damsonworks/daemon/Generation.java
+++ b/src/main/java/damsonworks/daemon/Generation.java
@@ -19,6 +19,8 @@
     final Map<String, PoolRunner> pools;
     final Intake intake;
     final HookRules rules;
+    /** Null where there are none. */
+    final FleetLimits limits;
     /** The hooks of each listener, in order. */
     final Map<String, List<HookRunner>> hooks = new HashMap<>();
     private final List<HookRunner> runners;
@@ -27,8 +29,9 @@
     int inHand;
     private final Map<Route, List<PoolRunner>> chains = new IdentityHashMap<>();
 
-    Generation(DaemonFile file, Map<String, PoolRunner> pools, Intake intake, List<HookRunner> runners) {
+    Generation(DaemonFile file, Map<String, PoolRunner> pools, Intake intake, List<HookRunner> runners, FleetLimits limits) {
         this.file = file;
+        this.limits = limits;
         siblings = SiblingSection.of(file);
         this.pools = pools;
         this.intake = intake;
--- a/src/main/java/damsonworks/daemon/RoutedRequest.java
+++ b/src/main/java/damsonworks/daemon/RoutedRequest.java
@@ -6,6 +6,7 @@
 import damsonworks.proxy.Exchange;
 import damsonworks.proxy.RequestHandler;
 import damsonworks.proxy.Responder;
+import damsonworks.quota.Pocket;
 import damsonworks.routes.Fallback;
 import damsonworks.routes.Route;
 import damsonworks.routes.Subject;
@@ -38,6 +39,9 @@
     /** Whether the last pool that was asked has said that it lacks the key: then that is the answer. */
     private boolean missed;
     private double advice;
+    /** What it has taken of the fleet's limits: of those that concern all pools, and of the present pool's; null: nothing. */
+    private Pocket[] taken;
+    private Pocket[] takenOfPool;
 
     /** Takes the commands over; {@code original} is null unless the key was changed. */
     RoutedRequest(Core core, Generation generation, Subject subject, Route route, Command command,
@@ -56,6 +60,16 @@
 
     /** Goes to the next pool that takes it, or ends. */
     void next() {
+        if (at < 0 && generation.limits != null) {
+            Pocket[] all = generation.limits.of("", command);
+            double wait = generation.limits.ask(all, core.now());
+            if (wait > 0) {
+                over();
+                client.refused(wait);
+                return;
+            }
+            taken = take(all);
+        }
         while (++at < chain.size()) {
             PoolRunner pool = chain.get(at);
             double now = core.now();
@@ -67,13 +81,16 @@
             if (due <= now) {
                 break;
             }
-            double wait = pool.admit(now);
+            Pocket[] own = generation.limits == null ? null : generation.limits.of(pool.name, command);
+            double wait = own == null ? 0 : generation.limits.ask(own, now);
+            wait = wait > 0 ? wait : pool.admit(now);
             if (wait > 0) {
                 advice = Math.max(advice, wait);
                 continue;
             }
             Exchange x = Exchange.of(pool.dispatcher, command, pool.number(subject, route, command.key()), this, due);
             current = x;
+            takenOfPool = own == null ? null : take(own);
             pool.dispatcher.take(x);
             return;
         }
@@ -89,10 +106,27 @@
         }
     }
 
+    private static Pocket[] take(Pocket[] of) {
+        for (Pocket p : of) {
+            p.take();
+        }
+        return of;
+    }
+
+    private static void give(Pocket[] of) {
+        if (of != null) {
+            for (Pocket p : of) {
+                p.give();
+            }
+        }
+    }
+
     private void givenUp(boolean hasMissed, boolean hasFailed, double retryAfterMs) {
         if (over) {
             return;
         }
+        give(takenOfPool);
+        takenOfPool = null;
         if (current.mayHaveRun()) {
             String group = chain.get(at).dedupGroup();
             ranGroup = mayHaveRun && (ranGroup == null || !ranGroup.equals(group)) ? null : group;
@@ -106,6 +140,8 @@
 
     private void over() {
         over = true;
+        give(taken);
+        give(takenOfPool);
         generation.inHand--;
         core.closeId(command);
         command.release(core);
--- /dev/null
+++ b/src/main/java/damsonworks/quota/Quota.java
@@ -0,0 +1,401 @@
+package damsonworks.quota;
+
+import damsonworks.lease.EpochGuard;
+import damsonworks.lease.Ids;
+import damsonworks.lease.Tenure;
+import damsonworks.quota.QuotaMessage.Entry;
+import damsonworks.quota.QuotaMessage.Kind;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The limits of a fleet at one of its proxies: what it may spend ({@link Pocket}), and what it deals out where others ask it ({@link Book}). Limits
+ * are dealt into shares, each a duty; who holds it is asked first, and alone deals out what is in nobody's share. Where it does not answer, the next in the duty's order is
+ * asked: whoever is asked deals, since safety rests on loans and not on who deals. Free of clocks and I/O.
+ */
+public final class Quota {
+    public static final int MOST_LIMITS = 1000;
+    /** A burst is asked for at once, but not more often. */
+    private static final double URGENT_MS = 20;
+    /** Loans that come one after another are dealt out together. */
+    private static final double GATHER_MS = 4;
+    /** Who has not answered for so many beats is passed over, and tried again after so many grants' times. */
+    private static final double PATIENCE_BEATS = 0.5;
+    private static final double SHUNNED = 3;
+    /** Numbers of asks and calls whose times are kept. */
+    private static final int MOST_NUMBERS = 4096;
+
+    /** Where messages go. */
+    public interface Out {
+        void send(long to, QuotaMessage m);
+    }
+
+    /** A limit as this proxy sees it; {@code alone}: since when it wants more and nobody answers, NaN if that is not so. */
+    public record Sight(Limit limit, double mine, double own, double lent, double needs, int inHand, long spent, long refused, double aloneSinceMs) { }
+
+    private record Asked(double atMs, long to) { }
+
+    private final long me;
+    private final long book;
+    private final LimitRules rules;
+    private final SplittableRandom random;
+    private final Out out;
+    private final double startMs;
+    private final Map<Long, Pocket> pockets = new LinkedHashMap<>();
+    private final Map<Long, Book> books = new HashMap<>();
+    private final Map<Long, Asked> asks = new LinkedHashMap<>();
+    private final Map<Long, Double> calls = new LinkedHashMap<>();
+    private final Map<Long, Double> wordMs = new HashMap<>();
+    /** Peers that did not answer, until when they are passed over. */
+    private final Map<Long, Double> shunned = new HashMap<>();
+    private final Map<Integer, Double> ownedSinceMs = new HashMap<>();
+    private final ArrayDeque<QuotaMessage> self = new ArrayDeque<>();
+    private Map<Long, Limit> limits = Map.of();
+    private List<Tenure> shares = List.of();
+    private List<Long> peers = List.of();
+    private int proxies = 1;
+    private boolean changing;
+    private long number;
+    private double askAtMs;
+    private double callAtMs;
+    private double dealAtMs = Double.POSITIVE_INFINITY;
+    private double urgentFromMs = Double.NEGATIVE_INFINITY;
+    private boolean urgent;
+    private long olderEpochs;
+    private final EpochGuard guard = new EpochGuard();
+
+    public Quota(long me, LimitRules rules, SplittableRandom random, double startMs, Out out) {
+        this.me = me;
+        this.rules = rules;
+        this.random = random;
+        this.out = out;
+        this.startMs = startMs;
+        book = random.nextLong() | 1;
+        number = random.nextLong() >>> 2;
+    }
+
+    /**
+     * The file counts from now on.
+     *
+     * @param list the proxies that share the limits, this one among them
+     * @param proxyCount into how many shares they are cut: while the list changes those of both lists
+     * @param owns whether this proxy has a share: one that joins has none until the change is over, nor has one that leaves
+     */
+    public void use(List<Limit> wanted, List<Tenure> duties, List<Long> list, int proxyCount, boolean isChanging, boolean owns, double now) {
+        if (wanted.size() > MOST_LIMITS || duties.isEmpty()) {
+            throw new IllegalArgumentException(wanted.size() + " limits, " + duties.size() + " duties");
+        }
+        Map<Long, Limit> named = new LinkedHashMap<>();
+        wanted.forEach(l -> named.put(Ids.of(l.name()), l));
+        limits = named;
+        shares = List.copyOf(duties);
+        peers = List.copyOf(list);
+        proxies = Math.max(1, proxyCount);
+        changing = isChanging;
+        pockets.keySet().retainAll(named.keySet());
+        books.keySet().retainAll(named.keySet());
+        named.forEach((id, l) -> {
+            pockets.computeIfAbsent(id, k -> new Pocket(l, rules, startMs)).use(l, owns ? l.share(proxies) : 0, proxies, now);
+            Book b = books.get(id);
+            if (b != null) {
+                b.use(l, l.pool(proxies, changing));
+            }
+        });
+    }
+
+    /** What this proxy may spend of a limit; null if there is none of this name. */
+    public Pocket pocket(String name) {
+        return pockets.get(Ids.of(name));
+    }
+
+    /** A request was refused: where notably more is needed than was asked for last, it is asked for soon, not at the next beat. */
+    public boolean hurry(Pocket p, double now) {
+        urgent |= p.needsMore(now);
+        return urgent;
+    }
+
+    private static int share(long limit, int of) {
+        return (int) Long.remainderUnsigned(limit * 0x9E3779B97F4A7C15L >>> 16, of);
+    }
+
+    // ---- time
+
+    /** Does what is due; when to call again, at the latest. */
+    public double tick(double now) {
+        pockets.values().forEach(p -> {
+            p.tick(now);
+            urgent |= p.holdsTooMuch(now) || p.unanswered(now);
+        });
+        owned(now);
+        boolean soon = urgent && now >= urgentFromMs;
+        if (now >= askAtMs || soon) {
+            ask(now);
+            askAtMs = now + rules.beatMs() * (0.9 + 0.1 * random.nextDouble());
+            urgentFromMs = now + URGENT_MS;
+            urgent = false;
+        }
+        if (now >= callAtMs) {
+            call(now);
+            callAtMs = now + rules.beatMs();
+        }
+        if (now >= dealAtMs) {
+            deal(now);
+        }
+        deliver(now);
+        double next = Math.min(askAtMs, Math.min(callAtMs, dealAtMs));
+        return urgent ? Math.min(next, Math.max(now, urgentFromMs)) : next;
+    }
+
+    private void owned(double now) {
+        for (int i = 0; i < shares.size(); i++) {
+            if (shares.get(i).permit(now, 0) < 0) {
+                ownedSinceMs.remove(i);
+            } else {
+                ownedSinceMs.putIfAbsent(i, now);
+            }
+        }
+    }
+
+    /** The epoch under which the fleet's own part of a limit is this one's to deal out; 0: it is not. */
+    private long epoch(Limit l, long id, double now) {
+        int share = share(id, shares.size());
+        Double since = ownedSinceMs.get(share);
+        long epoch = since == null ? -1 : shares.get(share).permit(now, 0);
+        return epoch > 0 && now >= since + rules.takeoverMs(l) ? epoch : 0;
+    }
+
+    private void ask(double now) {
+        forget(asks.values().iterator(), now);
+        forgetTimes(calls.values().iterator(), now);
+        Map<Long, List<Entry>> byDealer = new LinkedHashMap<>();
+        long[] dealers = new long[shares.size()];
+        pockets.forEach((id, p) -> {
+            double wants = p.wants(now);
+            if (wants > 0 || p.holdsGrant(now)) {
+                int share = share(id, dealers.length);
+                if (dealers[share] == Ids.NOBODY) {
+                    dealers[share] = dealer(shares.get(share), now);
+                }
+                byDealer.computeIfAbsent(dealers[share], k -> new ArrayList<>()).add(new Entry(id, wants));
+            }
+        });
+        byDealer.forEach((to, entries) -> parts(entries).forEach(part -> {
+            QuotaMessage m = new QuotaMessage(Kind.WANT, book, ++number, 0, part);
+            if (asks.size() < MOST_NUMBERS) {
+                asks.put(number, new Asked(now, to));
+                part.forEach(e -> pockets.get(e.limit()).asks(e.amount(), number, now));
+                send(to, m);
+            }
+        }));
+    }
+
+    private void forget(Iterator<Asked> times, double now) {
+        while (times.hasNext()) {
+            Asked a = times.next();
+            if (now - a.atMs < rules.grantMs()) {
+                return;
+            }
+            times.remove();
+        }
+    }
+
+    private void forgetTimes(Iterator<Double> times, double now) {
+        while (times.hasNext() && now - times.next() >= rules.grantMs()) {
+            times.remove();
+        }
+    }
+
+    /** Who is asked about a limit: the holder of its duty, or the next in order that has not failed to answer lately. */
+    private long dealer(Tenure t, double now) {
+        long holder = t.permit(now, 0) >= 0 ? me : t.holder(now);
+        if (holder != Ids.NOBODY && answers(holder, now)) {
+            return holder;
+        }
+        for (long p : t.order()) {
+            if (answers(p, now)) {
+                return p;
+            }
+        }
+        return me;
+    }
+
+    private boolean answers(long peer, double now) {
+        if (peer == me) {
+            return true;
+        }
+        Double until = shunned.get(peer);
+        if (until != null && now < until) {
+            return false;
+        }
+        // Asked some time ago and not a word since: somebody else, for a while.
+        for (Asked a : asks.values()) {
+            if (a.to == peer) {
+                boolean late = now - a.atMs > rules.beatMs() * PATIENCE_BEATS && wordMs.getOrDefault(peer, Double.NEGATIVE_INFINITY) < a.atMs;
+                if (late) {
+                    shunned.put(peer, now + SHUNNED * rules.grantMs());
+                }
+                return !late;
+            }
+        }
+        return true;
+    }
+
+    private void call(double now) {
+        List<Entry> wanted = new ArrayList<>();
+        books.entrySet().removeIf(e -> e.getValue().over(now));
+        books.forEach((id, b) -> {
+            if (b.limit().sharePart() > 0 && b.isWanted(now)) {
+                wanted.add(new Entry(id, 0));
+            }
+        });
+        for (List<Entry> part : parts(wanted)) {
+            if (calls.size() >= MOST_NUMBERS) {
+                return;
+            }
+            calls.put(++number, now);
+            QuotaMessage m = new QuotaMessage(Kind.CALL, book, number, 0, part);
+            peers.forEach(p -> send(p, m));
+        }
+    }
+
+    private static List<List<Entry>> parts(List<Entry> all) {
+        List<List<Entry>> parts = new ArrayList<>();
+        for (int i = 0; i < all.size(); i += QuotaMessage.MOST_ENTRIES) {
+            parts.add(all.subList(i, Math.min(all.size(), i + QuotaMessage.MOST_ENTRIES)));
+        }
+        return parts;
+    }
+
+    private void deal(double now) {
+        dealAtMs = Double.POSITIVE_INFINITY;
+        // By peer, ask and epoch: entries of one ask go out in one message.
+        Map<List<Long>, List<Entry>> told = new LinkedHashMap<>();
+        books.forEach((id, b) -> {
+            long epoch = epoch(b.limit(), id, now);
+            b.deal(now, epoch > 0).forEach(g -> told.computeIfAbsent(List.of(g.peer(), g.number(), epoch), k -> new ArrayList<>())
+                    .add(new Entry(id, g.amount())));
+        });
+        told.forEach((to, entries) -> parts(entries).forEach(part -> send(to.get(0), new QuotaMessage(Kind.GRANT, book, to.get(1), to.get(2), part))));
+    }
+
+    // ---- messages
+
+    private void send(long to, QuotaMessage m) {
+        if (to == me) {
+            self.add(m);
+        } else {
+            out.send(to, m);
+        }
+    }
+
+    /** A peer's message; its own to itself come by {@link #tick}. */
+    public void heard(double now, long from, QuotaMessage m) {
+        wordMs.put(from, now);
+        shunned.remove(from);
+        take(now, from, m);
+        deliver(now);
+    }
+
+    private void deliver(double now) {
+        for (QuotaMessage m; (m = self.poll()) != null;) {
+            take(now, me, m);
+        }
+    }
+
+    private void take(double now, long from, QuotaMessage m) {
+        switch (m.kind()) {
+            case WANT -> wanted(now, from, m);
+            case CALL -> called(now, from, m);
+            case LOAN -> lent(now, from, m);
+            default -> granted(now, m);
+        }
+    }
+
+    private void wanted(double now, long from, QuotaMessage m) {
+        boolean fresh = false;
+        for (Entry e : m.entries()) {
+            Limit l = limits.get(e.limit());
+            if (l == null) {
+                continue; // its file has a limit that this one's lacks
+            }
+            Book b = books.get(e.limit());
+            if (b == null) {
+                b = new Book(rules);
+                b.use(l, l.pool(proxies, changing));
+                books.put(e.limit(), b);
+            }
+            fresh |= l.sharePart() > 0 && !b.isWanted(now);
+            b.wanted(now, from, m.book(), e.amount(), m.number());
+        }
+        if (fresh) {
+            callAtMs = now; // nobody has been asked to lend yet
+        }
+        dealAtMs = Math.min(dealAtMs, now);
+    }
+
+    private void called(double now, long from, QuotaMessage m) {
+        List<Entry> loans = new ArrayList<>();
+        for (Entry e : m.entries()) {
+            Pocket p = pockets.get(e.limit());
+            double amount = p == null ? 0 : p.lend(m.book(), now);
+            if (amount > 0) {
+                loans.add(new Entry(e.limit(), amount));
+            }
+        }
+        if (!loans.isEmpty()) {
+            send(from, new QuotaMessage(Kind.LOAN, m.book(), m.number(), 0, loans));
+        }
+    }
+
+    private void lent(double now, long from, QuotaMessage m) {
+        Double called = calls.get(m.number());
+        if (m.book() != book || called == null) {
+            return; // lent to another, or so late that its time is not known any more
+        }
+        for (Entry e : m.entries()) {
+            Book b = books.get(e.limit());
+            if (b != null) {
+                b.lent(now, from, e.amount(), called);
+            }
+        }
+        dealAtMs = Math.min(dealAtMs, now + GATHER_MS);
+    }
+
+    private void granted(double now, QuotaMessage m) {
+        Asked asked = asks.get(m.number());
+        if (asked == null) {
+            return;
+        }
+        for (Entry e : m.entries()) {
+            Pocket p = pockets.get(e.limit());
+            if (p == null) {
+                continue;
+            }
+            if (m.epoch() > 0 && !guard.accepts(e.limit(), m.epoch())) {
+                olderEpochs++;
+                continue;
+            }
+            p.granted(m.book(), e.amount(), m.number(), asked.atMs, now);
+            p.word(now);
+        }
+    }
+
+    // ---- what is told
+
+    public long olderEpochs() {
+        return olderEpochs;
+    }
+
+    public List<Sight> sights(double now) {
+        List<Sight> list = new ArrayList<>();
+        pockets.values().forEach(p -> list.add(new Sight(p.limit(), p.mine(now), p.own(now), p.lentOut(now), p.needsNow(now), p.inHand(), p.spent(),
+                p.refusedCount(), p.unheardSince(now))));
+        return list;
+    }
+}
--- a/src/main/java/damsonworks/rig/FleetLoad.java
+++ b/src/main/java/damsonworks/rig/FleetLoad.java
@@ -50,6 +50,7 @@
     private Future<?> ticks;
     private Future<?> pulses;
     private long nextAt;
+    private long startedAt;
     private long endsAt;
     private int asked;
     private int open;
@@ -81,6 +82,7 @@
     CompletableFuture<Void> start() {
         loop.execute(() -> {
             nextAt = System.nanoTime();
+            startedAt = nextAt;
             endsAt = nextAt + (long) (load.seconds() * 1e9);
             ticks = loop.scheduleAtFixedRate(this::tick, TICK_NANOS, TICK_NANOS, TimeUnit.NANOSECONDS);
             pulses = loop.scheduleAtFixedRate(() -> {
@@ -139,7 +141,9 @@
             int key = random.nextDouble() < load.hot() ? 0 : random.nextInt(load.keys());
             r = new Request(id, "read", key(key));
         }
-        targets[Math.min(proxies.length - 1, to < 0 ? -to - 1 : to)].send(r);
+        int part = Math.min(proxies.length - 1, to < 0 ? -to - 1 : to);
+        long turns = load.turnMs() > 0 ? (long) ((nextAt - startedAt) / 1e6 / load.turnMs()) : 0;
+        targets[(int) ((part + turns) % proxies.length)].send(r);
     }
 
     private final class Request {
--- a/src/main/java/damsonworks/rig/Rig.java
+++ b/src/main/java/damsonworks/rig/Rig.java
@@ -5,6 +5,7 @@
 import damsonworks.rig.check.ActsInOrder;
 import damsonworks.rig.check.Checker;
 import damsonworks.rig.check.Event;
+import damsonworks.rig.check.LimitKept;
 import damsonworks.rig.check.OneHolder;
 import damsonworks.rig.check.Run;
 import damsonworks.rig.check.Service;
@@ -69,6 +70,11 @@
             if (!s.duties().isEmpty()) {
                 lines.add("acts under older epochs, refused where they were received: " + ActsInOrder.refused(run));
             }
+            if (run.scenario().limit() != null && run.scenario().limit().perSecond() > 0) {
+                double[] over = LimitKept.over(run);
+                lines.add(String.format("limit: over by %.0f in 100 ms, %.0f in 1 s, %.0f in 10 s; idle while refused %.4f from 5 s on", over[0], over[1], over[2],
+                        LimitKept.idle(run, 5000, run.endUs() / 1000.0)));
+            }
             lines.addAll(verdict.lines());
             return lines;
         }
--- a/src/main/java/damsonworks/rig/ScenarioReader.java
+++ b/src/main/java/damsonworks/rig/ScenarioReader.java
@@ -56,7 +56,7 @@
                 f.number("node_per_second", 500, 1, 1e5), f.integer("node_room", 20, 1, 100_000), f.flag("warm", true),
                 f.flag("relay_nodes", false), f.flag("own_discovery", false), f.text("extra", ""), f.has("old") ? choose(f, "old", endpoints, new SplittableRandom(seed)) : List.of(),
                 f.text("old_extra", ""), f.texts("duties"), f.number("poll_ms", 20, 5, 10_000), f.integer("waves", 16, 1, 200),
-                load(root.section("load")), List.of());
+                load(root.section("load")), limit(root.section("limit")), List.of());
         f.end();
         SplittableRandom random = new SplittableRandom(seed);
         List<Fault> faults = new ArrayList<>();
@@ -75,12 +75,25 @@
         return bare.with(faults);
     }
 
+    private static Scenario.Limit limit(Section s) {
+        if (s == null) {
+            return null;
+        }
+        Scenario.Limit limit = new Scenario.Limit(s.oneOf("kind", "read", "read", "keyed", "unsafe"), s.number("per_second", 0, 0.001, 1e7),
+                s.integer("at_once", 0, 1, 1_000_000), s.number("saved", 0, 0, 1e7));
+        if (limit.perSecond() > 0 == limit.atOnce() > 0) {
+            s.error("kind", "a limit has either per_second or at_once");
+        }
+        s.end();
+        return limit;
+    }
+
     private static Scenario.Load load(Section s) {
         if (s == null) {
-            return new Scenario.Load(5, 200, 0, 500, 0.05, 0.05, 1000);
+            return new Scenario.Load(5, 200, 0, 0, 500, 0.05, 0.05, 1000);
         }
         Scenario.Load load = new Scenario.Load(s.number("seconds", 5, 0.1, 24 * 3600), s.number("per_second", 200, 0.1, 1e6),
-                s.number("skew", 0, 0, 1), s.integer("keys", 500, 1, 1_000_000), s.number("hot", 0.05, 0, 1), s.number("writes", 0.05, 0, 1),
+                s.number("skew", 0, 0, 20), s.number("turn_ms", 0, 0, HOUR_MS), s.integer("keys", 500, 1, 1_000_000), s.number("hot", 0.05, 0, 1), s.number("writes", 0.05, 0, 1),
                 s.number("deadline_ms", 1000, 10, 60_000));
         s.end();
         return load;
--- a/src/main/java/damsonworks/rig/check/Checker.java
+++ b/src/main/java/damsonworks/rig/check/Checker.java
@@ -12,6 +12,7 @@
 
     /** All that hold for any scenario. */
     static List<Checker> all() {
-        return List.of(new OneAnswer(), new NoEffectTwice(), new DrainsKept(), new ColdSum(), new NoCrash(), new OneHolder(), new ActsInOrder());
+        return List.of(new OneAnswer(), new NoEffectTwice(), new DrainsKept(), new ColdSum(), new NoCrash(), new OneHolder(), new ActsInOrder(),
+                new LimitKept());
     }
 }
