--- a/src/main/java/damsonworks/cli/Cli.java
+++ b/src/main/java/damsonworks/cli/Cli.java
@@ -9,7 +9,7 @@
         description = "A proxy in front of fleets of cache nodes.",
         subcommands = {RunCommand.class, CheckCommand.class, ExplainCommand.class, DemoCommand.class,
             ImportNginxCommand.class, HookCommand.class, MemoryCommand.class, BenchCommand.class,
-            FleetCommand.class, DutiesCommand.class},
+            FleetCommand.class, DutiesCommand.class, LimitsCommand.class},
         footer = {"", "The platform's own commands, which take no options: serve, drill, train."})
 public final class Cli implements Runnable {
     /** Wrong input: a file, a flag, an address. */
--- a/src/main/java/damsonworks/cli/DutiesCommand.java
+++ b/src/main/java/damsonworks/cli/DutiesCommand.java
@@ -4,12 +4,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import damsonworks.config.Addresses;
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -23,8 +18,6 @@
 @Command(name = "duties", mixinStandardHelpOptions = true, description = "Lists the duties of a running proxy, or hands one on.",
         subcommands = DutiesCommand.Transfer.class)
 final class DutiesCommand implements Callable<Integer> {
-    private static final int PATIENCE_MS = 3000;
-
     @Spec
     private CommandSpec spec;
 
@@ -34,19 +27,17 @@
     @Option(names = "--json", description = "As the proxy gives it.")
     private boolean json;
 
-    private record Answer(int code, String text) { }
-
     @Override
     public Integer call() {
-        Answer a = ask("GET", "/duties");
+        ControlCall.Answer a = calls().ask("GET", "/duties");
         PrintWriter out = spec.commandLine().getOut();
-        if (a == null || a.code != 200) {
-            return no(a);
+        if (a == null || a.code() != 200) {
+            return calls().no(a);
         }
         if (json) {
-            out.println(a.text);
+            out.println(a.text());
         } else {
-            JsonArray list = JsonParser.parseString(a.text).getAsJsonArray();
+            JsonArray list = JsonParser.parseString(a.text()).getAsJsonArray();
             out.printf("%-24s %-8s %18s %9s %s%n", "duty", "holding", "epoch", "left ms", "holder");
             for (JsonElement e : list) {
                 JsonObject o = e.getAsJsonObject();
@@ -58,33 +49,8 @@
         return 0;
     }
 
-    private int no(Answer a) {
-        if (a != null) {
-            spec.commandLine().getErr().println(control + ": " + a.text);
-        }
-        return a == null ? Cli.UNUSABLE : 1;
-    }
-
-    /** Null after it has been told why nothing came. */
-    private Answer ask(String method, String path) {
-        try {
-            InetSocketAddress to = Addresses.of(control);
-            try (Socket s = new Socket()) {
-                s.connect(to, PATIENCE_MS);
-                s.setSoTimeout(PATIENCE_MS);
-                s.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: " + control + "\r\nContent-Length: 0\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII));
-                String text = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-                int body = text.indexOf("\r\n\r\n");
-                if (!text.startsWith("HTTP/1.1 ") || body < 0) {
-                    throw new IOException("no answer in HTTP");
-                }
-                return new Answer(Integer.parseInt(text.substring(9, 12)), text.substring(body + 4).strip());
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            spec.commandLine().getErr().println(control + ": " + e.getMessage());
-            return null;
-        }
+    private ControlCall calls() {
+        return new ControlCall(control, spec.commandLine().getErr());
     }
 
     @Command(name = "transfer", mixinStandardHelpOptions = true, description = "Has the proxy hand a duty that it holds to another.")
@@ -104,11 +70,11 @@
                 spec.commandLine().getErr().println("names are letters, digits, dots, dashes and underscores");
                 return Cli.UNUSABLE;
             }
-            Answer a = duties.ask("POST", "/duties/" + name + "/transfer?to=" + to);
-            if (a == null || a.code != 200) {
-                return duties.no(a);
+            ControlCall.Answer a = duties.calls().ask("POST", "/duties/" + name + "/transfer?to=" + to);
+            if (a == null || a.code() != 200) {
+                return duties.calls().no(a);
             }
-            spec.commandLine().getOut().println(a.text);
+            spec.commandLine().getOut().println(a.text());
             spec.commandLine().getOut().flush();
             return 0;
         }
--- a/src/main/java/damsonworks/config/FleetSection.java
+++ b/src/main/java/damsonworks/config/FleetSection.java
@@ -199,7 +199,7 @@
         for (Section d : sections) {
             String name = name(d, names, "duty");
             if (name.startsWith(PROBE) || name.startsWith(WATCH) || name.startsWith(LimitsSection.DUTY)) {
-                d.error("name", "names that begin with " + PROBE + ", " + WATCH + " or " + LimitsSection.DUTY + " are the program's own; take another");
+                d.error("name", "names that begin with " + PROBE + " or " + WATCH + " or " + LimitsSection.DUTY + " are the program's own; take another");
             }
             duties.add(new Duty(name, lease(d, longest, 2000), voters(d)));
             d.end();
--- /dev/null
+++ b/src/test/java/damsonworks/daemon/FleetLimitsTest.java
@@ -0,0 +1,155 @@
+package damsonworks.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import damsonworks.cli.Cli;
+import damsonworks.config.ConfigException;
+import damsonworks.config.DaemonFileReader;
+import damsonworks.config.FleetSection;
+import damsonworks.config.LimitsSection;
+import damsonworks.standin.StandInFleet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The fleet's limits in the daemon: by its file, at requests, at its control address. */
+@Timeout(60)
+class FleetLimitsTest {
+    private StandInFleet fleet;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new StandInFleet(1);
+    }
+
+    @AfterEach
+    void end() {
+        fleet.close();
+    }
+
+    private String file(int port, String limits) {
+        return DaemonRig.CLASSES + DaemonRig.MAIN + DaemonRig.pool("pages", fleet, "", fleet.nodes.get(0)) + DaemonRig.route("all", "", "pages")
+                + "[control]\nlisten = \"127.0.0.1:0\"\n[fleet]\nme = \"p1\"\nlisten = \"127.0.0.1:" + port + "\"\nlongest_lease_ms = 150\n"
+                + "[[fleet.peer]]\nname = \"p1\"\naddress = \"127.0.0.1:" + port + "\"\n" + limits;
+    }
+
+    private static JsonArray limits(Daemon d) throws IOException {
+        InetSocketAddress to = d.controlAddress();
+        try (Socket s = new Socket(to.getAddress(), to.getPort())) {
+            s.setSoTimeout(20_000);
+            s.getOutputStream().write("GET /limits HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String text = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            return JsonParser.parseString(text.substring(text.indexOf("\r\n\r\n") + 4)).getAsJsonArray();
+        }
+    }
+
+    private static JsonObject limit(Daemon d, String name) throws IOException {
+        for (var e : limits(d)) {
+            if (e.getAsJsonObject().get("name").getAsString().equals(name)) {
+                return e.getAsJsonObject();
+            }
+        }
+        throw new AssertionError("no limit " + name);
+    }
+
+    @Test
+    void requestsBeyondALimitAreRefusedWithATimeToComeBackAndOthersServed() throws Exception {
+        int port = Ports.free();
+        String limits = "[fleet.limits]\ngrant_ms = 100\nlease_ms = 100\n[[fleet.limit]]\nname = \"slow\"\nclass = \"page\"\nper_second = 0.5\nburst = 0\n"
+                + "[[fleet.limit]]\nname = \"hand\"\nclass = \"publish\"\nat_once = 2\nwhen_alone = \"none\"\n"
+                + "[[fleet.limit]]\nname = \"pool\"\npool = \"pages\"\nper_second = 100000\n";
+        try (Daemon d = Daemon.start(DaemonFileReader.parse("f.toml", file(port, limits)), 5); Socket s = new Socket()) {
+            s.connect(d.address("main"));
+            s.setSoTimeout(20_000);
+            int served = 0;
+            int refused = 0;
+            // A bucket of one that fills once in two seconds, empty at the start: one passes some time, and not two in a row.
+            while (served == 0 || refused == 0) {
+                s.getOutputStream().write("mg a v Oq1 Pc=page,d=1000\r\n".getBytes(StandardCharsets.US_ASCII));
+                String line = line(s);
+                if (line.startsWith("VA ")) {
+                    line(s);
+                    served++;
+                } else if (line.startsWith("EN") || line.startsWith("HD")) {
+                    served++;
+                } else {
+                    assertThat(line).startsWith("SERVER_ERROR busy").containsPattern("[0-9]");
+                    refused++;
+                }
+            }
+            JsonObject slow = limit(d, "slow");
+            assertThat(slow.get("scope").getAsString()).isEqualTo("class page");
+            assertThat(slow.get("limit").getAsDouble()).isEqualTo(0.5);
+            assertThat(slow.get("mine").getAsDouble()).isLessThanOrEqualTo(0.5);
+            assertThat(slow.get("over_bound").getAsDouble()).isGreaterThanOrEqualTo(1);
+            assertThat(limit(d, "hand").get("kind").getAsString()).isEqualTo("at_once");
+            assertThat(limit(d, "pool").get("scope").getAsString()).isEqualTo("pool pages");
+            String control = "127.0.0.1:" + d.controlAddress().getPort();
+            assertThat(Cli.run(new String[] {"limits", "--control", control})).isZero();
+            assertThat(Cli.run(new String[] {"limits", "--json", "--control", control})).isZero();
+            assertThat(Cli.run(new String[] {"limits", "--control", "127.0.0.1:1"})).isEqualTo(2);
+
+            // Raised by a new file: what was refused is served; taken out, it is gone.
+            d.load(DaemonFileReader.parse("f.toml", file(port, limits.replace("per_second = 0.5", "per_second = 50000"))));
+            while (limit(d, "slow").get("mine").getAsDouble() < 40_000) {
+                Thread.onSpinWait();
+            }
+            d.load(DaemonFileReader.parse("f.toml", file(port, "")));
+            assertThat(limits(d)).isEmpty();
+            s.getOutputStream().write("mg a v Oq2 Pc=page,d=1000\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertThat(line(s)).doesNotContain("busy");
+        }
+    }
+
+    private static String line(Socket s) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (int c; (c = s.getInputStream().read()) >= 0 && c != '\n';) {
+            text.append((char) c);
+        }
+        return text.toString().strip();
+    }
+
+    @Test
+    void wrongLimitsAreToldWithPlaceAndRemedy() {
+        String[][] wrong = {
+            {"name = \"a\"", "either per_second or at_once"},
+            {"name = \"a\"\nper_second = 5\nat_once = 5", "either per_second or at_once"},
+            {"name = \"a\"\nat_once = 5\nburst = 2", "burst goes with per_second"},
+            {"name = \"a\"\nper_second = 5\npool = \"none\"", "there is no pool 'none'; there are: pages"},
+            {"name = \"a\"\nper_second = 5\nclass = \"none\"", "there is no class 'none'"},
+            {"name = \"a\"\nper_second = 5\ntenant = \"none\"", "there is no tenant 'none'"},
+            {"name = \"a\"\nper_second = 5\nwhen_alone = \"maybe\"", "when_alone"},
+            {"name = \"a\"\nper_second = 5\nwhen_alone = \"none\"\nshare_part = 0.5", "own no share"},
+            {"name = \"a b\"\nper_second = 5", "limit name 'a b'"}};
+        for (String[] w : wrong) {
+            assertThatThrownBy(() -> DaemonFileReader.parse("f.toml", file(7, "[[fleet.limit]]\n" + w[0] + "\n"))).isInstanceOf(ConfigException.class)
+                    .hasMessageContaining(w[1]).hasMessageContaining("f.toml:");
+        }
+        assertThatThrownBy(() -> DaemonFileReader.parse("f.toml", file(7, "[[duty]]\nname = \"limits.0\"\n"))).hasMessageContaining("the program's own");
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 1001; i++) {
+            many.append("[[fleet.limit]]\nname = \"l").append(i).append("\"\nper_second = 5\n");
+        }
+        assertThatThrownBy(() -> DaemonFileReader.parse("f.toml", file(7, many.toString()))).hasMessageContaining("at most 1000");
+    }
+
+    @Test
+    void aFileOfAThousandLimitsIsTakenAndEachTenantHasItsOwn() throws Exception {
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 1000; i++) {
+            many.append("[[fleet.limit]]\nname = \"l").append(i).append("\"\nper_second = 5\n");
+        }
+        LimitsSection read = DaemonFileReader.parse("f.toml", file(7, many.toString())).part(FleetSection.class).limits();
+        assertThat(read.limits()).hasSize(1000);
+        assertThat(read.duties()).hasSize(4);
+    }
+}
