--- /dev/null
+++ b/src/main/java/damsonworks/bench/LimitBench.java
@@ -0,0 +1,179 @@
+package damsonworks.bench;
+
+import com.sun.management.ThreadMXBean;
+import damsonworks.lease.Tenure;
+import damsonworks.model.LimitModel;
+import damsonworks.model.LimitModel.Fault;
+import damsonworks.model.LimitModel.Plan;
+import damsonworks.model.LimitModel.Result;
+import damsonworks.model.LimitModel.Trouble;
+import damsonworks.model.LimitModel.Way;
+import damsonworks.quota.Limit;
+import damsonworks.quota.LimitRules;
+import damsonworks.quota.Pocket;
+import damsonworks.quota.Quota;
+import java.io.PrintWriter;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+/** Ways of sharing a limit beside one another, on virtual time, and what taking from one costs. */
+final class LimitBench {
+    private static final LimitRules RULES = new LimitRules(1000, 0.01);
+    private static final double FOR_MS = 16_000;
+    private static final int TAKES = 2_000_000;
+
+    private final PrintWriter out;
+
+    LimitBench(PrintWriter out) {
+        this.out = out;
+    }
+
+    private record Case(String name, double[][] offered, List<Fault> faults) { }
+
+    void run(int rounds) {
+        out.println("limits: over by requests in 1 s (bound), part idle while as much is refused from 3 s on, messages a second a proxy; means of " + rounds + " seeds");
+        for (int n : new int[] {8, 50, 200, 1000}) {
+            double amount = Math.max(200, 10 * n);
+            for (Limit.Alone alone : new Limit.Alone[] {Limit.Alone.SHARE, Limit.Alone.NONE}) {
+                Limit l = new Limit("l", false, amount, amount / 10, alone, 1, 0);
+                out.printf(Locale.ROOT, "%d proxies, %.0f a second, three times that wanted, alone: %s; bound %.1f%n", n, amount, alone,
+                        LimitModel.bound(l, RULES, n, 1000));
+                for (Case c : cases(n, amount)) {
+                    StringBuilder line = new StringBuilder(String.format("  %-22s", c.name));
+                    for (Way w : Way.values()) {
+                        if (n > 50 && w == Way.PEERS || n > 200 && w == Way.GOSSIP || alone == Limit.Alone.NONE && w != Way.DEALER) {
+                            continue;
+                        }
+                        Result[] r = IntStream.rangeClosed(1, rounds).parallel().mapToObj(seed -> LimitModel.play(new Plan(w, n, l, RULES, c.offered, 1000, 0,
+                                FOR_MS, c.faults, seed))).toArray(Result[]::new);
+                        line.append(String.format(Locale.ROOT, " %s %.0f, %.3f (%.3f to %.3f), %.1f;", w.name().toLowerCase(Locale.ROOT),
+                                Arrays.stream(r).mapToDouble(x -> x.over()[1]).max().orElse(0), Arrays.stream(r).mapToDouble(Result::idle).average().orElse(0),
+                                Arrays.stream(r).mapToDouble(Result::idle).min().orElse(0), Arrays.stream(r).mapToDouble(Result::idle).max().orElse(0),
+                                Arrays.stream(r).mapToDouble(Result::messagesPerSecond).average().orElse(0)));
+                    }
+                    out.println(line);
+                    out.flush();
+                }
+            }
+        }
+        takes();
+        many();
+    }
+
+    private static List<Case> cases(int n, double amount) {
+        double[] even = new double[n];
+        Arrays.fill(even, 3 * amount / n);
+        double[] one = new double[n];
+        one[0] = 3 * amount;
+        double[] last = new double[n];
+        last[n - 1] = 3 * amount;
+        double[] skew = new double[n];
+        double sum = 0;
+        for (int i = 0; i < n; i++) {
+            sum += 1.0 / (i + 1);
+        }
+        for (int i = 0; i < n; i++) {
+            skew[i] = 3 * amount / sum / (i + 1);
+        }
+        List<Integer> half = IntStream.range(0, n / 2).boxed().toList();
+        List<Integer> seven = IntStream.range(0, n * 7 / 10).boxed().toList();
+        List<Case> cases = new ArrayList<>(List.of(new Case("even", new double[][] {even}, List.of()), new Case("all at one", new double[][] {one}, List.of()),
+                new Case("at another each second", new double[][] {one, last}, List.of()), new Case("as 1/i", new double[][] {skew}, List.of()),
+                new Case("dealer killed", new double[][] {even}, List.of(new Fault(Trouble.KILL, 5000, 4000, List.of(0), 0))),
+                new Case("dealer stops for 1 s", new double[][] {even}, List.of(new Fault(Trouble.STOP, 5000, 1000, List.of(0), 0))),
+                new Case("split in two for 6 s", new double[][] {skew}, List.of(new Fault(Trouble.SPLIT, 5000, 6000, half, 0))),
+                new Case("30% lost", new double[][] {skew}, List.of(new Fault(Trouble.LOSS, 0, FOR_MS, List.of(), 0.3))),
+                new Case("7 in 10 restarted", new double[][] {even}, List.of(new Fault(Trouble.KILL, 5000, 1500, seven, 0)))));
+        return cases;
+    }
+
+    // ---- what it costs
+
+    private static final class Alone implements Tenure {
+        @Override
+        public long permit(double now, double actMs) {
+            return 1;
+        }
+
+        @Override
+        public double leftMs(double now) {
+            return 1000;
+        }
+
+        @Override
+        public long holder(double now) {
+            return 1;
+        }
+
+        @Override
+        public List<Long> order() {
+            return List.of(1L);
+        }
+
+        @Override
+        public long id() {
+            return 1;
+        }
+    }
+
+    private static Quota quota(int limits, int peers, long[] sent) {
+        Quota q = new Quota(1, RULES, new SplittableRandom(1), -1e6, (to, m) -> sent[0]++);
+        List<Limit> all = new ArrayList<>();
+        for (int i = 0; i < limits; i++) {
+            all.add(new Limit("l" + i, false, 1e6, 1e5, Limit.Alone.SHARE, 1, 0));
+        }
+        q.use(all, List.of(new Alone()), IntStream.rangeClosed(1, peers).mapToObj(i -> (long) i).toList(), peers, false, true, 0);
+        return q;
+    }
+
+    private void takes() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long id = Thread.currentThread().getId();
+        double[] nanos = new double[7];
+        double[] bytes = new double[7];
+        Quota q = quota(1, 8, new long[1]);
+        Pocket p = q.pocket("l0");
+        double now = 0;
+        for (int round = 0; round < nanos.length; round++) {
+            long before = threads.getThreadAllocatedBytes(id);
+            long from = System.nanoTime();
+            for (int i = 0; i < TAKES; i++) {
+                now += 0.02;
+                if (p.ask(now) == 0) {
+                    p.take();
+                    p.give();
+                }
+            }
+            nanos[round] = (double) (System.nanoTime() - from) / TAKES;
+            bytes[round] = (double) (threads.getThreadAllocatedBytes(id) - before) / TAKES;
+        }
+        Arrays.sort(nanos);
+        Arrays.sort(bytes);
+        out.printf(Locale.ROOT, "a take: %.0f ns (%.0f to %.0f), %.2f bytes of garbage%n", nanos[3], nanos[0], nanos[6], bytes[3]);
+    }
+
+    private void many() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long id = Thread.currentThread().getId();
+        long[] sent = new long[1];
+        long before = threads.getThreadAllocatedBytes(id);
+        Quota q = quota(Quota.MOST_LIMITS, 8, sent);
+        long made = threads.getThreadAllocatedBytes(id) - before;
+        double now = 0;
+        long from = System.nanoTime();
+        int ticks = 0;
+        for (; now < 20_000; now += 20, ticks++) {
+            for (int i = 0; i < 100; i++) {
+                q.pocket("l" + i).ask(now);
+            }
+            q.tick(now);
+        }
+        out.printf(Locale.ROOT, "1,000 limits, 100 of them in use, 8 peers: %.1f us a tick of 20 ms, %.1f datagrams a second, %d KB made at the start%n",
+                (System.nanoTime() - from) / 1e3 / ticks, sent[0] * 1000 / now, made >> 10);
+    }
+}
--- a/src/main/java/damsonworks/quota/Quota.java
+++ b/src/main/java/damsonworks/quota/Quota.java
@@ -65,6 +65,8 @@
     private double askAtMs;
     private double callAtMs;
     private double dealAtMs = Double.POSITIVE_INFINITY;
+    /** When any other was heard. */
+    private double heardMs = Double.NEGATIVE_INFINITY;
     private double urgentFromMs = Double.NEGATIVE_INFINITY;
     private boolean urgent;
     private long olderEpochs;
@@ -297,6 +299,7 @@
     /** A peer's message; its own to itself come by {@link #tick}. */
     public void heard(double now, long from, QuotaMessage m) {
         wordMs.put(from, now);
+        heardMs = now;
         shunned.remove(from);
         take(now, from, m);
         deliver(now);
@@ -313,7 +316,7 @@
             case WANT -> wanted(now, from, m);
             case CALL -> called(now, from, m);
             case LOAN -> lent(now, from, m);
-            default -> granted(now, m);
+            default -> granted(now, from, m);
         }
     }
 
@@ -367,7 +370,7 @@
         dealAtMs = Math.min(dealAtMs, now + GATHER_MS);
     }
 
-    private void granted(double now, QuotaMessage m) {
+    private void granted(double now, long from, QuotaMessage m) {
         Asked asked = asks.get(m.number());
         if (asked == null) {
             return;
@@ -382,7 +385,10 @@
                 continue;
             }
             p.granted(m.book(), e.amount(), m.number(), asked.atMs, now);
-            p.word(now);
+            // What it deals itself is no word of others, unless it is the one to deal or others have just lent.
+            if (from != me || m.epoch() > 0 || peers.size() < 2 || now - heardMs <= rules.grantMs()) {
+                p.word(now);
+            }
         }
     }
 
--- a/src/test/java/damsonworks/config/DaemonFileReaderTest.java
+++ b/src/test/java/damsonworks/config/DaemonFileReaderTest.java
@@ -65,6 +65,7 @@
     void theExampleInTheRepositoryIsGood() throws Exception {
         assertThat(DaemonFileReader.read(Path.of("deploy/coralbay.toml")).routes().routes()).isNotEmpty();
         assertThat(DaemonFileReader.read(Path.of("deploy/duties.toml")).part(FleetSection.class).duties()).hasSize(1);
+        assertThat(DaemonFileReader.read(Path.of("deploy/limits.toml")).part(FleetSection.class).limits().limits()).hasSize(2);
     }
 
     @Test
--- a/src/test/java/damsonworks/rig/CheckersTest.java
+++ b/src/test/java/damsonworks/rig/CheckersTest.java
@@ -8,6 +8,7 @@
 import damsonworks.rig.check.DrainsKept;
 import damsonworks.rig.check.Event;
 import damsonworks.rig.check.Findings;
+import damsonworks.rig.check.LimitKept;
 import damsonworks.rig.check.NoCrash;
 import damsonworks.rig.check.NoEffectTwice;
 import damsonworks.rig.check.OneAnswer;
@@ -88,6 +89,48 @@
         assertThat(s.idle()).isZero();
     }
 
+    private Findings limit(String limit) throws Exception {
+        return new LimitKept().check(new Run(ScenarioReader.parse("s", "[fleet]\nproxies = 3\nnodes = 4\n[limit]\n" + limit, null), events));
+    }
+
+    /** 27 reads a second, one at a time; then 40 more within 40 ms, of which 10 come a second time to another node. */
+    @Test
+    void aRateThatIsPassedIsFoundAndARequestThatIsTriedTwiceCountsOnce() throws Exception {
+        sound();
+        assertThat(limit("per_second = 30\nsaved = 2").count()).isZero();
+        assertThat(limit("per_second = 30\nsaved = 2").judged()).isEqualTo(270);
+        assertThat(limit("per_second = 20\nsaved = 2").count()).as("over ten seconds").isPositive();
+        for (int i = 0; i < 40; i++) {
+            at(5000 + i, "p1", Event.ASKED, "b" + i, "read", 1000).at(5001 + i, "n1", Event.ARRIVED, "b" + i, "", 0)
+                    .at(5001 + i + (i < 10 ? 0.5 : 0), "n2", Event.ARRIVED, i < 10 ? "b" + i : "", "", 0).at(5003 + i, "p1", Event.ANSWERED, "b" + i, "served", 0);
+        }
+        assertThat(limit("per_second = 30\nsaved = 45").count()).isZero();
+        assertThat(limit("per_second = 30\nsaved = 30").count()).as("in 100 ms and in a second").isEqualTo(2);
+        assertThat(limit("kind = \"keyed\"\nper_second = 30").count()).as("another kind").isZero();
+    }
+
+    /** What the rig noticed late may have come earlier: it says nothing of a short window. */
+    @Test
+    void whatMayHaveComeEarlierIsNotLaidToTheLimit() throws Exception {
+        for (int i = 0; i < 40; i++) {
+            at(100 + i, "p1", Event.ASKED, "b" + i, "read", 1000);
+            events.add(new Event(5_000_000 + i, 4_000_000, "n1", Event.ARRIVED, "b" + i, "", 0));
+        }
+        assertThat(limit("per_second = 10\nsaved = 1").count()).isZero();
+    }
+
+    @Test
+    void tooManyInHandAreFound() throws Exception {
+        sound();
+        assertThat(limit("at_once = 1").count()).as("each is over 5 ms after it began, which may be the answer's way").isZero();
+        for (int i = 0; i < 4; i++) {
+            at(5000 + i, "p1", Event.ASKED, "h" + i, "read", 1000).at(5005 + i, "n1", Event.ARRIVED, "h" + i, "", 0)
+                    .at(5305 + i, "p1", Event.ANSWERED, "h" + i, "served", 0);
+        }
+        assertThat(limit("at_once = 4").count()).isZero();
+        assertThat(limit("at_once = 3").count()).isEqualTo(1);
+    }
+
     @Test
     void twoAnswersNoAnswerAWrongOneAndALateOneAreFound() throws Exception {
         sound().at(500, "p1", Event.ANSWERED, "r3", "served", 0);
