--- a/src/main/java/damsonworks/rig/Rig.java
+++ b/src/main/java/damsonworks/rig/Rig.java
@@ -72,8 +72,8 @@
             }
             if (run.scenario().limit() != null && run.scenario().limit().perSecond() > 0) {
                 double[] over = LimitKept.over(run);
-                lines.add(String.format("limit: over by %.0f in 100 ms, %.0f in 1 s, %.0f in 10 s; idle while refused %.4f from 5 s on", over[0], over[1], over[2],
-                        LimitKept.idle(run, 5000, run.endUs() / 1000.0)));
+                lines.add(String.format("limit: over by %.0f in 100 ms, %.0f in 1 s, %.0f in 10 s; idle while refused %.4f from the fourth second of the load on", over[0], over[1], over[2],
+                        LimitKept.idle(run, 3000)));
             }
             lines.addAll(verdict.lines());
             return lines;
--- a/src/main/java/damsonworks/rig/check/LimitKept.java
+++ b/src/main/java/damsonworks/rig/check/LimitKept.java
@@ -123,8 +123,13 @@
         return Arrays.stream(WINDOWS).map(w -> most(came, w)[0] - run.scenario().limit().perSecond() * w / 1000).toArray();
     }
 
-    /** The part of a rate that lay idle while as much was refused, in whole seconds of a span. */
-    public static double idle(Run run, double fromMs, double toMs) {
+    /** The part of a rate that lay idle while as much was refused, in whole seconds of the load but its first ones. */
+    public static double idle(Run run, double skippedMs) {
+        double[] asked = run.events().stream().filter(e -> e.what().equals(Event.ASKED)).mapToDouble(Event::ms).toArray();
+        return asked.length == 0 ? 0 : idle(run, asked[0] + skippedMs, asked[asked.length - 1]);
+    }
+
+    private static double idle(Run run, double fromMs, double toMs) {
         double perSecond = run.scenario().limit().perSecond();
         int seconds = (int) Math.max(1, (toMs - fromMs) / 1000);
         double[] came = new double[seconds];
