Ask whoever holds a limit's duty again soon, and nobody else for what only it deals out

Cause: one ask without an answer within 167 ms had the dealer passed over for 3 s (Quota.answers), and those asked instead have nothing of nobody's share. Ruled out: the bound (held), the duty (moves are told in the log). Change: the holder is asked again after a beat, and alone where proxies own nothing; limits are looked at each 15 ms at most, not with each datagram.

--- a/src/main/java/damsonworks/quota/Quota.java
+++ b/src/main/java/damsonworks/quota/Quota.java
@@ -24,6 +24,8 @@
     public static final int MOST_LIMITS = 1000;
     /** A burst is asked for at once, but not more often. */
     private static final double URGENT_MS = 20;
+    /** All limits are looked at no more often, however many datagrams come. */
+    private static final double LOOK_MS = 15;
     /** Loans that come one after another are dealt out together. */
     private static final double GATHER_MS = 4;
     /** Who has not answered for so many beats is passed over, and tried again after so many grants' times. */
@@ -69,6 +71,7 @@
     private int calling;
     private double askAtMs;
     private double callAtMs;
+    private double lookedMs = Double.NEGATIVE_INFINITY;
     private double dealAtMs = Double.POSITIVE_INFINITY;
     /** When any other was heard. */
     private double heardMs = Double.NEGATIVE_INFINITY;
@@ -137,10 +140,13 @@
 
     /** Does what is due; when to call again, at the latest. */
     public double tick(double now) {
-        pockets.values().forEach(p -> {
-            p.tick(now);
-            urgent |= p.holdsTooMuch(now) || p.unanswered(now);
-        });
+        if (now - lookedMs >= LOOK_MS) {
+            lookedMs = now;
+            pockets.values().forEach(p -> {
+                p.tick(now);
+                urgent |= p.holdsTooMuch(now) || p.unanswered(now);
+            });
+        }
         owned(now);
         boolean soon = urgent && now >= urgentFromMs;
         if (now >= askAtMs || soon) {
@@ -191,7 +197,9 @@
                 if (dealers[share] == Ids.NOBODY) {
                     dealers[share] = dealer(shares.get(share), now);
                 }
-                byDealer.computeIfAbsent(dealers[share], k -> new ArrayList<>()).add(new Entry(id, wants));
+                // What is in nobody's share only the holder deals out, so nobody else is worth asking.
+                long to = p.limit().sharePart() > 0 ? dealers[share] : holder(shares.get(share), dealers[share], now);
+                byDealer.computeIfAbsent(to, k -> new ArrayList<>()).add(new Entry(id, wants));
             }
         });
         byDealer.forEach((to, entries) -> parts(entries).forEach(part -> {
@@ -223,7 +231,8 @@
     /** Who is asked about a limit: the holder of its duty, or the next in order that has not failed to answer lately. */
     private long dealer(Tenure t, double now) {
         long holder = t.permit(now, 0) >= 0 ? me : t.holder(now);
-        if (holder != Ids.NOBODY && answers(holder, now)) {
+        // It holds the duty by the voters' word, so it was there just now: the answer may have been lost.
+        if (holder != Ids.NOBODY && answers(holder, rules.beatMs(), now)) {
             return holder;
         }
         for (long p : t.order()) {
@@ -234,7 +243,17 @@
         return me;
     }
 
+    private long holder(Tenure t, long otherwise, double now) {
+        long holder = t.permit(now, 0) >= 0 ? me : t.holder(now);
+        return holder == Ids.NOBODY ? otherwise : holder;
+    }
+
     private boolean answers(long peer, double now) {
+        return answers(peer, SHUNNED * rules.grantMs(), now);
+    }
+
+    /** @param shunMs for so long one that does not answer is passed over */
+    private boolean answers(long peer, double shunMs, double now) {
         if (peer == me) {
             return true;
         }
@@ -247,7 +266,7 @@
             if (a.to == peer) {
                 boolean late = now - a.atMs > rules.beatMs() * PATIENCE_BEATS && wordMs.getOrDefault(peer, Double.NEGATIVE_INFINITY) < a.atMs;
                 if (late) {
-                    shunned.put(peer, now + SHUNNED * rules.grantMs());
+                    shunned.put(peer, now + shunMs);
                 }
                 return !late;
             }
