Keep a limit silent that a file took out and the next put back, while it may be lent

Saw on reading: a pocket that is dropped by a reload forgets its loans, and a new one spends its share at once (Quota.use). Change: it begins in silence from when it was dropped. Test: aLimitThatIsTakenOutAndPutBack..., which fails without it.

--- a/src/main/java/damsonworks/quota/Quota.java
+++ b/src/main/java/damsonworks/quota/Quota.java
@@ -62,6 +62,8 @@
     private final Map<Long, Double> shunned = new HashMap<>();
     private final Map<Integer, Double> ownedSinceMs = new HashMap<>();
     private final ArrayDeque<QuotaMessage> self = new ArrayDeque<>();
+    private final Map<Long, Double> dropped = new HashMap<>();
+    private double longestHoldMs;
     private Map<Long, Limit> limits = Map.of();
     private List<Tenure> shares = List.of();
     private List<Long> peers = List.of();
@@ -110,10 +112,20 @@
         peers = List.copyOf(list);
         proxies = Math.max(1, proxyCount);
         changing = isChanging;
-        pockets.keySet().retainAll(named.keySet());
+        // What it has lent stands though the file no longer has the limit, or has one of another kind by its name.
+        dropped.values().removeIf(at -> now - at > 2 * LimitRules.LOAN * rules.grantMs() + longestHoldMs);
+        pockets.entrySet().removeIf(e -> {
+            Limit l = named.get(e.getKey());
+            longestHoldMs = Math.max(longestHoldMs, e.getValue().limit().holdMs());
+            boolean gone = l == null || l.atOnce() != e.getValue().limit().atOnce();
+            if (gone) {
+                dropped.put(e.getKey(), now);
+            }
+            return gone;
+        });
         books.keySet().retainAll(named.keySet());
         named.forEach((id, l) -> {
-            pockets.computeIfAbsent(id, k -> new Pocket(l, rules, startMs)).use(l, owns ? l.share(proxies) : 0, proxies, now);
+            pockets.computeIfAbsent(id, k -> new Pocket(l, rules, dropped.getOrDefault(id, startMs))).use(l, owns ? l.share(proxies) : 0, proxies, now);
             Book b = books.get(id);
             if (b != null) {
                 b.use(l, l.pool(proxies, changing));
--- a/src/test/java/damsonworks/quota/QuotaWalkTest.java
+++ b/src/test/java/damsonworks/quota/QuotaWalkTest.java
@@ -235,6 +235,26 @@
         assertThat(q.pocket("l").mine(30_000)).isLessThanOrEqualTo(50);
     }
 
+    /** A file without the limit, and the next with it again: what was lent meanwhile is still lent. */
+    @Test
+    void aLimitThatIsTakenOutAndPutBackIsSilentForAsLongAsItMayBeLent() {
+        Limit l = new Limit("l", false, 100, 0, Limit.Alone.SHARE, 1, 0);
+        Quota q = new Quota(1, RULES, new SplittableRandom(1), -1e6, peer -> true, (to, x) -> { });
+        q.use(List.of(l), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 0);
+        assertThat(q.pocket("l").own(1)).isEqualTo(50);
+        q.heard(1, 2, new QuotaMessage(QuotaMessage.Kind.CALL, 7, 1, 0, List.of(new QuotaMessage.Entry(damsonworks.lease.Ids.of("l"), 0))));
+        assertThat(q.pocket("l").own(1)).as("lent").isLessThan(2);
+        q.use(List.of(), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 10);
+        q.use(List.of(l), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 20);
+        assertThat(q.pocket("l").own(30)).isZero();
+        assertThat(q.pocket("l").own(RULES.keptMs(l))).isZero();
+        assertThat(q.pocket("l").own(21 + RULES.keptMs(l))).isEqualTo(50);
+        Limit other = new Limit("l", true, 10, 0, Limit.Alone.SHARE, 1, 500);
+        q.use(List.of(other), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 5000);
+        assertThat(q.pocket("l").mine(5001)).as("of another kind").isZero();
+        assertThat(q.pocket("l").mine(5001 + RULES.keptMs(other))).isEqualTo(5);
+    }
+
     /** Shares shrink at once and grow only once what others may still spend of them is over. */
     @Test
     void aListThatChangesInTwoStepsNeverSumsToMoreThanTheLimit() {
