Count what a dealer gave out over reloads, and show that one trial serves for all by requests

Need, on a second reading: (1) a dealer whose file dropped a limit and took it back forgot its grants and could deal the limit twice (Quota.use dropped the book); one whose grant_ms was lowered dealt before its longer grants were over (Quota.owned). (2) No test failed if each proxy made its own trial with by = "requests". (3) Three tenures that nobody holds, four loops of plays. Change: books stay until what they gave out is over; the fleet's own part waits for the start's silence as well; FleetPartTest holds that no request goes to a sick server while its holder is asked, and that the word lets them go; Tenure.NOBODYS; Plays in the rig's tests; members' since, the bound of idle time and the model's seconds had no caller and are gone.

--- a/src/main/java/damsonworks/bench/LimitBench.java
+++ b/src/main/java/damsonworks/bench/LimitBench.java
@@ -94,40 +94,13 @@
 
     // ---- what it costs
 
-    private static final class Alone implements Tenure {
-        @Override
-        public long permit(double now, double actMs) {
-            return 1;
-        }
-
-        @Override
-        public double leftMs(double now) {
-            return 1000;
-        }
-
-        @Override
-        public long holder(double now) {
-            return 1;
-        }
-
-        @Override
-        public List<Long> order() {
-            return List.of(1L);
-        }
-
-        @Override
-        public long id() {
-            return 1;
-        }
-    }
-
     private static Quota quota(int limits, int peers, long[] sent) {
         Quota q = new Quota(1, RULES, new SplittableRandom(1), -1e6, peer -> true, (to, m) -> sent[0]++);
         List<Limit> all = new ArrayList<>();
         for (int i = 0; i < limits; i++) {
             all.add(new Limit("l" + i, false, 1e6, 1e5, Limit.Alone.SHARE, 1, 0));
         }
-        q.use(all, List.of(new Alone()), IntStream.rangeClosed(1, peers).mapToObj(i -> (long) i).toList(), peers, false, true, 0);
+        q.use(all, List.of(Tenure.NOBODYS), IntStream.rangeClosed(1, peers).mapToObj(i -> (long) i).toList(), peers, false, true, 0);
         return q;
     }
 
--- a/src/main/java/damsonworks/lease/Tenure.java
+++ b/src/main/java/damsonworks/lease/Tenure.java
@@ -4,6 +4,34 @@
 
 /** All that whoever acts under a duty sees of it. Times in milliseconds of the process's monotonic clock. */
 public interface Tenure {
+    /** A duty that nobody holds and for which nobody stands. */
+    Tenure NOBODYS = new Tenure() {
+        @Override
+        public long permit(double now, double actMs) {
+            return -1;
+        }
+
+        @Override
+        public double leftMs(double now) {
+            return 0;
+        }
+
+        @Override
+        public long holder(double now) {
+            return Ids.NOBODY;
+        }
+
+        @Override
+        public List<Long> order() {
+            return List.of();
+        }
+
+        @Override
+        public long id() {
+            return Ids.NOBODY;
+        }
+    };
+
     /** The epoch under which an act of so many milliseconds may begin now; -1: it may not. Ask right before the act. */
     long permit(double now, double actMs);
 
--- a/src/main/java/damsonworks/membership/Members.java
+++ b/src/main/java/damsonworks/membership/Members.java
@@ -109,12 +109,6 @@
         return peer == me ? Standing.ALIVE : p == null ? Standing.DEAD : p.standing;
     }
 
-    /** Since when. */
-    public double sinceMs(long peer) {
-        Peer p = peers.get(peer);
-        return p == null ? Double.NaN : p.sinceMs;
-    }
-
     /** How ill this proxy thinks itself, 0 to {@value #MOST_ILL}. */
     public int ill() {
         return ill;
--- a/src/main/java/damsonworks/model/LimitModel.java
+++ b/src/main/java/damsonworks/model/LimitModel.java
@@ -57,9 +57,8 @@
      *
      * @param over by window (100 ms, 1 s, 10 s) the most by which what was spent was over the rate's part of the window; at once: the most that was in hand in the first
      * @param idle the part of the limit that lay idle while that much was refused, in whole seconds from {@code judgedFrom} on
-     * @param idleIn the same, by seconds
      */
-    public record Result(double[] over, double idle, double[] idleIn, long spent, long refused, double messagesPerSecond) { }
+    public record Result(double[] over, double idle, long spent, long refused, double messagesPerSecond) { }
 
     public static final double[] WINDOWS = {100, 1000, 10_000};
     private static final double LEASE_MS = 1000;
@@ -115,7 +114,7 @@
                 for (int i = 0; i < plan.proxies; i++) {
                     ids.add(i + 1L);
                 }
-                quota.use(List.of(plan.limit), List.of(plan.way == Way.PEERS ? new Own() : new Held(this)), ids, plan.proxies, false, true, clock(t));
+                quota.use(List.of(plan.limit), List.of(plan.way == Way.PEERS ? Tenure.NOBODYS : new Held(this)), ids, plan.proxies, false, true, clock(t));
                 pocket = quota.pocket(plan.limit.name());
             }
             push(t + random.nextDouble() * 10, TICK, index, -1, life, null);
@@ -141,34 +140,6 @@
         }
     }
 
-    /** Nobody holds a duty: each asks itself. */
-    private final class Own implements Tenure {
-        @Override
-        public long permit(double now, double actMs) {
-            return -1;
-        }
-
-        @Override
-        public double leftMs(double now) {
-            return 0;
-        }
-
-        @Override
-        public long holder(double now) {
-            return Ids.NOBODY;
-        }
-
-        @Override
-        public List<Long> order() {
-            return List.of();
-        }
-
-        @Override
-        public long id() {
-            return 1;
-        }
-    }
-
     /** The duty: who reaches a majority holds it; who lost that holds it for a lease more, and another has it after that. */
     private final class Held implements Tenure {
         private final Proxy of;
@@ -499,7 +470,7 @@
         for (int s = 0; s < seconds; s++) {
             idle[s] = plan.limit.atOnce() ? 0 : Math.min(refusedIn[s], Math.max(0, plan.limit.amount() - spentIn[s])) / plan.limit.amount();
         }
-        return new Result(over, Arrays.stream(idle).skip(3).average().orElse(0), idle, spent, refused, messages * 1000.0 / plan.forMs / plan.proxies);
+        return new Result(over, Arrays.stream(idle).skip(3).average().orElse(0), spent, refused, messages * 1000.0 / plan.forMs / plan.proxies);
     }
 
     /**
--- a/src/main/java/damsonworks/quota/Bounds.java
+++ b/src/main/java/damsonworks/quota/Bounds.java
@@ -21,9 +21,4 @@
     public static double idle(Limit l, int proxies, int gone) {
         return Math.min(1, l.share(proxies) * gone / l.amount());
     }
-
-    /** For so long after the dealer is gone what is in nobody's share may lie idle, beyond the duty's own hand-over. */
-    public static double idleMs(Limit l, LimitRules rules) {
-        return l.sharePart() < 1 ? rules.outMs(l) : 0;
-    }
 }
--- a/src/main/java/damsonworks/quota/Quota.java
+++ b/src/main/java/damsonworks/quota/Quota.java
@@ -123,7 +123,7 @@
             }
             return gone;
         });
-        books.keySet().retainAll(named.keySet());
+        // Books of limits that are gone stay until what they gave out is over.
         named.forEach((id, l) -> {
             pockets.computeIfAbsent(id, k -> new Pocket(l, rules, dropped.getOrDefault(id, startMs))).use(l, owns ? l.share(proxies) : 0, proxies, now);
             Book b = books.get(id);
@@ -184,7 +184,7 @@
             if (shares.get(i).permit(now, 0) < 0) {
                 ownedSinceMs.remove(i);
             } else {
-                ownedSinceMs.putIfAbsent(i, now);
+                ownedSinceMs.putIfAbsent(i, Math.max(now, startMs)); // it may begin in silence, for longer grants of before
             }
         }
     }
--- a/src/test/java/damsonworks/daemon/FleetPartTest.java
+++ b/src/test/java/damsonworks/daemon/FleetPartTest.java
@@ -15,6 +15,7 @@
 import damsonworks.standin.ScriptedServer;
 import damsonworks.standin.StandInFleet;
 import damsonworks.standin.StandInNode;
+import damsonworks.trials.TrialMessage;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -269,8 +270,8 @@
         assertThat(moving.namesBefore()).containsExactly("p1", "p2");
     }
 
-    /** A pool's test of a server that was asked of a peer, with the peer's socket; returns once the question has come. */
-    private void askedFor(Daemon d, StandInNode mute, DatagramSocket peer) throws Exception {
+    /** A pool's test of a server that was asked of a peer, with the peer's socket; returns what the question says. */
+    private byte[] askedFor(Daemon d, StandInNode mute, DatagramSocket peer) throws Exception {
         DatagramPacket in = new DatagramPacket(new byte[Envelope.MOST], Envelope.MOST);
         peer.setSoTimeout(50);
         for (int from = 0;; from += 20) {
@@ -280,7 +281,7 @@
                 while (true) {
                     peer.receive(in);
                     if (in.getData()[2] == FleetProbes.TOPIC) {
-                        return;
+                        return java.util.Arrays.copyOfRange(in.getData(), Envelope.MOST - Envelope.MOST_PAYLOAD - 16, in.getLength() - 4);
                     }
                 }
             } catch (SocketTimeoutException e) {
@@ -326,6 +327,38 @@
         }
     }
 
+    /** Where servers take no tests: no request goes to a sick server while its holder is asked, and the holder's word that it is sound lets them go again. */
+    @Test
+    void aRequestIsNoTrialWhileWordOfTheHolderIsOut() throws Exception {
+        fleet.close();
+        fleet = new StandInFleet(2);
+        StandInNode mute = fleet.nodes.get(1);
+        int port = Ports.free();
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            mute.mute(true);
+            try (Daemon d = Daemon.start(DaemonFileReader.parse("f", withMute(fleetOf("p1", port, "", "p1@" + port, "p2@" + peer.getLocalPort())
+                    + "[fleet.probe]\nby = \"requests\"\nlease_ms = 150\npatience_ms = 10000\n")), 5)) {
+                TrialMessage asked = TrialMessage.of(askedFor(d, mute, peer));
+                int before = mute.commands();
+                ask(d, 40);
+                assertThat(mute.commands()).as("while the question is out").isEqualTo(before);
+                mute.mute(false);
+                byte[] sound = new Envelope(Ids.of("p2"), 1, List.of(), List.of(Ids.of("p1"))).seal(Ids.of("p1"), FleetProbes.TOPIC,
+                        new TrialMessage(TrialMessage.Kind.ANSWER, asked.duty(), asked.server(), asked.number(), 1, 0, true, 0).bytes());
+                peer.send(new DatagramPacket(sound, sound.length, InetAddress.getByName("127.0.0.1"), port));
+                while (mute.commands() == before) {
+                    ask(d, 20);
+                }
+                assertThat(mute.tested()).as("empty commands").isZero();
+                assertThat(call(d, "GET /fleet")).contains("\"by_word\":1");
+            }
+        }
+    }
+
+    private void ask(Daemon d, int requests) throws Exception {
+        new LoadClient(fleet.loop(), d.address("main"), requests, i -> DaemonRig.read("k/" + i)).start(4, 1).get(100, TimeUnit.SECONDS);
+    }
+
     /** Its watch is open and silent; another proxy has a later list and says so. */
     @Test
     void aHolderWhoseWatchIsSilentAsksAnewWhenAnotherHasALaterList() throws Exception {
--- a/src/test/java/damsonworks/quota/QuotaWalkTest.java
+++ b/src/test/java/damsonworks/quota/QuotaWalkTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.lease.Ids;
+import damsonworks.lease.Tenure;
 import damsonworks.model.LimitModel;
 import damsonworks.model.LimitModel.Fault;
 import damsonworks.model.LimitModel.Plan;
@@ -221,7 +223,7 @@
         }
         SplittableRandom random = new SplittableRandom(1);
         Quota q = new Quota(1, RULES, random, 0, peer -> true, (to, x) -> { });
-        q.use(List.of(l), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 0);
+        q.use(List.of(l), List.of(Tenure.NOBODYS), List.of(1L, 2L), 2, false, true, 0);
         for (int i = 0; i < 20_000; i++) { // spoilt and hostile ones change nothing that is not bounded
             byte[] b = new byte[25 + 12 * random.nextInt(16)];
             random.nextBytes(b);
@@ -240,21 +242,71 @@
     void aLimitThatIsTakenOutAndPutBackIsSilentForAsLongAsItMayBeLent() {
         Limit l = new Limit("l", false, 100, 0, Limit.Alone.SHARE, 1, 0);
         Quota q = new Quota(1, RULES, new SplittableRandom(1), -1e6, peer -> true, (to, x) -> { });
-        q.use(List.of(l), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 0);
+        q.use(List.of(l), List.of(Tenure.NOBODYS), List.of(1L, 2L), 2, false, true, 0);
         assertThat(q.pocket("l").own(1)).isEqualTo(50);
-        q.heard(1, 2, new QuotaMessage(QuotaMessage.Kind.CALL, 7, 1, 0, List.of(new QuotaMessage.Entry(damsonworks.lease.Ids.of("l"), 0))));
+        q.heard(1, 2, new QuotaMessage(QuotaMessage.Kind.CALL, 7, 1, 0, List.of(new QuotaMessage.Entry(Ids.of("l"), 0))));
         assertThat(q.pocket("l").own(1)).as("lent").isLessThan(2);
-        q.use(List.of(), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 10);
-        q.use(List.of(l), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 20);
+        q.use(List.of(), List.of(Tenure.NOBODYS), List.of(1L, 2L), 2, false, true, 10);
+        q.use(List.of(l), List.of(Tenure.NOBODYS), List.of(1L, 2L), 2, false, true, 20);
         assertThat(q.pocket("l").own(30)).isZero();
         assertThat(q.pocket("l").own(RULES.keptMs(l))).isZero();
         assertThat(q.pocket("l").own(21 + RULES.keptMs(l))).isEqualTo(50);
         Limit other = new Limit("l", true, 10, 0, Limit.Alone.SHARE, 1, 500);
-        q.use(List.of(other), List.of(new Nobody()), List.of(1L, 2L), 2, false, true, 5000);
+        q.use(List.of(other), List.of(Tenure.NOBODYS), List.of(1L, 2L), 2, false, true, 5000);
         assertThat(q.pocket("l").mine(5001)).as("of another kind").isZero();
         assertThat(q.pocket("l").mine(5001 + RULES.keptMs(other))).isEqualTo(5);
     }
 
+    /** What was dealt out stands though the file no longer has the limit: with it back nothing of that is dealt out twice. */
+    @Test
+    void aDealerWhoseFileDropsALimitAndTakesItBackStillCountsWhatItGaveOut() {
+        Limit l = new Limit("l", false, 100, 0, Limit.Alone.NONE, 0, 0);
+        List<QuotaMessage> sent = new ArrayList<>();
+        Quota q = new Quota(1, RULES, new SplittableRandom(1), -1e6, peer -> true, (to, m) -> sent.add(m));
+        Tenure holds = new Tenure() {
+            @Override
+            public long permit(double now, double actMs) {
+                return 9;
+            }
+
+            @Override
+            public double leftMs(double now) {
+                return 1e6;
+            }
+
+            @Override
+            public long holder(double now) {
+                return 1;
+            }
+
+            @Override
+            public List<Long> order() {
+                return List.of(1L);
+            }
+
+            @Override
+            public long id() {
+                return 1;
+            }
+        };
+        q.use(List.of(l), List.of(holds), List.of(1L, 2L, 3L), 3, false, true, 0);
+        q.tick(0);
+        double dealt = RULES.takeoverMs(l) + 1;
+        assertThat(given(q, sent, 2, dealt)).isEqualTo(100);
+        q.use(List.of(), List.of(holds), List.of(1L, 2L, 3L), 3, false, true, dealt + 10);
+        q.use(List.of(l), List.of(holds), List.of(1L, 2L, 3L), 3, false, true, dealt + 20);
+        assertThat(given(q, sent, 3, dealt + 30)).isZero();
+        assertThat(given(q, sent, 3, dealt + RULES.outMs(l) + 30)).isEqualTo(100);
+    }
+
+    /** What a dealer gives a peer that asks for all of the limit. */
+    private static double given(Quota q, List<QuotaMessage> sent, long to, double now) {
+        sent.clear();
+        q.heard(now, to, new QuotaMessage(QuotaMessage.Kind.WANT, to, (long) now, 0, List.of(new QuotaMessage.Entry(Ids.of("l"), 100))));
+        q.tick(now);
+        return sent.stream().filter(m -> m.kind() == QuotaMessage.Kind.GRANT).mapToDouble(m -> m.entries().get(0).amount()).max().orElseThrow();
+    }
+
     /** Shares shrink at once and grow only once what others may still spend of them is over. */
     @Test
     void aListThatChangesInTwoStepsNeverSumsToMoreThanTheLimit() {
@@ -277,32 +329,4 @@
         stays.use(lower, lower.share(2), 2, 9000);
         assertThat(stays.own(9000)).as("a lower limit counts at once").isEqualTo(30);
     }
-
-    /** A duty that nobody holds and for which nobody stands. */
-    private static final class Nobody implements damsonworks.lease.Tenure {
-        @Override
-        public long permit(double now, double actMs) {
-            return -1;
-        }
-
-        @Override
-        public double leftMs(double now) {
-            return 0;
-        }
-
-        @Override
-        public long holder(double now) {
-            return 0;
-        }
-
-        @Override
-        public List<Long> order() {
-            return List.of();
-        }
-
-        @Override
-        public long id() {
-            return 1;
-        }
-    }
 }
--- a/src/test/java/damsonworks/rig/DutiesIT.java
+++ b/src/test/java/damsonworks/rig/DutiesIT.java
@@ -1,12 +1,11 @@
 package damsonworks.rig;
 
+import static damsonworks.rig.Plays.fault;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.rig.check.Checker;
 import damsonworks.rig.check.Event;
 import damsonworks.rig.check.OneHolder;
 import damsonworks.rig.check.Run;
-import damsonworks.rig.plan.Scenario;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -16,7 +15,6 @@
 /** Duties of several processes of the daemon: stops, cuts, splits, losses, restarts, hand-overs. */
 @Timeout(180)
 class DutiesIT {
-    private static final int TRIES = 3;
     static final String DUTY = """
             extra = '''
             [control]
@@ -37,13 +35,9 @@
     private Path folder;
 
     private Rig.Outcome play(int proxies, double seconds, String faults) throws Exception {
-        Scenario s = ScenarioReader.parse("test", "[fleet]\nprogram = \"run\"\nproxies = " + proxies + "\nnodes = 3\n" + DUTY
-                + "[load]\nseconds = " + seconds + "\nper_second = 40\n" + faults, null);
-        Rig.Outcome o = null;
-        for (int i = 0; i < TRIES && (o == null || !o.verdict().doubts().isEmpty()); i++) {
-            o = Rig.play(s, folder.resolve("run" + i), Checker.all(), line -> { });
-        }
-        assertThat(o.verdict().held()).as(String.join("\n", o.lines())).isTrue();
+        String s = "[fleet]\nprogram = \"run\"\nproxies = " + proxies + "\nnodes = 3\n" + DUTY
+                + "[load]\nseconds = " + seconds + "\nper_second = 40\n" + faults;
+        Rig.Outcome o = Plays.held(s, folder);
         assertThat(o.verdict().findings().get("one-holder").judged()).isGreaterThan(20);
         return o;
     }
@@ -62,10 +56,6 @@
                 .toList();
     }
 
-    private static String fault(String kind, int at, int lasts, String who, String more) {
-        return "[[fault]]\nkind = \"" + kind + "\"\nat_ms = " + at + "\nfor_ms = " + lasts + "\nwho = \"" + who + "\"\n" + more + "\n";
-    }
-
     @Test
     void aDutyIsGivenBackAndHandedOnAtAPlannedEnd() throws Exception {
         // Each proxy is ended in turn, so the holder is, whoever it is; all are back and have their word again before the next.
@@ -121,17 +111,13 @@
                 name = "cron"
                 lease_ms = 600
                 %s""";
-        Scenario s = ScenarioReader.parse("test", "[fleet]\nprogram = \"run\"\nproxies = 5\nnodes = 4\nzones = [\"a\", \"b\"]\nrelay_nodes = true\n"
+        String s = "[fleet]\nprogram = \"run\"\nproxies = 5\nnodes = 4\nzones = [\"a\", \"b\"]\nrelay_nodes = true\n"
                 + "own_discovery = true\nduties = [\"cron\"]\nold = \"p1\"\nold_extra = \'\'\'\n" + section.formatted("{peers-but-last}", "")
                 + "\'\'\'\nextra = \'\'\'\n" + section.formatted("{peers}", "[fleet.probe]\nlease_ms = 600\n[fleet.watch]\nlease_ms = 600\nbeat_ms = 200\n")
                 + "\'\'\'\n[load]\nseconds = 15\nper_second = 100\n" + fault("link", 2000, 2500, "p1,p3,p5", "to = \"p2,p4\"\nlose = 1")
                 + fault("link", 5000, 8000, "p3", "holder_of = \"cron\"\nto = \"nodes\"\nlose = 1")
-                + fault("link", 9500, 1500, "p4,p5", "to = \"discovery\"\nlose = 1"), null);
-        Rig.Outcome o = null;
-        for (int i = 0; i < TRIES && (o == null || !o.verdict().doubts().isEmpty()); i++) {
-            o = Rig.play(s, folder.resolve("old" + i), Checker.all(), line -> { });
-        }
-        assertThat(o.verdict().held()).as(String.join("\n", o.lines())).isTrue();
+                + fault("link", 9500, 1500, "p4,p5", "to = \"discovery\"\nlose = 1");
+        Rig.Outcome o = Plays.held(s, folder);
         assertThat(o.verdict().findings().get("one-holder").judged()).isGreaterThan(20);
         assertThat(heldAfter(o.run(), lastHealed(o.run()))).isTrue();
         assertThat(said(o.run(), "fleet: p1 goes by another list of peers")).isNotEmpty();
--- a/src/test/java/damsonworks/rig/DutyUsersIT.java
+++ b/src/test/java/damsonworks/rig/DutyUsersIT.java
@@ -1,10 +1,9 @@
 package damsonworks.rig;
 
+import static damsonworks.rig.Plays.fault;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.rig.check.Checker;
 import damsonworks.rig.check.Event;
-import damsonworks.rig.plan.Scenario;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -14,7 +13,6 @@
 /** What processes do under the program's own duties: trials of sick nodes and the watch of discovery, made by one for all. */
 @Timeout(180)
 class DutyUsersIT {
-    private static final int TRIES = 3;
     private static final String FLEET = """
             extra = '''
             [control]
@@ -35,20 +33,12 @@
     private Path folder;
 
     private Rig.Outcome play(String sections, String duties, double seconds, String faults) throws Exception {
-        Scenario s = ScenarioReader.parse("test", "[fleet]\nprogram = \"run\"\nproxies = 5\nnodes = 4\n" + FLEET.formatted(sections, duties)
-                + "[load]\nseconds = " + seconds + "\nper_second = 200\n" + faults, null);
-        Rig.Outcome o = null;
-        for (int i = 0; i < TRIES && (o == null || !o.verdict().doubts().isEmpty()); i++) {
-            o = Rig.play(s, folder.resolve("run" + i), Checker.all(), line -> { });
-        }
-        assertThat(o.verdict().held()).as(String.join("\n", o.lines())).isTrue();
+        String s = "[fleet]\nprogram = \"run\"\nproxies = 5\nnodes = 4\n" + FLEET.formatted(sections, duties)
+                + "[load]\nseconds = " + seconds + "\nper_second = 200\n" + faults;
+        Rig.Outcome o = Plays.held(s, folder);
         return o;
     }
 
-    private static String fault(String kind, int at, int lasts, String who, String more) {
-        return "[[fault]]\nkind = \"" + kind + "\"\nat_ms = " + at + "\nfor_ms = " + lasts + "\nwho = \"" + who + "\"\n" + more + "\n";
-    }
-
     /** A proxy that is told nothing any more: whatever it does not know of the nodes shows by its own requests. */
     private static long served(Rig.Outcome o, String proxy, double fromMs) {
         return o.run().events().stream().filter(e -> e.what().equals(Event.ANSWERED) && e.who().equals(proxy) && e.detail().equals("served")
--- a/src/test/java/damsonworks/rig/FleetIT.java
+++ b/src/test/java/damsonworks/rig/FleetIT.java
@@ -26,18 +26,12 @@
 @Timeout(180)
 class FleetIT {
     /** No verdict of a slow machine is one against the program; it is played again, so often. */
-    private static final int TRIES = 3;
-
     @TempDir
     private Path folder;
 
     private Rig.Outcome play(String text) throws Exception {
-        Scenario s = ScenarioReader.parse("test", text, null);
-        Rig.Outcome o = null;
-        for (int i = 0; i < TRIES && (o == null || !o.verdict().doubts().isEmpty()); i++) {
-            o = Rig.play(s, folder.resolve("run" + i), Checker.all(), line -> { });
-        }
-        assertThat(o.verdict().held()).as(String.join("\n", o.lines())).isTrue();
+        String s = text;
+        Rig.Outcome o = Plays.held(s, folder);
         return o;
     }
 
--- a/src/test/java/damsonworks/rig/LimitsIT.java
+++ b/src/test/java/damsonworks/rig/LimitsIT.java
@@ -1,10 +1,9 @@
 package damsonworks.rig;
 
+import static damsonworks.rig.Plays.fault;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.rig.check.Checker;
 import damsonworks.rig.check.Event;
-import damsonworks.rig.plan.Scenario;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -13,28 +12,18 @@
 /** A limit of the whole fleet, shared by processes of the daemon and judged at the nodes: kills, stops, cuts, splits, losses, all load at one. */
 @Timeout(180)
 class LimitsIT {
-    private static final int TRIES = 3;
-
     @TempDir
     private Path folder;
 
     private Rig.Outcome play(String fleet, String limit, String load, String judged, String faults) throws Exception {
-        Scenario s = ScenarioReader.parse("test", "[fleet]\nprogram = \"run\"\nproxies = 4\nnodes = 3\n" + fleet + "extra = '''\n[control]\nlisten = \"{control}\"\n"
+        String s = "[fleet]\nprogram = \"run\"\nproxies = 4\nnodes = 3\n" + fleet + "extra = '''\n[control]\nlisten = \"{control}\"\n"
                 + "[fleet]\nme = \"{me}\"\nlisten = \"{listen}\"\nlongest_lease_ms = 600\n{peers}\n[fleet.limits]\ngrant_ms = 600\nlease_ms = 600\nshares = 1\n"
-                + "[[fleet.limit]]\nname = \"reads\"\nclass = \"read\"\n" + limit + "'''\n[load]\n" + load + "[limit]\n" + judged + faults, null);
-        Rig.Outcome o = null;
-        for (int i = 0; i < TRIES && (o == null || !o.verdict().doubts().isEmpty()); i++) {
-            o = Rig.play(s, folder.resolve("run" + i), Checker.all(), line -> { });
-        }
-        assertThat(o.verdict().held()).as(String.join("\n", o.lines())).isTrue();
+                + "[[fleet.limit]]\nname = \"reads\"\nclass = \"read\"\n" + limit + "'''\n[load]\n" + load + "[limit]\n" + judged + faults;
+        Rig.Outcome o = Plays.held(s, folder);
         assertThat(o.verdict().findings().get("limit-kept").judged()).as(String.join("\n", o.lines())).isGreaterThan(100);
         return o;
     }
 
-    private static String fault(String kind, int at, int lasts, String who, String more) {
-        return "[[fault]]\nkind = \"" + kind + "\"\nat_ms = " + at + "\nfor_ms = " + lasts + "\nwho = \"" + who + "\"\n" + more + "\n";
-    }
-
     /** The dealer is killed and stopped, proxies are cut off, the fleet is split, datagrams are lost, doubled, late, while load moves from one to the next. */
     @Test
     void aRateIsKeptWhateverBecomesOfDealersAndLinks() throws Exception {
