--- a/src/main/java/damsonworks/bench/BenchCommand.java
+++ b/src/main/java/damsonworks/bench/BenchCommand.java
@@ -16,7 +16,7 @@
     private CommandSpec spec;
 
     @Option(names = "--only", paramLabel = "WHAT", description = "hop, routes, servers, import, hooks, "
-            + "hostile (hooks), memory, memory-cost, kills or cycles (of memory), siblings, fleet (a model; --rounds seeds); else all but the last six.")
+            + "hostile (hooks), memory, memory-cost, kills or cycles (of memory), siblings, duties, fleet (a model; --rounds seeds); else all but the last seven.")
     private String only;
 
     @Option(names = "--seconds", paramLabel = "S", defaultValue = "3", description = "Length of each run of the hop.")
@@ -52,6 +52,9 @@
         if ("siblings".equals(only)) {
             new SiblingBench(out, rounds, seconds).run();
         }
+        if ("duties".equals(only)) {
+            new DutyBench(out).run(rounds);
+        }
         if ("fleet".equals(only)) {
             new FleetBench(out).run(rounds);
         }
--- a/src/main/java/damsonworks/rig/Rig.java
+++ b/src/main/java/damsonworks/rig/Rig.java
@@ -54,9 +54,9 @@
                             s.program(), s.nodes(), s.seed(), seconds, startSeconds, residentMb[0], residentMb[1]),
                     service.toString(),
                     String.format("unreached %d, no connection free %d; datagrams a second a proxy %.2f, bytes %.0f, lost by faults %d; "
-                            + "calls to discovery %d, %.2f a second, waiting at the end %d; tests of nodes %d", unreached, unsent,
+                            + "calls to discovery %d, %.2f a second, waiting at the end %d; tests of nodes %d, commands to nodes that stood still %d", unreached, unsent,
                             datagrams[0] / seconds / s.proxies(), datagrams[1] / seconds / s.proxies(), datagrams[2], discoveryCalls,
-                            discoveryCalls / seconds, watches, tests),
+                            discoveryCalls / seconds, watches, tests, Service.sentToSick(run)),
                     String.format("lag ms: relay p99 %.1f max %.1f, load p99 %.1f, proxies without a fault p99 %.1f; all processors busy %.2f", quality.relayP99(),
                             quality.relayMax(), quality.loadP99(), quality.childP99(), quality.busy())));
             for (String duty : s.duties()) {
--- a/src/main/java/damsonworks/rig/check/Service.java
+++ b/src/main/java/damsonworks/rig/check/Service.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What was served and how the load was spread, over a part of a run.
@@ -68,6 +69,29 @@
                 (int) Arrays.stream(arrivals).filter(n -> n == 0).count(), of[0] == 0 ? 0 : (double) attempts / of[0]);
     }
 
+    /** Commands that came to nodes while these stood still. */
+    public static int sentToSick(Run run) {
+        Map<String, Set<String>> by = new HashMap<>();
+        int n = 0;
+        for (Event e : run.events()) {
+            switch (e.what()) {
+                case Event.FAULT -> {
+                    if (e.detail().startsWith("node-stall ")) {
+                        by.put(e.id(), Set.of(e.detail().substring(11).split(",")));
+                    }
+                }
+                case Event.HEALED -> by.remove(e.id());
+                case Event.ARRIVED -> {
+                    if (by.values().stream().anyMatch(s -> s.contains(e.who()))) {
+                        n++;
+                    }
+                }
+                default -> { }
+            }
+        }
+        return n;
+    }
+
     @Override
     public String toString() {
         return String.format(java.util.Locale.ROOT, "asked %d, in time %.4f, served %.4f, refused %.4f, failed %.4f, unanswered %.4f; ms p50 %.1f "
--- a/src/test/java/damsonworks/lease/LeaseTest.java
+++ b/src/test/java/damsonworks/lease/LeaseTest.java
@@ -241,7 +241,7 @@
         for (int i = 0; i < Duties.MOST; i++) {
             d.stand("x" + i, 100, e, 0);
         }
-        assertThatThrownBy(() -> d.stand("one more", 100, e, 0)).hasMessageContaining("more than 1000");
+        assertThatThrownBy(() -> d.stand("one more", 100, e, 0)).hasMessageContaining("more than " + Duties.MOST);
     }
 
     /** Messages to and from the others, by hand: two voters that grant everything. */
