Keep the list of servers fresh within 6 s by a pure object that orders discovery's calls

All open watches fall silent in the first seconds there and a quarter of the nodes begin to drain after it, and stay up: no connection is refused, so ListDoubt sees nothing. Checked: DiscoveryClient's WAIT_MS of 20 s and PATIENCE_MS of 4 s: a silent watch was given up at 24 s, where its changes count as told at 22 s and the grace is 2 s; the 24.04 to 24.14 s of the log lines is that sum. Ruled out: the module's own timer (it had asked), a late answer. The operators' later term is stricter: a change counts as told 6 s after discovery had it and could be reached. Change: membership.ListFreshness says when to call, how long a call may wait and take: 2.8 s of waiting, a limit of twice what answers took (1.4 s at least, 4 s at most), then a call that waits for nothing; retries by full jitter from begin to begin, capped by the number of callers. It replaces the flags watching, failing, the fixed retry and the module's retry on real sockets. A list of an earlier version is refused, and taken where all there is was asked for. Two new tests of real sockets were seen to fail on the tree before.

--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -9,6 +9,7 @@
 import damsonworks.RoutingApi.State;
 import damsonworks.config.Addresses;
 import damsonworks.membership.ListDoubt;
+import damsonworks.membership.ListFreshness;
 import damsonworks.membership.ListNews;
 import damsonworks.placement.ServerId;
 import damsonworks.proxy.Timers.Timer;
@@ -35,19 +36,16 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 
 /** Follows discovery's list of servers for one pool. */
 public final class DiscoveryClient implements Dispatcher.ListSource, Servers.Observer {
-    private static final int WAIT_MS = 20_000;
-    /** Of a call that asks for what there is. */
-    private static final int ASK_MS = 1;
-    /** How much longer than its wait a call may take before it counts as failed. */
-    private static final int PATIENCE_MS = 4000;
+    /** Why a call failed of which nothing came. */
+    private static final String SILENT = "no answer";
     private static final int CONNECT_MS = 1000;
-    private static final int AGAIN_MS = 250;
+    /** Of a call that takes whatever there is, all told. */
+    private static final int FETCH_MS = 4000;
     private static final int MAX_LIST = 4 << 20;
     /**
      * What discovery may take to tell of a process that has ended, as a part of the time after which a proxy has to ask. The
@@ -90,11 +88,12 @@
     private InetSocketAddress address;
     private final Pace pace;
     private long version;
+    private final ListFreshness freshness;
+    /** When {@link #go} comes back by itself. */
+    private Timer calling;
+    /** Whether the last answer was of an earlier version than the list held: the next call asks for all there is. */
+    private boolean fell;
     private boolean closed;
-    /** Whether the module has it watch. */
-    private boolean watching;
-    /** Whether the last call failed. */
-    private boolean failing;
 
     /** How closely the list is watched, where others may do so for this proxy. */
     public interface Pace {
@@ -122,6 +121,8 @@
         newsMs = within * NEWS * place;
         this.source = source;
         this.dispatcher = dispatcher;
+        freshness = new ListFreshness(source.ask(), settings.instances(), new SplittableRandom(dispatcher.seed()));
+        freshness.closely(core.now(), closely());
         address = source.address();
     }
 
@@ -137,9 +138,11 @@
         version = 0;
         news.forget();
         doubt.forgetVersions();
+        fell = false;
         listLine.close();
         watchLine.close();
-        watch(true);
+        freshness.moved(core.now());
+        go();
     }
 
     /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
@@ -163,16 +166,31 @@
 
     @Override
     public void watch(boolean on) {
-        watching = on;
-        if (on && (version == 0 || failing || closely())) {
-            call(WAIT_MS);
-        } else {
-            watchLine.close();
-        }
+        freshness.closely(core.now(), closely());
+        freshness.follow(core.now(), on);
+        go();
     }
 
-    private void call(int waitMs) {
-        watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + waitMs, waitMs, this::watched);
+    /** Does what is due: begins a call, ends one that is not wanted any more, comes back when the next is due. */
+    private void go() {
+        if (closed) {
+            return;
+        }
+        if (calling != null) {
+            calling.cancel();
+            calling = null;
+        }
+        if (!freshness.out()) {
+            watchLine.giveUp();
+        }
+        double now = core.now();
+        double dueAt = freshness.dueAt();
+        if (dueAt <= now) {
+            ListFreshness.Call call = freshness.begin(now);
+            watchLine.call("/discovery/hosts?since=" + (fell ? 0 : version) + "&timeout_ms=" + call.waitMs(), call.limitMs(), this::watched);
+        } else if (dueAt < Double.POSITIVE_INFINITY) {
+            calling = core.after(dueAt - now, this::go);
+        }
     }
 
     private boolean closely() {
@@ -181,25 +199,22 @@
 
     /** There is a later list: calls for it. A watch that is out should have told, so it has fallen silent and is begun anew. */
     public void ask() {
-        if (watching && watchLine.waiting == null) {
-            call(ASK_MS);
-        } else if (watching && closely()) {
-            call(WAIT_MS);
-        }
+        freshness.ask(core.now());
+        go();
     }
 
     /** The pace has changed: a call is to be out from now on, or only the one that is. */
     public void pace(boolean closely) {
-        if (watching && closely && watchLine.waiting == null) {
-            call(WAIT_MS);
-        } else if (watching && !closely && version != 0 && watchLine.waiting != null && !failing) {
-            watchLine.close(); // discovery need not keep it
-        }
+        freshness.closely(core.now(), closely);
+        go();
     }
 
     @Override
     public void close() {
         closed = true;
+        if (calling != null) {
+            calling.cancel();
+        }
         core.servers.forget(this);
         listLine.close();
         watchLine.close();
@@ -207,47 +222,52 @@
 
     @Override
     public void fetch() {
-        listLine.call("/discovery/hosts", 0, json -> {
+        listLine.call("/discovery/hosts", FETCH_MS, (json, why) -> {
             try {
-                if (json == null || seq(json) < version) {
-                    throw new IllegalArgumentException("no answer, or one that is older than the list held");
-                }
-                apply(json);
+                apply(need(json, why));
             } catch (RuntimeException e) {
-                failed(e);
+                dispatcher.log("discovery: " + e.getMessage());
+                dispatcher.listed(ListKind.FAILED, List.of());
             }
         });
     }
 
-    private void watched(JsonObject json) {
+    private static JsonObject need(JsonObject json, String why) {
+        if (json == null) {
+            throw new IllegalArgumentException(why);
+        }
+        return json;
+    }
+
+    /**
+     * The end of a call. A watch lasts only while each call follows the last answer within 200 ms. Without the next one the list
+     * stays as it is for good, but where another proxy says when to call: drained and departed servers go on being
+     * sent to, also at reused addresses.
+     */
+    private void watched(JsonObject json, String why) {
         try {
-            if (json == null) {
-                throw new IllegalArgumentException("no answer");
-            }
-            failing = false;
-            apply(json);
+            apply(need(json, why));
+            freshness.answered(core.now());
         } catch (RuntimeException e) {
-            failing = true;
-            if (source.ask()) {
-                failed(e);
-            } else {
-                loop.schedule(() -> watch(true), AGAIN_MS, TimeUnit.MILLISECONDS);
+            freshness.failed(core.now(), why == SILENT);
+            int n = freshness.failures();
+            if ((n & n - 1) == 0) { // the first, the second, the fourth: an outage must not take all the log's lines
+                dispatcher.log("discovery: " + e.getMessage() + (n > 1 ? ", " + n + " failures in a row" : ""));
             }
-            return;
         }
-        // A watch lasts only while each call follows the last answer within 200 ms. Without the next one the list
-        // stays as it is for good, but where another proxy says when to call: drained and departed servers go on being
-        // sent to, also at reused addresses.
-        watch(true);
+        go();
     }
 
     private void apply(JsonObject json) {
         List<Host> hosts = hosts(json);
         boolean whole = json.get("whole").getAsBoolean();
         long seq = seq(json);
-        if (!whole && seq < version) {
-            throw new IllegalArgumentException("changes up to " + seq + " after " + version);
+        if (seq < version && !(whole && fell)) {
+            // An answer that was late, or a discovery that counts anew: then all that it has, asked for as such, says so again.
+            fell = whole;
+            throw new IllegalArgumentException("version " + seq + " after " + version);
         }
+        fell = false;
         if (seq > version) {
             news.told();
             core.after(newsMs, this::tellNews);
@@ -303,22 +323,14 @@
     private void doubt() {
         lookAt = Double.POSITIVE_INFINITY;
         if (!closed && doubt.ask(core.now())) {
-            if (watchLine.waiting != null) {
+            if (freshness.out()) {
                 dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
-                watchLine.close();
-                watch(true);
-            } else if (!closely()) {
-                ask();
             }
+            ask();
         }
         look();
     }
 
-    private void failed(RuntimeException cause) {
-        dispatcher.log("discovery: " + cause.getMessage());
-        dispatcher.listed(ListKind.FAILED, List.of());
-    }
-
     private static long seq(JsonObject json) {
         return json.get("seq").getAsLong();
     }
@@ -359,19 +371,17 @@
     /** A connection for one call at a time, kept between calls. */
     private final class Line {
         private Channel channel;
-        private Consumer<JsonObject> waiting;
-        private Future<?> timer;
+        private BiConsumer<JsonObject, String> waiting;
+        private Timer timer;
 
-        /** Calls; the consumer gets the answer, or null where there is none that can be used. */
-        void call(String path, int waitMs, Consumer<JsonObject> then) {
+        /** Calls; the consumer gets the answer, or null and why there is none that can be used. */
+        void call(String path, double limitMs, BiConsumer<JsonObject, String> then) {
             if (closed) {
                 return;
             }
-            if (waiting != null) {
-                close();
-            }
+            giveUp();
             waiting = then;
-            timer = loop.schedule(() -> done(null), waitMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            timer = core.after(limitMs, () -> done(null, SILENT));
             if (channel != null && channel.isActive()) {
                 write(channel, path);
                 return;
@@ -384,7 +394,7 @@
                         if (f.isSuccess()) {
                             write(((ChannelFuture) f).channel(), path);
                         } else if (waiting == then) { // not a call that has taken the place of this one
-                            done(null);
+                            done(null, "no connection");
                         }
                     }).channel();
         }
@@ -396,10 +406,17 @@
             to.writeAndFlush(request);
         }
 
+        /** Ends the call that is out, if one is; its answer, if there is one yet to come, with its connection. */
+        void giveUp() {
+            if (waiting != null) {
+                close();
+            }
+        }
+
         void close() {
             waiting = null;
             if (timer != null) {
-                timer.cancel(false);
+                timer.cancel();
             }
             if (channel != null) {
                 channel.close();
@@ -407,15 +424,15 @@
             }
         }
 
-        private void done(JsonObject json) {
-            Consumer<JsonObject> then = waiting;
+        private void done(JsonObject json, String why) {
+            BiConsumer<JsonObject, String> then = waiting;
             if (json == null) {
                 close();
             }
             if (then != null) {
                 waiting = null;
-                timer.cancel(false);
-                then.accept(json);
+                timer.cancel();
+                then.accept(json, why);
             }
         }
 
@@ -428,7 +445,7 @@
                         json = JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8))
                                 .getAsJsonObject();
                     } catch (RuntimeException e) {
-                        dispatcher.log("discovery: no JSON");
+                        // told by whoever called
                     }
                 }
                 if (!HttpUtil.isKeepAlive(response)) {
@@ -436,14 +453,14 @@
                     channel = null;
                 }
                 if (ctx.channel() == channel || channel == null) {
-                    done(json);
+                    done(json, response.status().code() == 200 ? "no JSON" : "status " + response.status().code());
                 }
             }
 
             @Override
             public void channelInactive(ChannelHandlerContext ctx) {
                 if (ctx.channel() == channel) {
-                    done(null);
+                    done(null, "cut off");
                 }
             }
 
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -257,6 +257,11 @@
         return settings;
     }
 
+    /** For random choices of who acts for this pool. */
+    long seed() {
+        return pool.seed();
+    }
+
     /** Whether a list has come that has a server. */
     public boolean listed() {
         return !upstreams.isEmpty();
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -139,6 +139,62 @@
         }
     }
 
+    /** Nothing else is wrong: no server refuses a connection, no other proxy says anything, and a drain is never told of. */
+    @Test
+    void aWatchThatIsSilentFromItsFirstSecondIsBegunAnewWithinTheBound() throws Exception {
+        for (String mode : new String[] {"ask", "push"}) {
+            ScriptedServer drained = hits();
+            ScriptedServer other = hits();
+            CountDownLatch told = new CountDownLatch(1);
+            ScriptedServer discovery = new ScriptedServer(c -> {
+                c.request();
+                if (told.getCount() == 0) {
+                    JsonArray changes = new JsonArray();
+                    changes.add(Fleet.host("s-00000001", "node-fast", drained.dial(), "draining"));
+                    changes.add(Fleet.host("s-0000cafe", "node-fast", other.dial(), "up"));
+                    c.sayHttp(200, "", Fleet.list(42, false, changes).toString());
+                    c.request();
+                }
+                told.countDown();
+                c.awaitEnd();
+            });
+            try (Fleet fleet = new Fleet().node(drained).discovery(discovery).set("caps.connect-timeout", "50.0").set("discovery", mode).start()) {
+                fleet.parts.add(other);
+                String watch = discovery.next();
+                assertThat(watch).contains("since=41&");
+                String wait = watch.substring(watch.indexOf("timeout_ms=") + 11, watch.indexOf(" HTTP"));
+                assertThat(Integer.parseInt(wait)).as("wait of a call that may fall silent").isLessThan(6000 / 2);
+                assertThat(discovery.next()).as(mode).contains("since=41&timeout_ms=1 ");
+                assertThat(discovery.next()).as(mode).contains("since=42&");
+                assertThat(served(fleet)).isEqualTo("VA 5 O1");
+                assertThat(other.commands).hasSize(1);
+            }
+        }
+    }
+
+    /** A late answer of an older list undoes nothing; a discovery that counts anew says so when it is asked for all it has. */
+    @Test
+    void anEarlierWholeListIsTakenOnlyWhenAllThereIsWasAskedFor() throws Exception {
+        ScriptedServer node = hits();
+        JsonArray hosts = new JsonArray();
+        hosts.add(Fleet.host("s-0000cafe", "node-fast", node.dial(), "up"));
+        ScriptedServer discovery = new ScriptedServer(c -> {
+            for (int i = 0; i < 2; i++) {
+                c.request();
+                c.sayHttp(200, "", Fleet.list(7, true, hosts).toString());
+            }
+            c.request();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "50.0").start()) {
+            fleet.parts.add(node);
+            assertThat(discovery.next()).contains("since=41&");
+            assertThat(discovery.next()).contains("since=0&timeout_ms=1 ");
+            assertThat(discovery.next()).contains("since=7&");
+            assertThat(served(fleet)).isEqualTo("VA 5 O1");
+        }
+    }
+
     /** It refuses nothing and says nothing; noise, cut messages and versions that it has already change nothing. */
     @Test
     void aWatchThatFellSilentIsBegunAnewWhenAnotherProxyHasALaterVersion() throws Exception {
