Begin no attempt for a client that has left, and refuse at once what is worth nothing late

Lines at fault: Dispatcher.gone gave up only attempts whose answer had begun; ClientConnection.hand handed a command in before the rest of the read was known; Policy.advance returned without an answer. Change: Dispatcher.gone withdraws what has not begun (NOT_SENT, so that one of those who wait fetches under its own id) and gives what is under way its deadline. Commands are handed in when the read is over, and not on a connection that has ended. Policy.advance gives up, and releases those who wait. Found sound by a test that passes on both trees: the end of a client whose connection is not read on (32 commands in hand), by close and by reset.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -484,11 +484,11 @@
     private void advance(double now, Flight f, Actions out) {
         f.waiting = false;
         boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
-        if (f.done || f.streaming || worthless) {
+        if (f.done || f.streaming) {
             return;
         }
         Server s = null;
-        if (f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
+        if (!worthless && f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
             s = f.toOrigin || cfg.aside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
                     ? origin : choose(now, f, out);
             if (s == null && cfg.aside() && f.safe) {
@@ -497,6 +497,7 @@
         }
         if (s == null || !maySend(now, f, s)) {
             giveUp(f, out);
+            release(now, f, out);
             return;
         }
         // A fetch after a miss is the request's ordinary way. All else is more work for a fleet in trouble.
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -34,6 +34,10 @@
     private final Front front;
     private final double place;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+    /** Those of the commands that have come whole and are yet to be handed in; no more than there are slots. */
+    private final ArrayDeque<Slot> fresh = new ArrayDeque<>(2);
+    private final Runnable handIn = this::handIn;
+    private boolean handing;
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come; the value is null if there's no room. */
     private Command incoming;
@@ -279,12 +283,34 @@
         hand(command, strict ? " O" + command.id : openEcho, strict);
     }
 
-    /** Hands a whole command in. */
+    /**
+     * Has a whole command handed in once what is read now has been. Behind it may stand the client's end, and what a client has asked
+     * that has left by then, perhaps long ago on a busy loop, is not to be sent on.
+     */
     private void hand(Command command, String echo, boolean strict) {
         Slot slot = slot(echo, strict);
-        RequestHandler.Handle handle = front.handler().take(command, slot);
-        if (!slot.whole) {
-            slot.handle = handle;
+        slot.command = command;
+        fresh.add(slot);
+        if (!handing) {
+            handing = true;
+            ctx.executor().execute(handIn);
+        }
+    }
+
+    private void handIn() {
+        handing = false;
+        // One that has ended is told so only later; what it leaves here goes then.
+        for (Slot slot; ctx.channel().isActive() && (slot = fresh.poll()) != null;) {
+            Command command = slot.command;
+            slot.command = null;
+            try {
+                RequestHandler.Handle handle = front.handler().take(command, slot);
+                if (!slot.whole) {
+                    slot.handle = handle;
+                }
+            } catch (RuntimeException e) {
+                exceptionCaught(ctx, e);
+            }
         }
     }
 
@@ -317,6 +343,8 @@
         private final String echo;
         /** Whether a write's receipt is told, which stock clients know nothing of. */
         private final boolean receipts;
+        /** Null once it has been handed in. */
+        private Command command;
         private RequestHandler.Handle handle;
         /** What is ready to go to the client, null once it has been handed on. */
         private ByteBuf answer;
@@ -511,7 +539,12 @@
             dropValue(incoming);
             incoming = null;
         }
+        fresh.clear();
         for (Slot e; (e = slots.poll()) != null;) {
+            if (e.command != null) {
+                e.command.release(core);
+                e.command = null;
+            }
             if (e.answer != null) {
                 e.answer.release();
                 e.answer = null;
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -402,18 +402,31 @@
         }
     }
 
+    /**
+     * The request's client has left: none of its attempts begins from now on, whatever the module has to say. What is on its way may
+     * have to end for others that wait for it, and does so at its deadline.
+     */
     void gone(Exchange x) {
-        if (!x.over) {
-            over(x);
-            tell(() -> module.onGone(core.now(), x.id, this));
-            for (Attempt a : x.attempts) {
-                if (a.firstByteMs != 0 && !a.ended) { // the rest of a long value is of no use to anyone
-                    a.connection.giveUp(a);
-                    end(a, Outcome.CANCELLED, 0, null, null, null);
-                }
+        if (x.over) {
+            return;
+        }
+        over(x);
+        tell(() -> module.onGone(core.now(), x.id, this));
+        for (Attempt a : x.attempts) {
+            if (a.ended || a.connection == null) {
+                continue;
+            }
+            if (!a.begun) {
+                a.connection.giveUp(a);
+                end(a, Outcome.NOT_SENT, 0, null, null, null);
+            } else if (a.firstByteMs != 0) { // the rest of a long value is of no use to anyone
+                a.connection.giveUp(a);
+                end(a, Outcome.CANCELLED, 0, null, null, null);
+            } else if (a.timer == null) {
+                a.timer = core.after(x.dueMs - core.now(), () -> expire(a));
             }
-            free(x);
         }
+        free(x);
     }
 
     // ---- ends of attempts
--- a/src/main/java/damsonworks/standin/ScriptedServer.java
+++ b/src/main/java/damsonworks/standin/ScriptedServer.java
@@ -29,7 +29,8 @@
         public final OutputStream out;
         private final ScriptedServer server;
 
-        Connection(Socket socket, ScriptedServer server) throws IOException {
+        /** @param server which keeps what {@link #command} and {@link #request} read; null where neither is called */
+        public Connection(Socket socket, ScriptedServer server) throws IOException {
             this.socket = socket;
             this.server = server;
             in = new BufferedInputStream(socket.getInputStream());
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/EndingsTest.java
@@ -0,0 +1,259 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.standin.ScriptedServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Ends at the instant in which something is still owed: the order is made to happen by scripted peers and a loop that is held. */
+@Timeout(20)
+class EndingsTest {
+    private static String hit(String command) {
+        return "VA 5 O" + ScriptedServer.id(command) + " h1\r\nhello\r\n";
+    }
+
+    /** A server whose connections come up only once they are let in: its queue of those not accepted is full until then. */
+    private static final class LateServer implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        private final List<Socket> fill = new ArrayList<>();
+        final List<String> heard = new ArrayList<>();
+
+        LateServer() throws IOException {
+            for (boolean full = false; !full;) {
+                Socket s = new Socket();
+                try {
+                    s.connect(server.getLocalSocketAddress(), 200);
+                    fill.add(s);
+                } catch (java.net.SocketTimeoutException e) {
+                    s.close();
+                    full = true;
+                }
+            }
+        }
+
+        String dial() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Lets the connections in that wait, and takes the first of the proxy's. */
+        ScriptedServer.Connection letIn() throws IOException {
+            for (Socket ignored : fill) {
+                server.accept().close();
+            }
+            Socket proxys = server.accept();
+            proxys.setSoTimeout(20_000);
+            return new ScriptedServer.Connection(proxys, null);
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket s : fill) {
+                s.close();
+            }
+            server.close();
+        }
+    }
+
+    /** Until the proxy has seen what its peers did; the test's time limit interrupts it. */
+    private static void awaitInHand(Fleet fleet, int n) {
+        for (int now; (now = fleet.proxy.inHand()) != n;) {
+            assertThat(Thread.interrupted()).as("time is over with %s requests in hand, not %s", now, n).isFalse();
+        }
+    }
+
+    /** Where attempts may not be called off too: what has not begun is no attempt yet. */
+    @Test
+    void whatWaitsForAConnectionThatIsNotUpIsNotSentOnceItsClientHasLeft() throws Exception {
+        for (String mayCancel : new String[] {"false", "true"}) {
+            try (LateServer node = new LateServer(); Fleet fleet = new Fleet().node(node.dial()).set("caps.may-cancel", mayCancel)
+                    .set("caps.connect-timeout", "20000.0").set("caps.second-copies", "false").start()) {
+                Fleet.Client client = fleet.client();
+                client.read("left");
+                awaitInHand(fleet, 1);
+                client.close();
+                awaitInHand(fleet, 0);
+                ScriptedServer.Connection up = node.letIn();
+                try (Fleet.Client other = fleet.client()) {
+                    other.read("stays");
+                    assertThat(ScriptedServer.id(up.line())).as("may cancel: " + mayCancel).isEqualTo("stays");
+                    up.say(hit("mg 1 v Ostays"));
+                    assertThat(other.line()).isEqualTo("VA 5 Ostays");
+                }
+            }
+        }
+    }
+
+    /** The fetch that waits for its connection is its client's; those who wait for its outcome are served under an id that is wanted. */
+    @Test
+    void aFetchThatOthersWaitForGoesOnUnderTheIdOfOneThatStays() throws Exception {
+        ScriptedServer node = missesAllBut("turn");
+        try (LateServer origin = new LateServer(); Fleet fleet = fleetOf(node, origin.dial()); Fleet.Client stays = fleet.client();
+                Fleet.Client turn = fleet.client()) {
+            Fleet.Client leaves = fleet.client();
+            leaves.read("leaves");
+            node.next();
+            stays.read("stays");
+            node.next();
+            turn.say("mg 1 v Oturn Pc=text,d=20000\r\n").line(); // both misses have been heard by now, as answers come in order
+            leaves.close();
+            awaitInHand(fleet, 1);
+            ScriptedServer.Connection up = origin.letIn();
+            assertThat(ScriptedServer.id(request(up))).isEqualTo("stays");
+            up.sayHttp(200, "", "fetch");
+            assertThat(stays.line()).isEqualTo("VA 5 Ostays");
+        }
+    }
+
+    private static ScriptedServer missesAllBut(String id) throws IOException {
+        return ScriptedServer.node(line -> ScriptedServer.id(line).equals(id) ? hit(line) : "EN O" + ScriptedServer.id(line) + " h0\r\n");
+    }
+
+    private static Fleet fleetOf(ScriptedServer node, String origin) throws Exception {
+        Fleet fleet = new Fleet().node(node).set("caps.connect-timeout", "20000.0");
+        fleet.hosts.add(Fleet.host("s-0000aaaa", "origin", origin, "up"));
+        return fleet.start();
+    }
+
+    private static String request(ScriptedServer.Connection c) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (String line; !(line = c.line()).isEmpty();) {
+            text.append(line).append('\n');
+        }
+        return text.toString();
+    }
+
+    /** Else those who wait for it would wait for an origin that is silent, as long as they may. */
+    @Test
+    void aFetchThatOthersWaitForEndsAtItsOwnDeadlineThoughItsClientHasLeft() throws Exception {
+        ScriptedServer node = missesAllBut("turn");
+        ScriptedServer origin = new ScriptedServer(c -> {
+            for (String r; (r = c.request()) != null;) {
+                if (ScriptedServer.id(r).equals("stays")) {
+                    c.sayHttp(200, "", "fetch");
+                }
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client stays = fleet.client(); Fleet.Client turn = fleet.client()) {
+            Fleet.Client leaves = fleet.client();
+            leaves.say("mg 7f3a9c21e0b4d655 v Oleaves Pc=text,d=1000\r\n");
+            assertThat(ScriptedServer.id(origin.next())).isEqualTo("leaves");
+            stays.read("stays");
+            node.next();
+            node.next();
+            turn.say("mg 1 v Oturn Pc=text,d=20000\r\n").line();
+            leaves.close();
+            assertThat(ScriptedServer.id(origin.next())).isEqualTo("stays");
+            assertThat(stays.line()).isEqualTo("VA 5 Ostays");
+        }
+    }
+
+    /** A busy loop finds the command and the client's end together: nobody waits for it any more. */
+    @Test
+    void aCommandThatIsReadWithItsClientsEndIsNotSentOn() throws Exception {
+        for (boolean reset : new boolean[] {false, true}) {
+            AtomicInteger connections = new AtomicInteger();
+            ScriptedServer node = new ScriptedServer(c -> {
+                int number = connections.incrementAndGet();
+                for (String line; (line = c.command()) != null;) {
+                    c.say("VA 1 O" + ScriptedServer.id(line) + " h1\r\n" + number + "\r\n");
+                }
+            });
+            try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client other = fleet.client()) {
+                other.read("first"); // from now on there is a connection on which what is sent goes out at once
+                other.line();
+                assertThat(other.line()).isEqualTo("1");
+                Fleet.Client leaves = fleet.client();
+                leaves.say("mn\r\n").line(); // accepted, and known to the loop
+                CountDownLatch held = new CountDownLatch(1);
+                CountDownLatch go = new CountDownLatch(1);
+                fleet.proxy.after(0, () -> {
+                    held.countDown();
+                    awaitQuietly(go);
+                });
+                held.await();
+                leaves.read("left").say("ms 7f3a 5 Oput Pc=fix,d=20000\r\nhello\r\n");
+                if (reset) {
+                    leaves.socket.setSoLinger(true, 0);
+                }
+                leaves.close();
+                go.countDown();
+                awaitInHand(fleet, 0);
+                other.read("stays");
+                assertThat(other.line()).isEqualTo("VA 1 Ostays");
+                assertThat(other.line()).as("what was sent for nobody would have taken the first connection").isEqualTo("1");
+                assertThat(node.commands).as("reset: " + reset).hasSize(2).noneMatch(c -> c.contains("Oleft"));
+            }
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Its connection is not read on at 32 commands in hand; its end is seen all the same, and what stands behind is never begun. */
+    @Test
+    void theEndOfAClientThatIsNotReadIsSeen() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        ScriptedServer node = new ScriptedServer(c -> {
+            while (c.command() != null) {
+                asked.incrementAndGet();
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start()) {
+            for (boolean reset : new boolean[] {false, true}) {
+                Fleet.Client client = fleet.client();
+                StringBuilder many = new StringBuilder();
+                for (int i = 0; i < 64; i++) {
+                    many.append("mg k").append(i).append(" v O").append(reset).append(i).append(" Pc=text,d=20000\r\n");
+                }
+                client.say(many.toString());
+                awaitInHand(fleet, 32);
+                if (reset) {
+                    client.socket.setSoLinger(true, 0);
+                }
+                client.close();
+                awaitInHand(fleet, 0);
+            }
+            assertThat(asked.get()).isLessThanOrEqualTo(2 * 2 * 32); // a silent node gets a second copy of some
+        }
+    }
+
+    /** A late answer is worth nothing in such a class: who waits for it is told so at once, not at the deadline. */
+    @Test
+    void aRequestThatIsWorthNothingAnyMoreIsRefusedAtOnce() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(c -> {
+            String line = c.command();
+            late.await();
+            c.say("EN O" + ScriptedServer.id(line) + " h0\r\n");
+            c.awaitEnd();
+        });
+        ScriptedServer origin = new ScriptedServer(ScriptedServer.Connection::request);
+        try (Fleet fleet = new Fleet().node(node).origin(origin).set("classes.0.promise", "100.0").set("classes.0.late-share", "0.0")
+                .set("caps.second-copies", "false").set("caps.may-cancel", "false").start(); Fleet.Client client = fleet.client()) {
+            client.socket.setSoTimeout(15_000); // its deadline is 20 s
+            client.read("1");
+            node.next();
+            CountDownLatch over = new CountDownLatch(1);
+            fleet.proxy.after(150, over::countDown);
+            over.await();
+            late.countDown();
+            assertThat(client.line()).startsWith("SERVER_ERROR busy");
+            assertThat(origin.commands).isEmpty();
+        }
+    }
+}
