Let no repeat wait past its window, and no end of our own pass for an answer or a lost request

Checked: the module asks for the window when it orders (Policy.maySend); what is ordered then waits in UpstreamConnection.opening for its dial, and goes out whenever that is up. Four faults of ends, each with a test of real connections that was seen to fail on: - a repeat of a keyed write was sent when its dial came up, however late. Dispatcher.boundRepeat gives it the time by which it may begin (first begun attempt plus the class's window); it is ended as not sent then, and looked at once more before it is written. - a body of the origin without length that stopped in its middle was served: our own close of the connection came back from the HTTP decoder as the body's end. OriginCodec.drop marks the answer as broken. - a connection that had been idle for up to a second more than 0.7 of the time after which servers close such was used: of a write that crosses the close nobody can tell. Proxy.drain has all answered 3.5 s after it: refused where that is harmless, else failed.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -3,10 +3,12 @@
 import damsonworks.Policy;
 import damsonworks.RoutingApi.Actions;
 import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.Effect;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Reports;
 import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.knowledge.Knowledge;
@@ -38,7 +40,8 @@
     private static final double OVERDUE_MS = 10;
     /** What a test of a server takes at the most, ms. */
     public static final double PROBE_TIMEOUT_MS = 250;
-    private static final double RETIRE_AT = 0.7;
+    /** The part of the time after which servers close idle connections for which one may have been idle when it is used. */
+    static final double RETIRE_AT = 0.7;
     private static final long SWEEP_MS = 1000;
 
     private final Core core;
@@ -233,6 +236,14 @@
         }
     }
 
+    /** Answers every request that has no answer and none on its way: the process is to end before its deadline. */
+    void answerAll() {
+        for (Exchange x : List.copyOf(exchanges.values())) {
+            boolean harmless = settings.classes().get(x.command.serviceClass).effect() == Effect.SAFE || !x.mayHaveRun();
+            finish(x, harmless ? 0 : Double.NaN);
+        }
+    }
+
     List<String> reportNames() {
         return settings.reportNames();
     }
@@ -417,8 +428,7 @@
                 continue;
             }
             if (!a.begun) {
-                a.connection.giveUp(a);
-                end(a, Outcome.NOT_SENT, 0, null, null, null);
+                withdraw(a);
             } else if (a.firstByteMs != 0) { // the rest of a long value is of no use to anyone
                 a.connection.giveUp(a);
                 end(a, Outcome.CANCELLED, 0, null, null, null);
@@ -577,11 +587,39 @@
         if (wait < left) {
             a.timer = core.after(wait, () -> expire(a));
         }
+        boundRepeat(x, a);
         if (!u.send(a)) { // want of room on our side says nothing against a sound node
             tell(() -> end(a, u.origin ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT, 0, null, null, null));
         }
     }
 
+    /**
+     * The module lets a keyed request be repeated within its class's window. A repeat may then wait for a connection that comes up
+     * late, and is not to go out once the window is over.
+     */
+    private void boundRepeat(Exchange x, Attempt a) {
+        ServiceClass kind = settings.classes().get(x.command.serviceClass);
+        if (kind.effect() != Effect.KEYED) {
+            return;
+        }
+        for (Attempt earlier : x.attempts) {
+            if (earlier != a && earlier.begun) {
+                a.beginByMs = Math.min(a.beginByMs, earlier.sentMs + kind.windowMs());
+            }
+        }
+        if (a.beginByMs < a.untilMs) {
+            core.after(a.beginByMs - core.now(), () -> withdraw(a));
+        }
+    }
+
+    /** Ends an attempt that has not begun; one that has goes on. */
+    private void withdraw(Attempt a) {
+        if (!a.ended && !a.begun && a.connection != null) {
+            a.connection.giveUp(a);
+            end(a, Outcome.NOT_SENT, 0, null, null, null);
+        }
+    }
+
     @Override
     public void deny(int request, double retryAfterMs) {
         Exchange x = exchanges.get(request);
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -61,6 +61,8 @@
         final double sentMs;
         /** When the proxy stops waiting. */
         final double untilMs;
+        /** When it may still begin, where an earlier one may have run: servers drop a repeat for so long and no longer. */
+        double beginByMs = Double.POSITIVE_INFINITY;
         UpstreamConnection connection;
         /** Its first byte has been handed on. */
         boolean begun;
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -262,6 +262,7 @@
 
     @Override
     public void drop() {
+        broken = true; // our own end of the connection does not end a body either
         boolean fed = feeding;
         forget();
         if (fed && inactive) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -19,6 +19,8 @@
     /** Descriptors that the JVM and its files, the listening socket, discovery and peers need: 41 were counted, and 4 come. */
     private static final int OWN_DESCRIPTORS = 48;
     private static final long SWEEP_MS = 250;
+    /** The longest deadline that the platform waits for before it kills a process that was told to end; classes may have longer ones. */
+    private static final double LONGEST_LEFT_MS = 3000;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
@@ -170,8 +172,10 @@
     void drain() {
         new DrainLoop(loop, core, 0, this::drained).run(() -> {
             lifecycle.leave(core.now(), operations != null && operations.hasSuccessor());
-            return Math.max(Periods.USUAL.listenOnMs(), Periods.USUAL.leaveSpreadMs())
-                    + config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+            double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+            double lastMs = Math.max(Periods.USUAL.listenOnMs(), Periods.USUAL.leaveSpreadMs()) + Math.min(longest, LONGEST_LEFT_MS);
+            core.after(lastMs, dispatcher::answerAll);
+            return lastMs;
         });
         if (operations != null) {
             loop.submit(operations::close).syncUninterruptibly();
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -27,6 +27,7 @@
     /** The same, with those on which a long answer waits for its client. */
     private final int mostConnections;
     private final int maxDepth;
+    private final double retireIdleMs;
     private final NodeRoom room;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
@@ -39,6 +40,7 @@
         maxConnections = origin ? pool.originConnections() : pool.cacheConnections();
         mostConnections = Math.max(maxConnections, pool.mostConnections());
         maxDepth = origin ? 1 : pool.streamsPerConnection();
+        retireIdleMs = pool.idleCloseMs() * Dispatcher.RETIRE_AT;
     }
 
     Core core() {
@@ -47,9 +49,11 @@
 
     /** Sends the attempt; false if no connection has room for it. */
     boolean send(Attempt attempt) {
+        closeAged();
         UpstreamConnection best = pick(false);
-        int standing = connections.size() - onLong(); // behind a long answer one would wait for its client
-        if ((best == null || best.depth() > 0) && standing < maxConnections && connections.size() < mostConnections
+        int all = connections.size() - ending();
+        int standing = all - onLong(); // behind a long answer one would wait for its client
+        if ((best == null || best.depth() > 0) && standing < maxConnections && all < mostConnections
                 && (origin || room.mayOpen(core.now(), standing)) && core.roomUpstream()) {
             best = open();
         }
@@ -60,6 +64,27 @@
         return true;
     }
 
+    /** The server may be about to close what has been idle for long: of what went out on it nobody could tell whether it has run. */
+    private void closeAged() {
+        double since = core.now() - retireIdleMs;
+        for (UpstreamConnection c : connections) {
+            if (c.empty() && c.connected() && c.idleSinceMs() < since) {
+                c.close(); // it leaves the list with the event of its end, not here
+            }
+        }
+    }
+
+    /** Those that are closed on our side and on which nothing is owed. */
+    private int ending() {
+        int n = 0;
+        for (UpstreamConnection c : connections) {
+            if (c.ending()) {
+                n++;
+            }
+        }
+        return n;
+    }
+
     private int onLong() {
         int n = 0;
         for (UpstreamConnection c : connections) {
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import java.util.List;
 
 /**
  * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
@@ -80,6 +81,7 @@
                 closed();
                 return;
             }
+            endStale(); // what this has the module order only queues here, as long as it does not count as connected
             connected = true;
             if (attempts.isEmpty()) {
                 idleSinceMs = upstream.core().now();
@@ -106,6 +108,10 @@
         return attempts.isEmpty();
     }
 
+    boolean ending() {
+        return retired && connected && attempts.isEmpty();
+    }
+
     double idleSinceMs() {
         return idleSinceMs;
     }
@@ -123,6 +129,16 @@
         }
     }
 
+    /** Ends those that came too late to begin. */
+    private void endStale() {
+        double now = upstream.core().now();
+        for (Attempt a : List.copyOf(attempts)) {
+            if (!a.begun && now > a.beginByMs && attempts.remove(a)) {
+                a.owner.end(a, Outcome.NOT_SENT, 0, null, null, null);
+            }
+        }
+    }
+
     private void write(Attempt attempt) {
         attempt.begun = true;
         codec.write(channel, attempt, dial).addListener(f -> {
@@ -207,6 +223,9 @@
      * answer, right behind it, would pass for the answer of the next attempt, and the origin's bear no id.
      */
     void reading(boolean on) {
+        if (reading && !on) {
+            endStale();
+        }
         reading = on;
         if (!on && channel.isActive()) {
             for (Attempt a : attempts) {
--- a/src/test/java/damsonworks/proxy/EndingsTest.java
+++ b/src/test/java/damsonworks/proxy/EndingsTest.java
@@ -26,9 +26,12 @@
     private static final class LateServer implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
         private final List<Socket> fill = new ArrayList<>();
-        final List<String> heard = new ArrayList<>();
 
         LateServer() throws IOException {
+            fillUp();
+        }
+
+        void fillUp() throws IOException {
             for (boolean full = false; !full;) {
                 Socket s = new Socket();
                 try {
@@ -50,6 +53,7 @@
             for (Socket ignored : fill) {
                 server.accept().close();
             }
+            fill.clear();
             Socket proxys = server.accept();
             proxys.setSoTimeout(20_000);
             return new ScriptedServer.Connection(proxys, null);
@@ -256,4 +260,85 @@
             assertThat(origin.commands).isEmpty();
         }
     }
+
+    /** The body's end is the connection's, and it is we who end that: what has come is not the value. */
+    @Test
+    void aBodyWithoutLengthThatStopsInItsMiddleIsNoAnswer() throws Exception {
+        ScriptedServer node = ScriptedServer.node(line -> "EN O" + ScriptedServer.id(line) + " h0\r\n");
+        ScriptedServer origin = new ScriptedServer(c -> {
+            c.request();
+            c.say("HTTP/1.1 200 X\r\n\r\nhal");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).startsWith("SERVER_ERROR");
+        }
+    }
+
+    /** A connection reset after the last byte: it may have run. Its repeat waits for a dial that comes up after the window. */
+    @Test
+    void aRepeatThatWaitsPastItsWindowIsNotSent() throws Exception {
+        for (boolean letIn : new boolean[] {false, true}) {
+            try (LateServer origin = new LateServer(); Fleet fleet = new Fleet()) {
+                fleet.hosts.add(Fleet.host("s-0000aaaa", "origin", origin.dial(), "up"));
+                fleet.set("caps.connect-timeout", "20000.0").set("classes.2.window", "400.0").start();
+                try (Fleet.Client client = fleet.client()) {
+                    client.say("ms 7f3a 5 O1 Pc=publish,d=20000,k=0123456789abcdef\r\nhello\r\n");
+                    ScriptedServer.Connection first = origin.letIn();
+                    assertThat(request(first)).startsWith("PUT");
+                    origin.fillUp();
+                    first.reset();
+                    assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+                    if (letIn) { // its dial comes up all the same
+                        try (Fleet.Client other = fleet.client()) {
+                            other.say("ms 7f3b 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+                            assertThat(ScriptedServer.id(request(origin.letIn()))).isEqualTo("2");
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** A node that closes what has been idle for long takes what crosses it for nothing, and nobody could tell. */
+    @Test
+    void aConnectionThatIsAboutToBeClosedForItsAgeIsNotUsed() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        ScriptedServer origin = new ScriptedServer(c -> {
+            int number = connections.incrementAndGet();
+            while (c.request() != null) {
+                c.sayHttp(200, "", "c" + number);
+            }
+        });
+        try (Fleet fleet = new Fleet().origin(origin).set("caps.idle-close", "1000.0").start(); Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("HD O1 cc1");
+            CountDownLatch aged = new CountDownLatch(1);
+            fleet.proxy.after(800, aged::countDown);
+            aged.await();
+            client.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("HD O2 cc2");
+        }
+    }
+
+    /** The platform waits 3.7 s at most before it kills a process that was told to end, also where a class may wait for longer. */
+    @Test
+    void whatMayWaitLongerThanThePlatformIsAnsweredBeforeTheProcessEnds() throws Exception {
+        ScriptedServer silent = new ScriptedServer(ScriptedServer.Connection::awaitEnd);
+        ScriptedServer origin = new ScriptedServer(ScriptedServer.Connection::awaitEnd);
+        try (Fleet fleet = new Fleet().node(silent).origin(origin).start(); Fleet.Client reads = fleet.client(); Fleet.Client writes = fleet.client()) {
+            reads.read("1");
+            writes.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            awaitInHand(fleet, 2);
+            Thread drain = new Thread(fleet.proxy::drain);
+            drain.start();
+            assertThat(reads.line()).startsWith("SERVER_ERROR busy");
+            assertThat(writes.line()).isEqualTo("SERVER_ERROR failed"); // it may have run
+            assertThat(reads.ended()).isTrue();
+            reads.close();
+            writes.close();
+            drain.join();
+        }
+    }
 }
