End connections for room without a reset, let pipeliners go at the end, rest the origin's

Review of the paths that end things, each fault shown by a test of real connections on: - a connection that made room for another right after its answer was closed over what its client had asked since: a reset, seen by the test as 'Connection reset'. Clients.makeRoom closed at once; now one that wrote within 100 ms lingers (our side ended, the rest read and dropped, 300 ms at most) and counts as on its way, so that nobody else is ended for the same room. - a client that always has a request out never stands between two, where a process told to end lets go: on the tree before the test did not come to its end within 100 s (its run was stopped, so it is not known by which end it would have failed). At the last moment nothing further is taken, and what was taken is answered (Listener.takeNoMore, Dispatcher.answerAll). - a second copy of an origin's answer that came after the next request had gone out was that one's answer (ROADMAP's known fault; the test had 'HD O2 cfirst'). A connection that has just been answered rests for 10 ms where another may be opened or is idle. Where all rest and none may be opened it is used all the same: this is left. Measured: EndingsTest, 13 tests, twice.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -22,6 +22,8 @@
     /** Commands in hand on one connection; guards memory against a client that only writes. */
     private static final int MAX_PIPELINED = 32;
     private static final long LINGER_MS = 300;
+    /** What a client's system may take to say that it has an answer: several trips, and a delayed word of it. */
+    private static final double ACKNOWLEDGED_MS = 100;
     private static final double STALLED_MS = 10_000;
     /** A client asks as soon as it has connected; one that has not by then is owed a close within 3 s. */
     private static final double SILENT_MS = 2000;
@@ -56,6 +58,7 @@
     private boolean asked;
     private double acceptedMs;
     private double activeMs;
+    private double wroteMs = Double.NEGATIVE_INFINITY;
 
     /** What a connection belongs to. */
     interface Front {
@@ -106,7 +109,7 @@
 
     /** How soon this one is to make room for another; negative: not at all. */
     double room(double now) {
-        return ConnectionRoom.rank(idle(), asked, !slots.isEmpty() || unwritten(), now - activeMs);
+        return finished ? -1 : ConnectionRoom.rank(idle(), asked, !slots.isEmpty() || unwritten(), now - activeMs);
     }
 
     private boolean unwritten() {
@@ -128,6 +131,32 @@
         return incoming != null || actualReadableBytes() > 0 && !readPaused || unwritten();
     }
 
+    /** Whether it lingers: our side has ended it, and its client has not yet. */
+    boolean lingers() {
+        return finished;
+    }
+
+    /**
+     * Ends it for another's sake. Where its client may not have the last answer yet, a close over what it has asked since, and that
+     * nobody has read, would be a reset that takes the answer with it.
+     *
+     * @return whether its descriptor is free at once; else it is when it has lingered
+     */
+    boolean makeRoom(double now) {
+        if (now - wroteMs < ACKNOWLEDGED_MS) {
+            finish();
+            return false;
+        }
+        close();
+        return true;
+    }
+
+    /** Whatever comes from now on is not taken; it ends once all that was has its answer. */
+    void takeNoMore() {
+        closing = true;
+        flushAnswers();
+    }
+
     void close() {
         ctx.flush(); // an answer that is written and not flushed would be lost
         ctx.close();
@@ -472,7 +501,7 @@
             slots.poll();
         }
         if (wrote) {
-            activeMs = core.now();
+            activeMs = wroteMs = core.now();
             if (closing || front.ends(this)) {
                 ctx.flush();
             } else if (!flushing) {
--- a/src/main/java/damsonworks/proxy/Clients.java
+++ b/src/main/java/damsonworks/proxy/Clients.java
@@ -37,22 +37,24 @@
         }
     }
 
-    /** Closes the connection that is to make room first, but for this one; false if there is none. */
+    /** Ends the connection that is to make room first, but for this one; false if there is no room yet. */
     private boolean makeRoom(ClientConnection but) {
         ClientConnection first = null;
         double rank = 0;
         double now = core.now();
+        int lingering = 0;
         for (ClientConnection c : all) {
+            lingering += c.lingers() ? 1 : 0;
             double r = c == but ? -1 : c.room(now);
             if (r >= rank) {
                 first = c;
                 rank = r;
             }
         }
-        if (first != null) {
-            first.close();
+        if (all.size() - lingering <= max) {
+            return false; // it is on its way: those that linger go soon
         }
-        return first != null;
+        return first != null && first.makeRoom(now);
     }
 
     void left(ClientConnection client) {
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -178,6 +178,11 @@
         }
     }
 
+    /** Nothing that comes on standing connections is taken any more. */
+    void takeNoMore() {
+        new ArrayList<>(own).forEach(ClientConnection::takeNoMore);
+    }
+
     /** The socket's descriptor; -1 where the kind of channel has none to give. */
     int descriptor() {
         return channel instanceof EpollServerSocketChannel c ? c.fd().intValue() : -1;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -174,7 +174,10 @@
             lifecycle.leave(core.now(), operations != null && operations.hasSuccessor());
             double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
             double lastMs = Math.max(Periods.USUAL.listenOnMs(), Periods.USUAL.leaveSpreadMs()) + Math.min(longest, LONGEST_LEFT_MS);
-            core.after(lastMs, dispatcher::answerAll);
+            core.after(lastMs, () -> {
+                listener.takeNoMore();
+                dispatcher.answerAll();
+            });
             return lastMs;
         });
         if (operations != null) {
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -15,6 +15,9 @@
  * the fewest.
  */
 final class Upstream {
+    /** What a second copy of an answer may take to follow the first: some milliseconds. */
+    private static final double REST_MS = 10;
+
     final int id;
     final boolean origin;
     SocketAddress dial;
@@ -53,7 +56,7 @@
         UpstreamConnection best = pick(false);
         int all = connections.size() - ending();
         int standing = all - onLong(); // behind a long answer one would wait for its client
-        if ((best == null || best.depth() > 0) && standing < maxConnections && all < mostConnections
+        if ((best == null || best.depth() > 0 || !rested(best)) && standing < maxConnections && all < mostConnections
                 && (origin || room.mayOpen(core.now(), standing)) && core.roomUpstream()) {
             best = open();
         }
@@ -115,14 +118,28 @@
     private UpstreamConnection pick(boolean standing) {
         UpstreamConnection best = null;
         for (UpstreamConnection c : connections) {
-            if (c.usable(maxDepth) && (c.connected() || !standing) && (best == null || c.depth() < best.depth()
-                    || c.depth() == best.depth() && c.idleSinceMs() > best.idleSinceMs())) {
+            if (c.usable(maxDepth) && (c.connected() || !standing) && (best == null || before(c, best))) {
                 best = c;
             }
         }
         return best;
     }
 
+    private boolean before(UpstreamConnection c, UpstreamConnection best) {
+        if (c.depth() != best.depth()) {
+            return c.depth() < best.depth();
+        }
+        return rested(c) != rested(best) ? rested(c) : c.idleSinceMs() > best.idleSinceMs();
+    }
+
+    /**
+     * Whether what comes on an idle connection can be told from the next request's answer. The origin's answers bear no id, and a
+     * second copy of one may come some milliseconds after it: it ends the connection if nothing has gone out there by then.
+     */
+    private boolean rested(UpstreamConnection c) {
+        return !origin || !c.connected() || !c.used() || core.now() - c.idleSinceMs() >= REST_MS;
+    }
+
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this);
         connections.add(connection);
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -112,6 +112,11 @@
         return retired && connected && attempts.isEmpty();
     }
 
+    /** Whether its server has answered on it. */
+    boolean used() {
+        return answered;
+    }
+
     double idleSinceMs() {
         return idleSinceMs;
     }
--- a/src/test/java/damsonworks/proxy/EndingsTest.java
+++ b/src/test/java/damsonworks/proxy/EndingsTest.java
@@ -10,7 +10,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -341,4 +343,133 @@
             drain.join();
         }
     }
+
+    /** It never stands between two requests, where connections end; and what it asks last is answered or not taken. */
+    @Test
+    void aClientThatAlwaysHasARequestOutIsLetGoBeforeTheProcessEnds() throws Exception {
+        BlockingQueue<Runnable> owed = new LinkedBlockingQueue<>();
+        ScriptedServer node = new ScriptedServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                String answer = hit(line);
+                owed.add(() -> sayQuietly(c, answer));
+                if (owed.size() > 1) {
+                    owed.take().run(); // one answer for each further command: one is owed at all times
+                }
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).set("caps.second-copies", "false").set("caps.may-cancel", "false").start();
+                Fleet.Client client = fleet.client()) {
+            client.read("a0").read("a1");
+            Thread drain = new Thread(fleet.proxy::drain);
+            drain.start();
+            int answers = 0;
+            int refused = 0;
+            for (String line; (line = client.line()) != null;) {
+                if (line.startsWith("VA ")) {
+                    answers++;
+                    client.read("a" + (answers + 1));
+                } else if (line.startsWith("SERVER_ERROR busy")) {
+                    refused++;
+                }
+            }
+            client.close();
+            drain.join();
+            assertThat(refused).isBetween(1, 2);
+            assertThat(node.commands).as("what was sent on").hasSize(answers + refused);
+        }
+    }
+
+    private static void sayQuietly(ScriptedServer.Connection c, String text) {
+        try {
+            c.say(text);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    /** Its answer has just gone out, and the next command has come and is not read: a close then would be a reset. */
+    @Test
+    void aConnectionThatMakesRoomRightAfterItsAnswerEndsWithoutAReset() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(c -> {
+            String line = c.command();
+            if (ScriptedServer.id(line).equals("b0")) {
+                answer.await();
+                c.say(hit(line));
+                answered.countDown();
+            }
+            c.awaitEnd();
+        });
+        Fleet setup = new Fleet().node(node).set("caps.second-copies", "false").set("caps.may-cancel", "false");
+        com.google.gson.JsonObject limits = new com.google.gson.JsonObject();
+        limits.addProperty("sockets", 96); // sixteen clients
+        setup.config.add("limits", limits);
+        try (Fleet fleet = setup.start()) {
+            List<Fleet.Client> busy = new ArrayList<>();
+            for (int i = 0; i < 17; i++) { // one more than there is room for
+                busy.add(fleet.client());
+                busy.get(i).say("mg " + i + " v Ob" + i + " Pc=text,d=20000\r\n");
+            }
+            awaitInHand(fleet, 17);
+            CountDownLatch held = new CountDownLatch(1);
+            CountDownLatch go = new CountDownLatch(1);
+            fleet.proxy.after(0, () -> {
+                held.countDown();
+                awaitQuietly(go);
+            });
+            held.await();
+            answer.countDown();
+            answered.await();
+            busy.get(0).read("crosses");
+            go.countDown();
+            assertThat(busy.get(0).line()).isEqualTo("VA 5 Ob0");
+            assertThat(busy.get(0).line()).isEqualTo("hello");
+            assertThat(busy.get(0).ended()).as("no reset").isTrue();
+            busy.get(0).close();
+            try (Fleet.Client next = fleet.client()) { // there is room again for sixteen, and one who comes is heard
+                assertThat(next.say("mn\r\n").line()).isEqualTo("MN");
+            }
+        }
+    }
+
+    /** Its second copy comes when the next request has gone out, and bears no id: nothing may be told from it. */
+    @Test
+    void aSecondCopyOfTheOriginsAnswerIsNotTheNextRequestsAnswer() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        AtomicInteger connections = new AtomicInteger();
+        ScriptedServer origin = new ScriptedServer(c -> {
+            if (connections.incrementAndGet() == 1) {
+                c.request();
+                answer.await();
+                c.sayHttp(200, "", "first");
+                answered.countDown();
+                c.request();
+                c.sayHttp(200, "", "first");
+            } else {
+                c.request();
+                c.sayHttp(200, "", "second");
+            }
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client one = fleet.client(); Fleet.Client two = fleet.client()) {
+            assertThat(two.say("mn\r\n").line()).isEqualTo("MN");
+            one.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
+            origin.next();
+            CountDownLatch held = new CountDownLatch(1);
+            CountDownLatch go = new CountDownLatch(1);
+            fleet.proxy.after(0, () -> {
+                held.countDown();
+                awaitQuietly(go);
+            });
+            held.await();
+            answer.countDown();
+            answered.await();
+            two.say("ms 7f3b 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            go.countDown();
+            assertThat(one.line()).isEqualTo("HD O1 cfirst");
+            assertThat(two.line()).isEqualTo("HD O2 csecond");
+        }
+    }
 }
