Judge a second copy in a round that took less than a connection rests

Cause: between the first answer and the next request more than the 10 ms lay for which the connection rests (first use of the classes), so that it was used again, as it may be; the test took no account of it. Now the first round that took less than that time gives the verdict, and it stays as strict: on such a round fails.

--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -16,7 +16,7 @@
  */
 final class Upstream {
     /** What a second copy of an answer may take to follow the first: some milliseconds. */
-    private static final double REST_MS = 10;
+    static final double REST_MS = 10;
 
     final int id;
     final boolean origin;
