--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -192,6 +192,10 @@
         return own.isEmpty();
     }
 
+    int size() {
+        return own.size();
+    }
+
     @Override
     public RequestHandler handler() {
         return handler;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -163,6 +163,11 @@
         return loop.submit(() -> dispatcher.sound(server)).syncUninterruptibly().getNow();
     }
 
+    /** Connections of clients that the loop knows of. */
+    int clients() {
+        return loop.submit(listener::size).syncUninterruptibly().getNow();
+    }
+
     int inHand() {
         return loop.submit(dispatcher::inHand).syncUninterruptibly().getNow();
     }
--- a/src/test/java/damsonworks/proxy/EndingsTest.java
+++ b/src/test/java/damsonworks/proxy/EndingsTest.java
@@ -9,7 +9,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -52,11 +54,13 @@
 
         /** Lets the connections in that wait, and takes the first of the proxy's. */
         ScriptedServer.Connection letIn() throws IOException {
-            for (Socket ignored : fill) {
-                server.accept().close();
-            }
-            fill.clear();
+            Set<Integer> ours = new HashSet<>();
+            fill.forEach(s -> ours.add(s.getLocalPort()));
             Socket proxys = server.accept();
+            while (ours.contains(proxys.getPort())) {
+                proxys.close();
+                proxys = server.accept();
+            }
             proxys.setSoTimeout(20_000);
             return new ScriptedServer.Connection(proxys, null);
         }
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/Explorer.java
@@ -0,0 +1,462 @@
+package damsonworks.proxy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Predicate;
+
+/**
+ * Drives one proxy through a random order of what clients, a node and the origin may do, and judges it from outside. One thread does
+ * everything on the peers' side, without blocking: once the loop has gone round, what the proxy has written is there to be read. So
+ * an order is a seed's, but for what the proxy's own timers do in between.
+ */
+final class Explorer implements AutoCloseable {
+    private static final int KEYS = 3;
+    /** Prints each event of an order, for whoever looks for a cause. */
+    private static final boolean TRACE = Boolean.getBoolean("explorer.trace");
+
+    /** One connection from our side. */
+    private static class Peer {
+        final SocketChannel channel;
+        final StringBuilder in = new StringBuilder();
+        boolean ended;
+
+        Peer(SocketChannel channel) throws IOException {
+            this.channel = channel;
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        }
+
+        void say(String text) {
+            try {
+                ByteBuffer b = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+                while (b.hasRemaining()) {
+                    channel.write(b);
+                }
+            } catch (IOException e) {
+                ended = true;
+            }
+        }
+
+        void read() {
+            ByteBuffer b = ByteBuffer.allocate(8192);
+            try {
+                for (int n; !ended && (n = channel.read(b)) != 0; b.clear()) {
+                    ended = n < 0;
+                    in.append(new String(b.array(), 0, Math.max(0, n), StandardCharsets.ISO_8859_1));
+                }
+            } catch (IOException e) {
+                ended = true;
+            }
+        }
+
+        /** A line, taken off what has come; null: none is whole. */
+        String line() {
+            int end = in.indexOf("\r\n");
+            String line = end < 0 ? null : in.substring(0, end);
+            if (end >= 0) {
+                in.delete(0, end + 2);
+            }
+            return line;
+        }
+
+        void end(boolean reset) throws IOException {
+            if (reset) {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            }
+            channel.close();
+            ended = true;
+        }
+    }
+
+    private static final class ClientPeer extends Peer {
+        /** Ids of whole commands without an answer yet, in order. */
+        final ArrayDeque<String> owed = new ArrayDeque<>();
+        /** A command of which a part has been written. */
+        String rest;
+
+        ClientPeer(SocketChannel channel) throws IOException {
+            super(channel);
+        }
+    }
+
+    private static final class ServerPeer extends Peer {
+        final ArrayDeque<String> owed = new ArrayDeque<>();
+
+        ServerPeer(SocketChannel channel) throws IOException {
+            super(channel);
+        }
+    }
+
+    final List<String> violations = new ArrayList<>();
+    int commands;
+    int answers;
+    int departures;
+    private final SplittableRandom random;
+    /** Whether the origin answers everybody with the first request's value, so that the judge is seen to look. */
+    private final boolean liar;
+    private final ServerSocketChannel nodeDoor = ServerSocketChannel.open();
+    private final ServerSocketChannel originDoor = ServerSocketChannel.open();
+    private final List<ServerPeer> nodes = new ArrayList<>();
+    private final List<ServerPeer> origins = new ArrayList<>();
+    private final List<ClientPeer> clients = new ArrayList<>();
+    private final Set<String> departed = new HashSet<>();
+    /** Those whose client's end the loop has had the time to see, and of which nothing can be on its way any more. */
+    private final Set<String> seenToLeave = new HashSet<>();
+    private final Set<String> leaving = new HashSet<>();
+    private final Set<String> unsafe = new HashSet<>();
+    private final Map<String, Integer> writes = new HashMap<>();
+    private final Fleet fleet = new Fleet();
+    private CountDownLatch held;
+    private int next;
+
+    Explorer(long seed, boolean liar) throws Exception {
+        random = new SplittableRandom(seed);
+        this.liar = liar;
+        for (ServerSocketChannel door : List.of(nodeDoor, originDoor)) {
+            door.bind(new InetSocketAddress("127.0.0.1", 0));
+            door.configureBlocking(false);
+        }
+        for (int c = 0; c < 3; c++) { // soon doubted and soon tried again, but never late
+            fleet.set("classes." + c + ".promise", "400.0");
+        }
+        fleet.set("caps.connect-timeout", "50.0").set("caps.may-cancel", random.nextBoolean() ? "true" : "false")
+                .set("caps.second-copies", random.nextBoolean() ? "true" : "false");
+        fleet.hosts.add(Fleet.host("s-00000001", "node-fast", "127.0.0.1:" + port(nodeDoor), "up"));
+        fleet.hosts.add(Fleet.host("s-0000aaaa", "origin", "127.0.0.1:" + port(originDoor), "up"));
+        fleet.start();
+    }
+
+    private static int port(ServerSocketChannel door) throws IOException {
+        return ((InetSocketAddress) door.getLocalAddress()).getPort();
+    }
+
+    /** So many random steps, then all that is owed is answered, and the proxy is to be at rest. */
+    void run(int steps) throws Exception {
+        for (int i = 0; i < steps; i++) {
+            if (held == null && random.nextInt(6) == 0) {
+                hold(); // what is done now the loop finds all at once
+                step();
+                step();
+                step();
+                release();
+            } else {
+                step();
+            }
+            pump();
+        }
+        settle();
+    }
+
+    private void hold() throws InterruptedException {
+        CountDownLatch in = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        fleet.proxy.after(0, () -> {
+            in.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        in.await();
+        held = go;
+        trace("held");
+    }
+
+    private void release() {
+        trace("released");
+        held.countDown();
+        held = null;
+    }
+
+    private void step() throws Exception {
+        switch (random.nextInt(10)) {
+            case 0 -> open();
+            case 1, 2, 3, 4 -> ask();
+            case 5 -> leave();
+            case 6, 7 -> node(pick(nodes, p -> !p.owed.isEmpty()), random.nextInt(8));
+            default -> origin(pick(origins, p -> !p.owed.isEmpty()), random.nextInt(8));
+        }
+    }
+
+    private <P extends Peer> P pick(List<P> from, Predicate<P> that) {
+        List<P> fit = from.stream().filter(p -> !p.ended).filter(that).toList();
+        return fit.isEmpty() ? null : fit.get(random.nextInt(fit.size()));
+    }
+
+    private void open() throws IOException {
+        if (clients.stream().filter(c -> !c.ended).count() < 4) {
+            clients.add(new ClientPeer(SocketChannel.open(fleet.proxy.address())));
+        }
+    }
+
+    private void ask() throws IOException {
+        ClientPeer c = pick(clients, p -> true);
+        if (c == null) {
+            open();
+            return;
+        }
+        if (c.rest != null) {
+            c.say(c.rest);
+            c.rest = null;
+            return;
+        }
+        String id = "e" + next++;
+        String key = "k" + random.nextInt(KEYS);
+        String command = switch (random.nextInt(5)) {
+            case 0 -> {
+                unsafe.add(id);
+                yield "ms " + key + " 5 O" + id + " Pc=fix,d=20000\r\nhello\r\n";
+            }
+            case 1 -> "ms " + key + " 5 O" + id + " Pc=publish,d=20000,k=" + "%016x".formatted(next) + "\r\nhello\r\n";
+            default -> "mg " + key + " v O" + id + " Pc=text,d=20000\r\n";
+        };
+        commands++;
+        c.owed.add(id);
+        trace("client " + clients.indexOf(c) + " asks " + command.replace("\r\n", "|"));
+        int cut = random.nextInt(4) == 0 ? 1 + random.nextInt(command.length() - 1) : command.length();
+        c.say(command.substring(0, cut));
+        c.rest = cut < command.length() ? command.substring(cut) : null;
+    }
+
+    private void leave() throws IOException {
+        ClientPeer c = pick(clients, p -> true);
+        if (c != null) {
+            departures++;
+            trace("client leaves with " + c.owed);
+            departed.addAll(c.owed);
+            c.end(random.nextBoolean());
+            clients.remove(c);
+        }
+    }
+
+    private void node(ServerPeer p, int how) throws IOException {
+        if (p == null) {
+            return;
+        }
+        String id = p.owed.peek();
+        trace("node " + nodes.indexOf(p) + " answers " + id + " by way " + how);
+        String hit = "VA " + id.length() + " O" + id + " h1\r\n" + id + "\r\n";
+        switch (how) {
+            case 0, 1 -> p.say(hit);
+            case 2, 3 -> p.say("EN O" + id + " h0\r\n");
+            case 4 -> p.say("SERVER_ERROR busy\r\n");
+            case 5 -> {
+                p.say(hit); // the answer and the end come together
+                p.end(false);
+            }
+            case 6 -> {
+                p.say(hit.substring(0, random.nextInt(hit.length() - 1)));
+                p.end(random.nextBoolean());
+            }
+            default -> p.say("garbage\r\n");
+        }
+        p.owed.poll();
+    }
+
+    private void origin(ServerPeer p, int how) throws IOException {
+        if (p == null) {
+            return;
+        }
+        String id = p.owed.poll();
+        trace("origin " + origins.indexOf(p) + " answers " + id + " by way " + how);
+        String body = liar ? "e0" : id;
+        String whole = "HTTP/1.1 200 X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        switch (how) {
+            case 0, 1, 2 -> p.say(whole);
+            case 3 -> {
+                p.say("HTTP/1.1 200 X\r\n\r\n" + body);
+                p.end(false);
+            }
+            case 4 -> {
+                p.say("HTTP/1.1 200 X\r\n\r\n" + body.substring(0, 1)); // a reset is no end
+                p.end(true);
+            }
+            case 5 -> {
+                writes.computeIfPresent(id, (k, n) -> n - 1); // it never ran, and may be sent again
+                p.say("HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+            }
+            case 6 -> p.end(random.nextBoolean());
+            default -> p.say(whole + whole); // a second answer right behind the first
+        }
+    }
+
+    private static void trace(String what) {
+        if (TRACE) {
+            System.out.println(what);
+        }
+    }
+
+    // ---- what the proxy has done
+
+    /** Lets the loop go round and takes what has come. */
+    private void pump() throws Exception {
+        long live = clients.stream().filter(c -> !c.ended).count();
+        for (long until = System.nanoTime() + 5_000_000_000L; fleet.proxy.clients() != live && System.nanoTime() < until;) {
+            Thread.onSpinWait(); // the system may tell the proxy of a close later than of what came after it elsewhere
+        }
+        for (int i = 0; i < 3; i++) { // an event, what it has the loop do, what that writes
+            fleet.proxy.inHand();
+        }
+        accept(nodeDoor, nodes);
+        accept(originDoor, origins);
+        for (ServerPeer p : nodes) {
+            p.read();
+            for (String line; (line = p.line()) != null;) {
+                arrived(p, line.substring(line.indexOf(" O") + 2).split(" ")[0], false);
+            }
+        }
+        for (ServerPeer p : origins) {
+            p.read();
+            origins(p);
+        }
+        seenToLeave.addAll(leaving); // what was on its way then has been read by now
+        leaving.clear();
+        leaving.addAll(departed);
+        for (ClientPeer c : clients) {
+            c.read();
+            while (answered(c)) {
+                answers++;
+            }
+            if (c.ended && !c.owed.isEmpty() && c.rest == null) {
+                violations.add("connection ended with " + c.owed + " unanswered");
+                c.owed.clear();
+            }
+        }
+    }
+
+    private static void accept(ServerSocketChannel door, List<ServerPeer> to) throws IOException {
+        for (SocketChannel s; (s = door.accept()) != null;) {
+            to.add(new ServerPeer(s));
+        }
+    }
+
+    private void origins(ServerPeer p) {
+        for (int end; (end = p.in.indexOf("\r\n\r\n")) >= 0;) {
+            String head = p.in.substring(0, end);
+            boolean put = head.startsWith("PUT");
+            int whole = end + 4 + (put ? 5 : 0);
+            if (p.in.length() < whole) {
+                return;
+            }
+            p.in.delete(0, whole);
+            int at = head.toLowerCase().indexOf("req-id: ") + 8;
+            arrived(p, head.substring(at).split("\r\n")[0], put);
+        }
+    }
+
+    private void arrived(ServerPeer p, String id, boolean write) {
+        trace(id + " arrives at " + (nodes.contains(p) ? "node " + nodes.indexOf(p) : "origin " + origins.indexOf(p)));
+        p.owed.add(id);
+        if (seenToLeave.contains(id)) {
+            violations.add("an attempt for " + id + " begins though its client has left");
+        }
+        if (write && writes.merge(id, 1, Integer::sum) > 1 && unsafe.contains(id)) {
+            violations.add(id + " is written twice");
+        }
+    }
+
+    private boolean answered(ClientPeer c) {
+        int end = c.in.indexOf("\r\n");
+        if (end < 0) {
+            return false;
+        }
+        String line = c.in.substring(0, end);
+        int whole = end + 2;
+        String id = c.owed.peek();
+        if (id == null) {
+            violations.add("an answer to nothing: " + line);
+            c.in.setLength(0);
+            return false;
+        }
+        if (line.startsWith("VA ")) {
+            int length = Integer.parseInt(line.split(" ")[1]);
+            if (c.in.length() < whole + length + 2) {
+                return false;
+            }
+            String value = c.in.substring(whole, whole + length);
+            whole += length + 2;
+            if (!line.contains(" O" + id) || !value.equals(id)) {
+                violations.add(id + " is answered with " + line + " " + value);
+            }
+        } else if (line.startsWith("HD ")) {
+            if (!line.equals("HD O" + id + " c" + id)) {
+                violations.add(id + " is answered with " + line);
+            }
+        } else if (!line.startsWith("SERVER_ERROR")) {
+            violations.add(id + " is answered with " + line);
+        }
+        c.in.delete(0, whole);
+        c.owed.poll();
+        return true;
+    }
+
+    /** Everything owed is answered as it should be, and then nothing is left. */
+    private void settle() throws Exception {
+        long until = System.nanoTime() + 30_000_000_000L; // deadlines are 20 s
+        while (clients.stream().anyMatch(c -> !c.ended && !c.owed.isEmpty()) && System.nanoTime() < until) {
+            for (ClientPeer c : clients) {
+                if (c.rest != null) {
+                    c.say(c.rest);
+                    c.rest = null;
+                }
+            }
+            for (ServerPeer p : nodes) {
+                while (!p.ended && !p.owed.isEmpty()) {
+                    node(p, 0);
+                }
+            }
+            for (ServerPeer p : origins) {
+                while (!p.ended && !p.owed.isEmpty()) {
+                    origin(p, 0);
+                }
+            }
+            pump();
+        }
+        for (ClientPeer c : clients) {
+            if (!c.ended && !c.owed.isEmpty()) {
+                violations.add("no answer for " + c.owed);
+            }
+            c.end(false);
+        }
+        while (fleet.proxy.inHand() > 0 && System.nanoTime() < until) {
+            pump();
+        }
+        if (fleet.proxy.inHand() > 0) {
+            violations.add(fleet.proxy.inHand() + " requests are left at rest");
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (held != null) {
+            release();
+        }
+        fleet.close();
+        for (ServerPeer p : nodes) {
+            p.channel.close();
+        }
+        for (ServerPeer p : origins) {
+            p.channel.close();
+        }
+        for (ClientPeer c : clients) {
+            c.channel.close();
+        }
+        nodeDoor.close();
+        originDoor.close();
+    }
+}
