--- a/src/test/java/damsonworks/proxy/EndingsTest.java
+++ b/src/test/java/damsonworks/proxy/EndingsTest.java
@@ -184,13 +184,7 @@
                 assertThat(other.line()).isEqualTo("1");
                 Fleet.Client leaves = fleet.client();
                 leaves.say("mn\r\n").line(); // accepted, and known to the loop
-                CountDownLatch held = new CountDownLatch(1);
-                CountDownLatch go = new CountDownLatch(1);
-                fleet.proxy.after(0, () -> {
-                    held.countDown();
-                    awaitQuietly(go);
-                });
-                held.await();
+                CountDownLatch go = fleet.hold();
                 leaves.read("left").say("ms 7f3a 5 Oput Pc=fix,d=20000\r\nhello\r\n");
                 if (reset) {
                     leaves.socket.setSoLinger(true, 0);
@@ -206,14 +200,6 @@
         }
     }
 
-    private static void awaitQuietly(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Its connection is not read on at 32 commands in hand; its end is seen all the same, and what stands behind is never begun. */
     @Test
     void theEndOfAClientThatIsNotReadIsSeen() throws Exception {
@@ -416,13 +402,7 @@
                 busy.get(i).say("mg " + i + " v Ob" + i + " Pc=text,d=20000\r\n");
             }
             awaitInHand(fleet, 17);
-            CountDownLatch held = new CountDownLatch(1);
-            CountDownLatch go = new CountDownLatch(1);
-            fleet.proxy.after(0, () -> {
-                held.countDown();
-                awaitQuietly(go);
-            });
-            held.await();
+            CountDownLatch go = fleet.hold();
             answer.countDown();
             answered.await();
             busy.get(0).read("crosses");
@@ -473,13 +453,7 @@
             assertThat(two.say("mn\r\n").line()).isEqualTo("MN");
             one.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
             origin.next();
-            CountDownLatch held = new CountDownLatch(1);
-            CountDownLatch go = new CountDownLatch(1);
-            fleet.proxy.after(0, () -> {
-                held.countDown();
-                awaitQuietly(go);
-            });
-            held.await();
+            CountDownLatch go = fleet.hold();
             answer.countDown();
             answered.await();
             two.say("ms 7f3b 5 O2 Pc=fix,d=20000\r\nhello\r\n");
--- a/src/test/java/damsonworks/proxy/Explorer.java
+++ b/src/test/java/damsonworks/proxy/Explorer.java
@@ -162,18 +162,7 @@
     }
 
     private void hold() throws InterruptedException {
-        CountDownLatch in = new CountDownLatch(1);
-        CountDownLatch go = new CountDownLatch(1);
-        fleet.proxy.after(0, () -> {
-            in.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        in.await();
-        held = go;
+        held = fleet.hold();
         trace("held");
     }
 
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 /** A proxy on loopback with the servers that a test gives it, and clients of it. */
 final class Fleet implements AutoCloseable {
@@ -111,6 +112,22 @@
         return this;
     }
 
+    /** Holds the proxy's loop: what peers do from now on it finds all at once. It goes on when the latch is counted down. */
+    CountDownLatch hold() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        proxy.after(0, () -> {
+            held.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return go;
+    }
+
     Client client() throws IOException {
         Client client = new Client(proxy.address());
         parts.add(client);
