Add an event log of requests, attempts, closes and list changes, off by default

Change: package eventlog; a line with request id, event and fields for each request, answer, attempt, client close, server connection and list change, with the cause of each retry, refusal and close.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.eventlog.ProxyEvent;
 import damsonworks.limits.ConnectionRoom;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -52,6 +53,8 @@
     private boolean closing;
     private boolean finished;
     private boolean flushing;
+    /** Why this side closed it; null where it did not. */
+    private String closeCause;
     private final Runnable flush = this::flush;
     private boolean readPaused;
     /** Whether a whole command has come. */
@@ -147,7 +150,7 @@
             finish();
             return false;
         }
-        close();
+        close("makes_room");
         return true;
     }
 
@@ -157,7 +160,8 @@
         flushAnswers();
     }
 
-    void close() {
+    void close(String cause) {
+        closeCause = cause;
         ctx.flush(); // an answer that is written and not flushed would be lost
         ctx.close();
     }
@@ -474,7 +478,7 @@
         @Override
         public void breakOff() {
             ended();
-            close();
+            close("answer_cut");
         }
 
         private void ended() {
@@ -550,7 +554,7 @@
         ctx.flush();
         ctx.channel().config().setAutoRead(true);
         ((DuplexChannel) ctx.channel()).shutdownOutput();
-        ctx.executor().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        ctx.executor().schedule(() -> close("lingered"), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -561,6 +565,11 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
+        if (core.events.isEnabled()) {
+            core.events.line(ProxyEvent.CLIENT_CLOSED).with("client", ctx.channel().remoteAddress())
+                    .with("by", closeCause == null && !finished ? "client" : "proxy").with("cause", closeCause == null ? "end" : closeCause)
+                    .with("owed", slots.size()).with("unread", actualReadableBytes()).write();
+        }
         closing = true;
         finished = true;
         super.channelInactive(context);
@@ -591,6 +600,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        closeCause = cause.getClass().getSimpleName();
         ctx.close();
     }
 }
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -23,7 +23,7 @@
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
         int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
-        InetSocketAddress peersAll, InetSocketAddress control, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
+        InetSocketAddress peersAll, InetSocketAddress control, Boolean eventLog, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
         double idleCloseMs, int streamsPerConnection) {
 
     /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
@@ -54,6 +54,7 @@
                 Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
                 (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"), optionalAddress(json, "control"),
+                json.has("event_log") ? json.get("event_log").getAsBoolean() : null,
                 json.has("known") ? json.getAsJsonObject("known") : null, parser.settings(), parser.list("zones"),
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
                 Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
@@ -70,8 +71,8 @@
             free.bind(any);
             chosen = (InetSocketAddress) free.getLocalSocketAddress();
         }
-        return new Config(name, chosen, discovery, seed, cores, memoryMb, sockets, any, peers, peersAll, any, known, settings, zones,
-                kinds, idleCloseMs, streamsPerConnection);
+        return new Config(name, chosen, discovery, seed, cores, memoryMb, sockets, any, peers, peersAll, any, eventLog, known, settings,
+                zones, kinds, idleCloseMs, streamsPerConnection);
     }
 
     private static JsonElement need(JsonObject json, String key) {
--- a/src/main/java/damsonworks/proxy/Core.java
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.eventlog.EventLog;
 import damsonworks.proxy.Timers.Timer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -28,6 +29,8 @@
     private static final int MIN_STREAM_BYTES = 1 << 20;
 
     final EventLoop loop;
+    /** Off unless switched on; see {@link EventLog}. */
+    public final EventLog events = EventLog.onStandardError(this::now);
     final Servers servers;
     /** The clients' ids of requests that have no answer yet; as many as there are such requests. */
     final Set<String> openIds = new HashSet<>();
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -11,6 +11,7 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.eventlog.ProxyEvent;
 import damsonworks.knowledge.Knowledge;
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
@@ -331,6 +332,10 @@
         for (DiscoveryClient.Host h : hosts) {
             int id = h.member().id();
             Upstream u = upstreams.get(id);
+            if (core.events.isEnabled() && (u == null || u.state != h.member().state() || u.bornMs != h.member().bornMs())) {
+                core.events.line(ProxyEvent.SERVER_LISTED).with("server", Integer.toHexString(id) + "@" + h.dial())
+                        .with("state", h.member().state()).with("born_ms", (long) h.member().bornMs()).with("list", kind).write();
+            }
             if (h.member().state() == State.GONE) {
                 forget(id);
                 continue;
@@ -348,6 +353,7 @@
                 u.retire();
             }
             u.bornMs = h.member().bornMs();
+            u.state = h.member().state();
         }
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
             Set<Integer> named = new HashSet<>();
@@ -387,6 +393,10 @@
                 c.repeat);
         // Before the module's own timer for the same time: a silent server's attempt ends as a time-out then.
         x.timer = core.after(x.dueMs - now, () -> due(x));
+        if (core.events.isEnabled()) {
+            core.events.line(ProxyEvent.REQUEST_RECEIVED).with("id", c.id).with("class", settings.classes().get(c.serviceClass).name())
+                    .withMs("left_ms", x.dueMs - now).write();
+        }
         tell(() -> guard(x, () -> module.onRequest(now, request, this)));
     }
 
@@ -422,6 +432,10 @@
             return;
         }
         over(x);
+        if (core.events.isEnabled()) {
+            core.events.line(ProxyEvent.REQUEST_ABANDONED).with("id", x.command.id).withMs("left_ms", x.dueMs - core.now())
+                    .with("in_flight", x.out).write();
+        }
         tell(() -> module.onGone(core.now(), x.id, this));
         for (Attempt a : x.attempts) {
             if (a.ended || a.connection == null) {
@@ -462,8 +476,14 @@
             return;
         }
         x.out--;
+        x.lastOutcome = outcome;
+        if (core.events.isEnabled()) {
+            core.events.line(ProxyEvent.ATTEMPT_ENDED).with("id", x.command.id).with("n", a.index).with("server", name(a.server))
+                    .with("outcome", outcome).with("begun", a.begun).with("written", a.written).withMs("ms", elapsed).write();
+        }
         if (a.firstByteMs != 0) {
             over(x);
+            logAnswer(x, outcome == Outcome.OK ? "streamed" : "cut");
             if (outcome == Outcome.OK) {
                 x.responder.end();
             } else {
@@ -471,6 +491,7 @@
             }
         } else if (outcome == Outcome.OK && !x.over && !x.streaming) {
             over(x);
+            logAnswer(x, "served");
             if (value != null) {
                 x.responder.value(value);
             } else {
@@ -493,6 +514,20 @@
         free(x);
     }
 
+    /** The cause of a refusal or failure is what the last attempt ended with, if there was one. */
+    private void logAnswer(Exchange x, String kind) {
+        if (core.events.isEnabled()) {
+            core.events.line(ProxyEvent.REQUEST_ANSWERED).with("id", x.command.id).with("kind", kind).with("attempts", x.attempts.size())
+                    .with("cause", x.lastOutcome == null ? "not_sent_on" : x.lastOutcome).withMs("left_ms", x.dueMs - core.now()).write();
+        }
+    }
+
+    /** How a server is named in the log: its address, or its number once it is off the list. */
+    private String name(int server) {
+        Upstream u = upstreams.get(server);
+        return u == null ? Integer.toHexString(server) : Integer.toHexString(server) + "@" + u.dial;
+    }
+
     private void tellSiblings(Attempt a, Command c, Outcome outcome) {
         Upstream u = upstreams.get(a.server);
         if (c.write) {
@@ -545,10 +580,13 @@
         }
         over(x);
         if (Double.isNaN(retryAfterMs)) {
+            logAnswer(x, "failed");
             x.responder.failed();
         } else if (x.missed && !settings.aside()) {
+            logAnswer(x, "missed");
             x.responder.miss();
         } else {
+            logAnswer(x, "refused");
             x.responder.refused(retryAfterMs >= 1 && settings.retryAdvice() ? retryAfterMs : 0);
         }
         free(x);
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -24,6 +24,8 @@
     boolean missed;
     /** Whether an attempt that has ended may have run. */
     boolean mayHaveRun;
+    /** What the attempt that ended last ended with; null: none has. */
+    Outcome lastOutcome;
     Timer timer;
     final List<Attempt> attempts = new ArrayList<>(3);
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.eventlog.ProxyEvent;
 import damsonworks.lifecycle.Lifecycle;
 import damsonworks.lifecycle.Lifecycle.Periods;
 import damsonworks.lifecycle.WarmUpPlan;
@@ -42,6 +43,7 @@
             WarmUp.run(loop, config, WarmUpPlan.of(config.settings().instances(), beside));
         }
         core = Core.of(loop, config, Transport.BEST.socket());
+        useEventLog(config);
         dispatcher = new Dispatcher(core, Dispatcher.Pool.of(config));
         peers = new PeerSocket(loop, config, this::heard);
         clients = new Clients(core, Math.max(16, config.sockets() - config.sockets() / 3
@@ -93,13 +95,29 @@
     /** Reads the configuration again for discovery's address; one that is of no use leaves all as it is. */
     void reload(String path) {
         try {
-            InetSocketAddress to = Config.read(path).discovery();
+            Config read = Config.read(path);
+            InetSocketAddress to = read.discovery();
+            useEventLog(read);
+            if (core.events.isEnabled()) {
+                core.events.line(ProxyEvent.STATE_CHANGED).with("state", "reloaded").with("discovery", to).write();
+            }
             loop.execute(() -> discovery.move(to));
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
         }
     }
 
+    /** The configuration may switch the event log; where it says nothing, the log stays as it is. */
+    private void useEventLog(Config read) {
+        if (read.eventLog() != null) {
+            if (read.eventLog()) {
+                core.events.enable();
+            } else {
+                core.events.disable();
+            }
+        }
+    }
+
     private static Config configuration() {
         try {
             return Config.read(System.getenv("BALANCER_CONFIG"));
@@ -176,6 +194,9 @@
 
     void drain() {
         new DrainLoop(loop, core, 0, this::drained).run(() -> {
+            if (core.events.isEnabled()) {
+                core.events.line(ProxyEvent.STATE_CHANGED).with("state", "draining").with("in_hand", dispatcher.inHand()).write();
+            }
             lifecycle.leave(core.now(), operations != null && operations.hasSuccessor());
             double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
             double lastMs = Math.max(Periods.USUAL.listenOnMs(), Periods.USUAL.leaveSpreadMs()) + Math.min(longest, LONGEST_LEFT_MS);
@@ -188,6 +209,7 @@
         if (operations != null) {
             loop.submit(operations::close).syncUninterruptibly();
         }
+        core.events.close();
     }
 
     private boolean drained() {
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.RoutingApi.State;
 import damsonworks.connections.NodeRoom;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.bootstrap.Bootstrap;
@@ -22,6 +23,8 @@
     final boolean origin;
     SocketAddress dial;
     double bornMs;
+    /** As the list has it; null before the first list. */
+    State state;
     /** How many pools have this server on their lists. */
     int holders;
     private final Core core;
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.eventlog.ProxyEvent;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -42,6 +43,7 @@
     private SocketAddress dial;
     private boolean connected;
     private boolean closed;
+    private boolean closedByUs;
     private boolean retired;
     private boolean held;
     private int givenUp;
@@ -75,6 +77,10 @@
         dial = to;
         future.addListener(f -> {
             upstream.core().servers.opened(upstream, f.cause());
+            if (upstream.core().events.isEnabled()) {
+                upstream.core().events.line(ProxyEvent.SERVER_CONNECTED).with("server", name()).with("queued", attempts.size())
+                        .with("cause", f.isSuccess() ? "ok" : f.cause().getClass().getSimpleName()).write();
+            }
             if (!f.isSuccess()) {
                 // No handler is told of a channel that never became active: without this its attempts would stay
                 // out until they time out as if they might have run, and it would hold a place for good.
@@ -144,8 +150,24 @@
         }
     }
 
+    private String name() {
+        return Integer.toHexString(upstream.id) + "@" + dial;
+    }
+
+    private void logStart(Attempt attempt) {
+        if (upstream.core().events.isEnabled() && attempt.exchange != null) {
+            Exchange request = attempt.exchange;
+            String cause = attempt.index == 0 ? "first" : request.out > 1 ? "hedge" : "after_" + request.lastOutcome;
+            upstream.core().events.line(ProxyEvent.ATTEMPT_STARTED).with("id", request.command.id).with("n", attempt.index)
+                    .with("server", name()).with("cause", cause).withMs("left_ms", attempt.untilMs - upstream.core().now())
+                    .withMs("client_left_ms", request.dueMs - upstream.core().now()).withMs("queued_ms", upstream.core().now() - attempt.sentMs)
+                    .with("depth", attempts.size()).write();
+        }
+    }
+
     private void write(Attempt attempt) {
         attempt.begun = true;
+        logStart(attempt);
         codec.write(channel, attempt, dial).addListener(f -> {
             if (f.isSuccess()) {
                 attempt.written = true;
@@ -212,6 +234,7 @@
     }
 
     void close() {
+        closedByUs = true;
         retired = true;
         if (channel != null) {
             channel.close();
@@ -323,6 +346,10 @@
             upstream.room(false);
         }
         upstream.closed(this);
+        if (upstream.core().events.isEnabled()) {
+            upstream.core().events.line(ProxyEvent.SERVER_DISCONNECTED).with("server", name()).with("by", closedByUs ? "proxy" : "server")
+                    .with("connected", connected).with("retired", retired).with("out", attempts.size()).write();
+        }
         for (Attempt a; (a = attempts.poll()) != null;) {
             if (!a.begun && !a.ended && (connected ? upstream.send(a) : upstream.sendElsewhere(a))) {
                 continue;
