--- /dev/null
+++ b/src/test/java/damsonworks/DeadlinePropagationIT.java
@@ -0,0 +1,156 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.standin.ScriptedServer;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The incident of 2026-12-02 on real processes: whatever has held a request up, a server is told at most the time that the client has left,
+ * with 150 ms of slack.
+ */
+@Timeout(60)
+class DeadlinePropagationIT {
+    private static final double SLACK_MS = 150;
+    private static final int WAIT_MS = 3000;
+    private static final long HELD_UP_MS = 600;
+    private static final Pattern DEADLINE = Pattern.compile("[P,: ]d=([0-9.]+)");
+
+    @TempDir
+    private Path folder;
+
+    /** What a server was told, and when. */
+    private record Told(double deadlineMs, long atNanos) {
+        /** The time that a client had left then, who sent its request at {@code sentNanos} and waits for {@link #WAIT_MS}. */
+        double clientLeftMs(long sentNanos) {
+            return WAIT_MS - (atNanos - sentNanos) / 1e6;
+        }
+    }
+
+    private static Told told(String command) {
+        long now = System.nanoTime();
+        Matcher m = DEADLINE.matcher(command);
+        assertThat(m.find()).as(command).isTrue();
+        return new Told(Double.parseDouble(m.group(1)), now);
+    }
+
+    private static void holdUp() {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_UP_MS);
+        for (long left; (left = until - System.nanoTime()) > 0;) {
+            LockSupport.parkNanos(left);
+        }
+    }
+
+    private static String read(String id) {
+        return "mg 7f3a9c21e0b4d655 v O" + id + " Pc=seg-text,d=" + WAIT_MS;
+    }
+
+    private static String hit(String command) {
+        return "VA 5 O" + ScriptedServer.id(command) + " h1\r\nhello\r\n";
+    }
+
+    private static void assertWithinWhatIsLeft(Told told, long sentNanos) {
+        assertThat(told.deadlineMs()).as("told to the server, ms").isPositive()
+                .isLessThanOrEqualTo(told.clientLeftMs(sentNanos) + SLACK_MS);
+    }
+
+    @Test
+    void theOriginIsToldWhatIsLeftAfterALateMiss() throws Exception {
+        BlockingQueue<Told> origin = new LinkedBlockingQueue<>();
+        try (ServeProcess proxy = new ServeProcess(folder).node(new ScriptedServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                holdUp();
+                c.say("EN O" + ScriptedServer.id(line) + "\r\n");
+            }
+        })).origin(new ScriptedServer(c -> {
+            while (true) {
+                String request = c.request();
+                if (request == null) {
+                    return;
+                }
+                origin.add(told(request));
+                c.sayHttp(200, "", "hello");
+            }
+        })).start(); ServeProcess.Client client = proxy.client()) {
+            long sent = client.send(read("a1"));
+            assertWithinWhatIsLeft(origin.take(), sent);
+            assertThat(client.line()).isEqualTo("VA 5 Oa1");
+        }
+    }
+
+    @Test
+    void aRetryIsToldWhatIsLeftAfterALateFailure() throws Exception {
+        BlockingQueue<Told> retries = new LinkedBlockingQueue<>();
+        ScriptedServer.Script late = c -> {
+            for (String line; (line = c.command()) != null;) {
+                Told told = told(line);
+                if (told.deadlineMs() > WAIT_MS - HELD_UP_MS) {
+                    holdUp();
+                    c.say("SERVER_ERROR busy\r\n");
+                } else {
+                    retries.add(told);
+                    c.say(hit(line));
+                }
+            }
+        };
+        try (ServeProcess proxy = new ServeProcess(folder).node(new ScriptedServer(late)).node(new ScriptedServer(late)).start();
+                ServeProcess.Client client = proxy.client()) {
+            long sent = client.send(read("b1"));
+            assertWithinWhatIsLeft(retries.take(), sent);
+            assertThat(client.line()).isEqualTo("VA 5 Ob1");
+        }
+    }
+
+    private BlockingQueue<Told> told(ServeProcess proxy) throws IOException {
+        BlockingQueue<Told> all = new LinkedBlockingQueue<>();
+        proxy.node(ScriptedServer.node(line -> {
+            all.add(told(line));
+            return hit(line);
+        }));
+        return all;
+    }
+
+    @Test
+    void aRequestThatWaitedUnreadOnAnOpenConnectionIsToldWhatIsLeft() throws Exception {
+        try (ServeProcess proxy = new ServeProcess(folder)) {
+            BlockingQueue<Told> told = told(proxy);
+            try (ServeProcess.Client client = proxy.start().client()) {
+                client.send(read("c1"));
+                assertThat(client.line()).isEqualTo("VA 5 Oc1");
+                assertThat(client.line()).isEqualTo("hello");
+                told.take();
+                proxy.pause();
+                long sent = client.send(read("c2"));
+                holdUp();
+                proxy.signal("CONT");
+                assertWithinWhatIsLeft(told.take(), sent);
+                assertThat(client.line()).isEqualTo("VA 5 Oc2");
+            }
+        }
+    }
+
+    @Test
+    void aRequestThatWaitedInTheListenersQueueIsToldWhatIsLeft() throws Exception {
+        try (ServeProcess proxy = new ServeProcess(folder)) {
+            BlockingQueue<Told> told = told(proxy);
+            proxy.start().pause();
+            try (ServeProcess.Client client = proxy.client()) {
+                long sent = client.send(read("d1"));
+                holdUp();
+                proxy.signal("CONT");
+                assertWithinWhatIsLeft(told.take(), sent);
+                assertThat(client.line()).isEqualTo("VA 5 Od1");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/ServeProcess.java
@@ -0,0 +1,148 @@
+package damsonworks;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import damsonworks.standin.ScriptedServer;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+
+/** The packaged program's {@code serve} as a process of its own, before servers that a test scripts. */
+final class ServeProcess implements AutoCloseable {
+    private final Path folder;
+    private final JsonObject config;
+    private final JsonArray hosts = new JsonArray();
+    private final List<ScriptedServer> servers = new ArrayList<>();
+    private final int port;
+    private Process process;
+
+    /** A request's connection to the proxy. */
+    static final class Client implements AutoCloseable {
+        private final Socket socket;
+        private final InputStream in;
+
+        Client(int port) throws IOException {
+            socket = new Socket(InetAddress.getByName("127.0.0.1"), port);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(20_000);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        /** Sends a line; the time when all of it was written, on the clock of {@link System#nanoTime}. */
+        long send(String line) throws IOException {
+            socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            return System.nanoTime();
+        }
+
+        String line() throws IOException {
+            return ScriptedServer.line(in);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    ServeProcess(Path folder) throws IOException {
+        this.folder = folder;
+        config = JsonParser.parseString(Files.readString(Path.of("src/test/resources/config.json"))).getAsJsonObject();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        config.addProperty("listen", "127.0.0.1:" + port);
+    }
+
+    ServeProcess node(ScriptedServer server) {
+        return server(server, "node-fast");
+    }
+
+    ServeProcess origin(ScriptedServer server) {
+        return server(server, "origin");
+    }
+
+    private ServeProcess server(ScriptedServer server, String kind) {
+        servers.add(server);
+        JsonObject host = new JsonObject();
+        host.addProperty("host", "s-%08x".formatted(servers.size()));
+        host.addProperty("dial", server.dial());
+        host.addProperty("site", "tan-thuan");
+        host.addProperty("class", kind);
+        host.addProperty("block", 0);
+        host.addProperty("health", "up");
+        host.addProperty("share", 1.0);
+        host.addProperty("born_ms", 0);
+        hosts.add(host);
+        return this;
+    }
+
+    /** Starts the process and waits until it takes clients. */
+    ServeProcess start() throws IOException {
+        config.getAsJsonObject("known").add("hosts", hosts);
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config.toString());
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-jar", "target/damsonworks.jar", "serve");
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        builder.redirectError(folder.resolve("stderr").toFile());
+        process = builder.start();
+        while (!ready()) {
+            if (!process.isAlive()) {
+                throw new IOException("ended: " + Files.readString(folder.resolve("stderr")));
+            }
+            LockSupport.parkNanos(5_000_000);
+        }
+        return this;
+    }
+
+    private boolean ready() {
+        try (Client client = client()) {
+            client.send("mn");
+            return "MN".equals(client.line());
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    Client client() throws IOException {
+        return new Client(port);
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        int code = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        if (code != 0) {
+            throw new IOException("kill -" + name + " ended with " + code);
+        }
+    }
+
+    /** Returns once the process stands still by SIGSTOP. */
+    void pause() throws IOException, InterruptedException {
+        signal("STOP");
+        Path stat = Path.of("/proc", Long.toString(process.pid()), "stat");
+        while (!Files.readString(stat).replaceAll(".*\\) ", "").startsWith("T")) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (process != null) {
+            signal("CONT");
+            process.destroyForcibly().waitFor();
+        }
+        for (ScriptedServer s : servers) {
+            s.close();
+        }
+    }
+}
