Tell the origin the time that is left, not the client's first deadline

CacheCodec rounded what was left up by as much as half a millisecond, and of a list that names d twice only the first was replaced. Change: DeadlineField finds the deadline's place once when the request is read; Command keeps the list's parts, for the line and for the header; Attempt.deadlineToTellMs reckons the figure for both codecs, rounded down, at each send. Later deadlines of a list are left out.

--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -37,8 +37,7 @@
             return channel.write(MetaCodec.text(channel.alloc(), probe));
         }
         Command command = attempt.exchange.command;
-        double left = attempt.untilMs - connection.core().now();
-        int leftMs = (int) Math.max(1, Math.min(Integer.MAX_VALUE, Math.round(left)));
+        int leftMs = attempt.deadlineToTellMs(connection.core().now());
         String as = attempt.owner.classAt(attempt.server);
         if (as != null) { // a sibling knows nothing of our classes, and has one of its own for such reads
             return channel.write(MetaCodec.text(channel.alloc(), "mg " + command.key + " v O" + command.id + " Pc=" + as + ",d=" + leftMs
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -273,18 +273,7 @@
 
     private static Command command(String line, String key, String id, String extras, int flags, boolean write) {
         int list = line.indexOf(" P", flags - 1) + 2;
-        int d = MetaCodec.valueAt(extras, "d");
-        if (d < 0) {
-            // Without a deadline ours goes in at the end of the list, not glued to whatever ends the line.
-            int listEnd = list + extras.length();
-            return new Command(key, id, write, extras, line.substring(0, listEnd) + ",d=", line.substring(listEnd));
-        }
-        int at = list + d;
-        int end = at;
-        while (end < line.length() && line.charAt(end) != ',' && line.charAt(end) != ' ') {
-            end++;
-        }
-        return new Command(key, id, write, extras, line.substring(0, at), line.substring(end));
+        return new Command(key, id, write, extras, line.substring(0, list), line.substring(list + extras.length()));
     }
 
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
--- a/src/main/java/damsonworks/proxy/Command.java
+++ b/src/main/java/damsonworks/proxy/Command.java
@@ -7,10 +7,15 @@
  * to get it, which is the client's own where that was of the same grammar.
  */
 public final class Command {
+    /** Of {@code mg} and {@code ms}, with the space. */
+    private static final int COMMAND_LENGTH = 3;
     final String key;
     final String id;
     final boolean write;
     final String extras;
+    /** The list up to the deadline's figure, and from there on. */
+    private final String extrasHead;
+    private final String extrasTail;
     /** The line for cache nodes up to the deadline's figure, and from there on. */
     final String head;
     final String tail;
@@ -29,21 +34,46 @@
     float bytes;
     boolean repeat;
 
-    Command(String key, String id, boolean write, String extras, String head, String tail) {
+    /**
+     * A request whose line for cache nodes is put together around its list.
+     *
+     * @param extras the list of names and values; of several deadlines in it the first counts
+     * @param lineHead the line up to the list
+     * @param lineTail the line after the list
+     */
+    Command(String key, String id, boolean write, String extras, String lineHead, String lineTail) {
         this.key = key;
         this.id = id;
         this.write = write;
-        this.extras = extras;
-        this.head = head;
-        this.tail = tail;
+        this.extras = DeadlineField.withoutRepeats(extras);
+        DeadlineField deadline = DeadlineField.in(this.extras);
+        extrasHead = deadline.before(this.extras);
+        extrasTail = deadline.after(this.extras);
+        head = lineHead + extrasHead;
+        tail = extrasTail + lineTail;
+    }
+
+    /** The same request for another key. */
+    private Command(Command of, String otherKey) {
+        key = otherKey;
+        id = of.id;
+        write = of.write;
+        extras = of.extras;
+        extrasHead = of.extrasHead;
+        extrasTail = of.extrasTail;
+        head = of.head.substring(0, COMMAND_LENGTH) + otherKey + of.head.substring(COMMAND_LENGTH + of.key.length());
+        tail = of.tail;
     }
 
     /** A request that no client sent in the nodes' own grammar. */
     static Command of(String key, String id, boolean write, int valueBytes, String extras) {
-        String list = extras.isEmpty() ? "d=" : extras + ",d=";
-        String head = write ? "ms " + key + " " + valueBytes + " O" + id + " P" + list
-                : "mg " + key + " v O" + id + " P" + list;
-        return new Command(key, id, write, extras, head, "");
+        return new Command(key, id, write, extras, write ? "ms " + key + " " + valueBytes + " O" + id + " P" : "mg " + key + " v O" + id + " P",
+                "");
+    }
+
+    /** The list with another deadline in place of the client's, or behind the list where that has none. */
+    String extras(int deadlineMs) {
+        return extrasHead + deadlineMs + extrasTail;
     }
 
     void value(ByteBuf of, int room) {
@@ -53,8 +83,7 @@
 
     /** The same request for another key. It shares the value and must be released, too. */
     public Command withKey(String other) {
-        Command c = new Command(other, id, write, extras, head.substring(0, 3) + other
-                + head.substring(3 + key.length()), tail);
+        Command c = new Command(this, other);
         if (value != null) {
             c.value = value.retainedDuplicate();
         }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -86,5 +86,14 @@
             this.sentMs = sentMs;
             this.untilMs = untilMs;
         }
+
+        /**
+         * The deadline that its server is told: whole milliseconds until the proxy stops waiting, never more than the client has left.
+         * To be reckoned anew each time that it is sent.
+         */
+        int deadlineToTellMs(double nowMs) {
+            double leftMs = Math.min(untilMs, exchange.dueMs) - nowMs;
+            return (int) Math.max(1, Math.min(Integer.MAX_VALUE, Math.floor(leftMs)));
+        }
     }
 }
--- a/src/main/java/damsonworks/proxy/OpenMeta.java
+++ b/src/main/java/damsonworks/proxy/OpenMeta.java
@@ -94,13 +94,7 @@
         if (write && keyed.contains(MetaCodec.named(extras, "c")) && MetaCodec.valueAt(extras, "k") < 0) {
             extras += ",k=" + id;
         }
-        int d = MetaCodec.valueAt(extras, "d");
-        if (d < 0) {
-            return Command.of(key, id, write, length, extras);
-        }
-        int end = extras.indexOf(',', d);
-        String head = (write ? "ms " + key + " " + length : "mg " + key + " v") + " O" + id + " P";
-        return new Command(key, id, write, extras, head + extras.substring(0, d), end < 0 ? "" : extras.substring(end));
+        return Command.of(key, id, write, length, extras);
     }
 
     private static String extras(String own, String defaults) {
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -76,7 +76,8 @@
                     : command.value.retainedSlice(0, command.value.readableBytes() - 2);
             request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     command.write ? HttpMethod.PUT : HttpMethod.GET, path, value);
-            request.headers().set("Req-Id", command.id).set("Req-Extra", command.extras);
+            request.headers().set("Req-Id", command.id).set("Req-Extra",
+                    command.extras(attempt.deadlineToTellMs(connection.core().now())));
             if (command.write) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
             }
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/DeadlineFieldTest.java
@@ -0,0 +1,46 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** The deadline's place in a request's list, wherever and however often the list names it. */
+class DeadlineFieldTest {
+    private static String told(String extras, int deadlineMs) {
+        return new Command("key", "1", false, extras, "mg key v O1 P", " q").extras(deadlineMs);
+    }
+
+    private static String line(String extras) {
+        Command c = new Command("key", "1", false, extras, "mg key v O1 P", " q");
+        return c.head + 7 + c.tail;
+    }
+
+    @Test
+    void theFigureIsReplacedWhereverItStands() {
+        assertThat(told("c=read,t=acme,d=480", 17)).isEqualTo("c=read,t=acme,d=17");
+        assertThat(told("d=480,c=read", 17)).isEqualTo("d=17,c=read");
+        assertThat(told("c=read,d=480.75,k=5c", 17)).isEqualTo("c=read,d=17,k=5c");
+        assertThat(line("c=read,d=480.75,k=5c")).isEqualTo("mg key v O1 Pc=read,d=7,k=5c q");
+    }
+
+    @Test
+    void aListWithoutOneGetsItAtItsEnd() {
+        assertThat(told("c=read", 17)).isEqualTo("c=read,d=17");
+        assertThat(told("", 17)).isEqualTo("d=17");
+        assertThat(line("c=read,id=5,dd=6")).isEqualTo("mg key v O1 Pc=read,id=5,dd=6,d=7 q");
+    }
+
+    @Test
+    void aSecondOneIsLeftOutSoThatNoServerReadsTheClientsFirstFigure() {
+        assertThat(told("d=480,c=read,d=480,d=900", 17)).isEqualTo("d=17,c=read");
+        assertThat(told("c=read,d=480,d=900,k=5c", 17)).isEqualTo("c=read,d=17,k=5c");
+        assertThat(line("c=read,d=480,d=900,k=5c")).isEqualTo("mg key v O1 Pc=read,d=7,k=5c q");
+    }
+
+    @Test
+    void anotherKeyKeepsTheListAndTheDeadlinesPlace() {
+        Command other = new Command("key", "1", false, "c=read,d=480,k=5c", "mg key v O1 P", " q").withKey("longer-key");
+        assertThat(other.head + 7 + other.tail).isEqualTo("mg longer-key v O1 Pc=read,d=7,k=5c q");
+        assertThat(other.extras(9)).isEqualTo("c=read,d=9,k=5c");
+    }
+}
