Log calls to discovery, and name a client's reset as the client's

Change: events for each call, answer and failure, with the list's age; resets are the client's. Measured: DiscoveryClientTest, ClientConnectionTest pass.

--- a/src/main/java/damsonworks/eventlog/ProxyEvent.java
+++ b/src/main/java/damsonworks/eventlog/ProxyEvent.java
@@ -22,6 +22,12 @@
     SERVER_DISCONNECTED,
     /** The server list has an entry with another state or start time. */
     SERVER_LISTED,
+    /** A call to discovery begins. */
+    DISCOVERY_CALLED,
+    /** A call to discovery has had a sound answer. */
+    DISCOVERY_ANSWERED,
+    /** A call to discovery has failed. */
+    DISCOVERY_FAILED,
     /** The process itself: draining, standby, reloaded. */
     STATE_CHANGED,
     /** An invariant was violated, or an action that would have violated one was stopped. */
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,9 @@
     /** What a connection that has been taken may need to bring its first command on a busy machine. */
     private static final double FIRST_MS = 500;
 
+    /** The cause of an end where the system told of an error on the connection. */
+    private static final String RESET = "reset";
+
     private final Core core;
     private final Front front;
     private final double place;
@@ -182,6 +186,11 @@
         ctx.flush();
     }
 
+    /** Whether this side ended it first; a reset is the client's. */
+    private boolean closedByUs() {
+        return finished || closeCause != null && !RESET.equals(closeCause);
+    }
+
     // ---- commands
 
     @Override
@@ -583,7 +592,7 @@
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         if (core.events.isEnabled()) {
             core.events.line(ProxyEvent.CLIENT_CLOSED).with("client", ctx.channel().remoteAddress())
-                    .with("by", closeCause == null && !finished ? "client" : "proxy").with("cause", closeCause == null ? "end" : closeCause)
+                    .with("by", closedByUs() ? "proxy" : "client").with("cause", closeCause == null ? "end" : closeCause)
                     .with("owed", slots.size()).with("unread", actualReadableBytes()).write();
         }
         closing = true;
@@ -616,7 +625,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        closeCause = cause.getClass().getSimpleName();
+        closeCause = cause instanceof IOException ? RESET : cause.getClass().getSimpleName();
         ctx.close();
     }
 }
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -8,6 +8,7 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.config.Addresses;
+import damsonworks.eventlog.ProxyEvent;
 import damsonworks.membership.ListDoubt;
 import damsonworks.membership.ListFreshness;
 import damsonworks.membership.ListNews;
@@ -187,6 +188,10 @@
         double dueAt = freshness.dueAt();
         if (dueAt <= now) {
             ListFreshness.Call call = freshness.begin(now);
+            if (core.events.isEnabled()) {
+                core.events.line(ProxyEvent.DISCOVERY_CALLED).with("at", address).with("since", fell ? 0 : version)
+                        .with("wait_ms", call.waitMs()).withMs("limit_ms", call.limitMs()).write();
+            }
             watchLine.call("/discovery/hosts?since=" + (fell ? 0 : version) + "&timeout_ms=" + call.waitMs(), call.limitMs(), this::watched);
         } else if (dueAt < Double.POSITIVE_INFINITY) {
             calling = core.after(dueAt - now, this::go);
@@ -248,9 +253,16 @@
         try {
             apply(need(json, why));
             freshness.answered(core.now());
+            if (core.events.isEnabled()) {
+                core.events.line(ProxyEvent.DISCOVERY_ANSWERED).with("version", version).write();
+            }
         } catch (RuntimeException e) {
             freshness.failed(core.now(), why == SILENT);
             int n = freshness.failures();
+            if (core.events.isEnabled()) {
+                core.events.line(ProxyEvent.DISCOVERY_FAILED).with("cause", e.getMessage()).with("failures", n)
+                        .withMs("age_ms", freshness.age(core.now())).withMs("next_ms", freshness.dueAt() - core.now()).write();
+            }
             if ((n & n - 1) == 0) { // the first, the second, the fourth: an outage must not take all the log's lines
                 dispatcher.log("discovery: " + e.getMessage() + (n > 1 ? ", " + n + " failures in a row" : ""));
             }
