Guard every attempt, answer and close by invariants, and count what is stopped or violated

What was decided when an attempt was placed may no longer hold when its first byte goes out: it may have waited for a connection, behind a long value or through a pause. Change: package invariant (pure): SendGuard looks at each attempt right before it begins (deadline open, client present, repeat window, single effect, single attempt, drain grace less 0.15 s of hold-up), in one place, Dispatcher.mayBegin, which all ways to a connection pass (UpstreamConnection.writeWaiting). InvariantMonitor counts by kind what was stopped and what was violated; a second answer, a close that owes an answer, a time longer than the client's are violations. Attempts wait while a connection is not writable, so that no time is told to stand behind a long value. Every test that uses Fleet fails by a violation. Left: the slow-start budget has no guard on the platform, as no capacity is told there; the daemon's ColdBudget is one.

--- a/src/main/java/damsonworks/eventlog/ProxyEvent.java
+++ b/src/main/java/damsonworks/eventlog/ProxyEvent.java
@@ -30,7 +30,9 @@
     DISCOVERY_FAILED,
     /** The process itself: draining, standby, reloaded. */
     STATE_CHANGED,
-    /** An invariant was violated, or an action that would have violated one was stopped. */
+    /** An action was stopped that would have violated an invariant. */
+    ACTION_STOPPED,
+    /** An invariant was violated. */
     INVARIANT_VIOLATED,
     /** Lines before this one are missing, as more came than are written in time. */
     LINES_DROPPED;
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -193,6 +193,12 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        connection.writabilityChanged();
+        ctx.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         super.channelInactive(ctx);
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.eventlog.ProxyEvent;
+import damsonworks.invariant.Invariant;
 import damsonworks.limits.ConnectionRoom;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -176,11 +177,21 @@
     }
 
     void close(String cause) {
+        checkOwed(cause);
         closeCause = cause;
         ctx.flush(); // an answer that is written and not flushed would be lost
         ctx.close();
     }
 
+    /** A close of our own owes nothing, but to a client that does not take the answer that has begun. */
+    private void checkOwed(String cause) {
+        for (Slot slot : slots) {
+            if (!slot.whole && !slot.begun) {
+                core.invariants.violation(Invariant.CLOSE_OWES_NOTHING, slot.echo.trim(), "its connection is closed, " + cause);
+            }
+        }
+    }
+
     private void flush() {
         flushing = false;
         ctx.flush();
@@ -404,6 +415,8 @@
         private ByteBuf answer;
         /** Whether all of the answer has come. */
         private boolean whole;
+        /** Whether some of a long answer has come. */
+        private boolean begun;
         /** Holds back the rest of a long answer. */
         private Flow source;
         private boolean streaming;
@@ -414,6 +427,11 @@
         }
 
         private void answer(ByteBuf buf) {
+            if (whole || begun) {
+                core.invariants.violation(Invariant.SINGLE_ANSWER, echo.trim(), "a second answer was dropped");
+                buf.release();
+                return;
+            }
             answer = buf;
             whole = true;
             handle = null;
@@ -464,6 +482,7 @@
         @Override
         public void begin(int length, Flow flow) {
             source = flow;
+            begun = true;
             int most = core.streamOpened();
             streaming = true;
             ctx.channel().config().setWriteBufferWaterMark(new WriteBufferWaterMark(most / 2, most));
@@ -574,6 +593,7 @@
         if (finished) {
             return;
         }
+        checkOwed("finished");
         finished = true;
         closing = true;
         ctx.flush();
--- a/src/main/java/damsonworks/proxy/Command.java
+++ b/src/main/java/damsonworks/proxy/Command.java
@@ -31,6 +31,8 @@
     /** The earliest that its last byte may have come; set by whoever read it, else by the intake. */
     double arrivedMs = Double.NaN;
     double dueMs;
+    /** When the client gives up, whatever others order; no server is told more than is left until then. */
+    double clientDueMs = Double.POSITIVE_INFINITY;
     double costMs;
     float bytes;
     boolean repeat;
@@ -92,6 +94,7 @@
         c.tenant = tenant;
         c.arrivedMs = arrivedMs;
         c.dueMs = dueMs;
+        c.clientDueMs = clientDueMs;
         c.costMs = costMs;
         c.bytes = bytes;
         c.repeat = repeat;
--- a/src/main/java/damsonworks/proxy/Core.java
+++ b/src/main/java/damsonworks/proxy/Core.java
@@ -1,6 +1,9 @@
 package damsonworks.proxy;
 
 import damsonworks.eventlog.EventLog;
+import damsonworks.eventlog.ProxyEvent;
+import damsonworks.invariant.Invariant;
+import damsonworks.invariant.InvariantMonitor;
 import damsonworks.proxy.Timers.Timer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -31,6 +34,8 @@
     final EventLoop loop;
     /** Off unless switched on; see {@link EventLog}. */
     public final EventLog events = EventLog.onStandardError(this::now);
+    /** Counts what was stopped or violated; used on the loop. */
+    public final InvariantMonitor invariants = new InvariantMonitor(new InvariantLog());
     final Servers servers;
     private final PollClock polls;
     /** The clients' ids of requests that have no answer yet; as many as there are such requests. */
@@ -250,6 +255,25 @@
         return logLines < MAX_LOG_LINES;
     }
 
+    /** What was stopped is an event of many; a violation is a line of its own, whether or not the event log is on. */
+    private final class InvariantLog implements InvariantMonitor.Listener {
+        @Override
+        public void stopped(Invariant invariant, String requestId, String reason) {
+            if (events.isEnabled()) {
+                events.line(ProxyEvent.ACTION_STOPPED).with("id", requestId).with("invariant", invariant.label()).with("reason", reason).write();
+            }
+        }
+
+        @Override
+        public void violated(Invariant invariant, String requestId, String reason) {
+            log("invariant violated: " + invariant.label() + ", request " + requestId + ": " + reason);
+            if (events.isEnabled()) {
+                events.line(ProxyEvent.INVARIANT_VIOLATED).with("id", requestId).with("invariant", invariant.label()).with("reason", reason)
+                        .write();
+            }
+        }
+    }
+
     /** A line on standard error; their number is bounded. */
     public void log(String line) {
         if (takesLines()) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -12,6 +12,8 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.eventlog.ProxyEvent;
+import damsonworks.invariant.Invariant;
+import damsonworks.invariant.SendGuard;
 import damsonworks.knowledge.Knowledge;
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
@@ -48,6 +50,7 @@
     private final Core core;
     private final Pool pool;
     private final Settings settings;
+    private final SendGuard sendGuard;
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
     private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
@@ -154,6 +157,7 @@
         this.core = core;
         this.pool = pool;
         settings = pool.settings();
+        sendGuard = new SendGuard(settings.drainGraceMs());
     }
 
     /** Starts the module; discovery and peers come to be used from here on. */
@@ -354,6 +358,7 @@
             }
             u.bornMs = h.member().bornMs();
             u.state = h.member().state();
+            u.leftMs = u.state == State.READY ? Double.POSITIVE_INFINITY : Math.min(u.leftMs, core.now());
         }
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
             Set<Integer> named = new HashSet<>();
@@ -375,6 +380,7 @@
     private void forget(int id) {
         Upstream u = upstreams.remove(id);
         if (u != null) {
+            u.leftMs = Math.min(u.leftMs, core.now());
             core.servers.release(u);
         }
     }
@@ -464,6 +470,7 @@
             return;
         }
         a.ended = true;
+        a.mayHaveRun = outcome.mayHaveRun();
         stop(a.timer);
         double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : core.now()) - a.sentMs;
         Exchange x = a.exchange;
@@ -650,6 +657,31 @@
         }
     }
 
+    /**
+     * The one place that every attempt of a request passes before its first byte, on whatever connection and however long it has waited
+     * for it. One that may not begin ends here as not sent.
+     */
+    boolean mayBegin(Attempt a) {
+        if (a.exchange == null) {
+            return true;
+        }
+        Invariant violated = sendGuard.violatedBy(a, core.now());
+        if (violated != null) {
+            core.invariants.stop(violated, a.exchange.command.id, "attempt " + a.index + " at " + name(a.server) + " was not begun");
+            end(a, Outcome.NOT_SENT, 0, null, null, null);
+            return false;
+        }
+        if (a.exchange.dueMs > a.exchange.command.clientDueMs) {
+            core.invariants.violation(Invariant.DEADLINE_WITHIN_CLIENTS, a.exchange.command.id, "its pool waits "
+                    + Math.round(a.exchange.dueMs - a.exchange.command.clientDueMs) + " ms longer than its client");
+        }
+        return true;
+    }
+
+    Effect effect(Exchange x) {
+        return settings.classes().get(x.command.serviceClass).effect();
+    }
+
     /** Ends an attempt that has not begun; one that has goes on. */
     private void withdraw(Attempt a) {
         if (!a.ended && !a.begun && a.connection != null) {
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -1,6 +1,8 @@
 package damsonworks.proxy;
 
+import damsonworks.RoutingApi.Effect;
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.invariant.SendFacts;
 import damsonworks.proxy.Timers.Timer;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,7 +56,7 @@
         dispatcher.gone(this);
     }
 
-    static final class Attempt {
+    static final class Attempt implements SendFacts {
         /** Null for a probe. */
         final Exchange exchange;
         final Dispatcher owner;
@@ -72,6 +74,8 @@
         boolean written;
         /** It has had its one outcome. */
         boolean ended;
+        /** Whether its outcome leaves open that it has run. */
+        boolean mayHaveRun;
         /** When the first bytes of a long answer came, else 0. */
         double firstByteMs;
         /** Who hears of a probe's end; null: the module. */
@@ -92,8 +96,60 @@
          * To be reckoned anew each time that it is sent.
          */
         int deadlineToTellMs(double nowMs) {
-            double leftMs = Math.min(untilMs, exchange.dueMs) - nowMs;
+            double leftMs = Math.min(deadlineMs(), exchange.command.clientDueMs) - nowMs;
             return (int) Math.max(1, Math.min(Integer.MAX_VALUE, Math.floor(leftMs)));
         }
+
+        @Override
+        public double deadlineMs() {
+            return Math.min(untilMs, exchange.dueMs);
+        }
+
+        @Override
+        public boolean abandoned() {
+            return exchange.over;
+        }
+
+        @Override
+        public double repeatUntilMs() {
+            return beginByMs;
+        }
+
+        @Override
+        public boolean singleEffect() {
+            return owner.effect(exchange) == Effect.UNSAFE;
+        }
+
+        @Override
+        public boolean earlierMayHaveRun() {
+            for (int i = 0; i < exchange.attempts.size(); i++) {
+                Attempt other = exchange.attempts.get(i);
+                if (other != this && other.begun && (!other.ended || other.mayHaveRun)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        @Override
+        public boolean earlierOut() {
+            for (int i = 0; i < exchange.attempts.size(); i++) {
+                Attempt other = exchange.attempts.get(i);
+                if (other != this && other.begun && !other.ended) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        @Override
+        public boolean secondCopiesAllowed() {
+            return owner.secondCopies();
+        }
+
+        @Override
+        public double serverLeftMs() {
+            return connection.serverLeftMs();
+        }
     }
 }
--- a/src/main/java/damsonworks/proxy/Intake.java
+++ b/src/main/java/damsonworks/proxy/Intake.java
@@ -40,6 +40,7 @@
             c.arrivedMs = core.now();
         }
         c.dueMs = c.arrivedMs + wait;
+        c.clientDueMs = c.dueMs;
         c.serviceClass = kind;
         c.tenant = tenant;
         c.costMs = figure(c, "h", Double.NaN) / 1000;
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -321,6 +321,12 @@
         connection.garbage(what);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        connection.writabilityChanged();
+        ctx.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         broken = true;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -188,6 +188,11 @@
         return loop.submit(listener::size).syncUninterruptibly().getNow();
     }
 
+    /** What was stopped and violated so far, in a line. */
+    String invariants() {
+        return loop.submit(core.invariants::summary).syncUninterruptibly().getNow();
+    }
+
     int inHand() {
         return loop.submit(dispatcher::inHand).syncUninterruptibly().getNow();
     }
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -25,6 +25,8 @@
     double bornMs;
     /** As the list has it; null before the first list. */
     State state;
+    /** Since when it is known to drain or to be gone; infinite: it is ready. */
+    double leftMs = Double.POSITIVE_INFINITY;
     /** How many pools have this server on their lists. */
     int holders;
     private final Core core;
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelFuture;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.List;
 
 /**
  * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
@@ -47,6 +46,8 @@
     private boolean retired;
     private boolean held;
     private int givenUp;
+    /** Attempts that have not begun; they stand behind those that have. */
+    private int waiting;
     private double idleSinceMs;
     private double progressMs;
     private boolean begun;
@@ -87,12 +88,11 @@
                 closed();
                 return;
             }
-            endStale(); // what this has the module order only queues here, as long as it does not count as connected
             connected = true;
             if (attempts.isEmpty()) {
                 idleSinceMs = upstream.core().now();
             }
-            attempts.forEach(this::write);
+            writeWaiting();
         });
     }
 
@@ -135,19 +135,54 @@
     void send(Attempt attempt) {
         attempt.connection = this;
         attempts.add(attempt);
-        if (connected && !reading) {
-            write(attempt);
+        waiting++;
+        writeWaiting();
+    }
+
+    /**
+     * Begins those that wait, in their order, for as long as the connection takes more: what is told of the time that is left holds for
+     * what goes out soon, not for what would stand behind a long value. What may not begin any more ends here.
+     */
+    private void writeWaiting() {
+        while (waiting > 0 && connected && !reading && !closed && channel.isActive() && channel.isWritable()) {
+            Attempt next = firstWaiting();
+            if (next.owner.mayBegin(next)) {
+                waiting--;
+                write(next);
+            } else {
+                withdraw(next);
+            }
         }
     }
 
-    /** Ends those that came too late to begin. */
-    private void endStale() {
-        double now = upstream.core().now();
-        for (Attempt a : List.copyOf(attempts)) {
-            if (!a.begun && now > a.beginByMs && attempts.remove(a)) {
-                a.owner.end(a, Outcome.NOT_SENT, 0, null, null, null);
+    private Attempt firstWaiting() {
+        if (waiting == 1 && !attempts.peekLast().begun) {
+            return attempts.peekLast();
+        }
+        for (Attempt a : attempts) {
+            if (!a.begun) {
+                return a;
             }
         }
+        throw new IllegalStateException("none of " + attempts.size() + " attempts waits");
+    }
+
+    private boolean withdraw(Attempt attempt) {
+        boolean there = attempts.remove(attempt);
+        if (there) {
+            waiting--;
+        }
+        return there;
+    }
+
+    /** The channel takes more again, or no more for now. */
+    void writabilityChanged() {
+        writeWaiting();
+    }
+
+    /** Since when its server is known to drain or to be gone; infinite: it is ready. */
+    double serverLeftMs() {
+        return upstream.leftMs;
     }
 
     private String name() {
@@ -186,7 +221,7 @@
 
     boolean giveUp(Attempt attempt) {
         if (!attempt.begun) {
-            return attempts.remove(attempt);
+            return withdraw(attempt);
         }
         if (attempts.contains(attempt) && ++givenUp == attempts.size()
                 && (retired || upstream.core().mayClose(attempt.owner.secondCopies()))) {
@@ -251,17 +286,8 @@
      * answer, right behind it, would pass for the answer of the next attempt, and the origin's bear no id.
      */
     void reading(boolean on) {
-        if (reading && !on) {
-            endStale();
-        }
         reading = on;
-        if (!on && channel.isActive()) {
-            for (Attempt a : attempts) {
-                if (!a.begun) {
-                    write(a);
-                }
-            }
-        }
+        writeWaiting();
     }
 
     /** The attempt whose answer comes next; null if none is out, so that what comes is not the protocol's. */
@@ -350,6 +376,7 @@
             upstream.core().events.line(ProxyEvent.SERVER_DISCONNECTED).with("server", name()).with("by", closedByUs ? "proxy" : "server")
                     .with("connected", connected).with("retired", retired).with("out", attempts.size()).write();
         }
+        waiting = 0;
         for (Attempt a; (a = attempts.poll()) != null;) {
             if (!a.begun && !a.ended && (connected ? upstream.send(a) : upstream.sendElsewhere(a))) {
                 continue;
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -13,7 +13,7 @@
     private static final String[] DECISIONS = {"damsonworks.placement..", "damsonworks.limits..", "damsonworks.routes..", "damsonworks.lifecycle..",
         "damsonworks.nginx..", "damsonworks.knowledge..", "damsonworks.siblings..", "damsonworks.membership..", "damsonworks.connections..",
         "damsonworks.model..", "damsonworks.rig.plan..", "damsonworks.rig.check..",
-        "damsonworks.lease..", "damsonworks.peers..", "damsonworks.trials..", "damsonworks.quota.."};
+        "damsonworks.lease..", "damsonworks.peers..", "damsonworks.trials..", "damsonworks.quota..", "damsonworks.invariant.."};
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("damsonworks");
 
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -1,5 +1,7 @@
 package damsonworks.proxy;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import damsonworks.standin.ScriptedServer;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
@@ -137,7 +139,9 @@
     @Override
     public void close() throws Exception {
         if (proxy != null) {
+            String invariants = proxy.invariants();
             proxy.close();
+            assertThat(invariants).as("invariants").startsWith("violations=0 ");
         }
         for (AutoCloseable part : parts) {
             part.close();
