Reload and switch the event log by the control address, and close clients that stop midway in 3 s

Need: under nohup SIGHUP is ignored by inheritance, a JVM then installs no handler, and nothing said so; a violation has to be seen by operators; a client that had asked before and stopped in the middle of a later command kept its connection for 10 s where 3 s are owed. Change: one log line at the start where SIGHUP is ignored; POST /reload, POST /events/on and off, GET /invariants at the control address of serve and run. GET /status keeps its one word. Clients that stop midway end after 2.6 s without a byte, after the answers to what they asked whole.

--- a/src/main/java/damsonworks/cli/RunCommand.java
+++ b/src/main/java/damsonworks/cli/RunCommand.java
@@ -42,7 +42,10 @@
             e.errors().forEach(err::println);
             return Cli.UNUSABLE;
         }
-        Hangup.run(() -> reload(daemon, err));
+        daemon.reloadBy(() -> reload(daemon, err));
+        if (!Hangup.run(() -> reload(daemon, err))) {
+            err.println(Hangup.IGNORED);
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain));
         daemon.addresses().forEach((name, address) -> err.println("listening on " + address.getAddress().getHostAddress()
                 + ":" + address.getPort() + " (" + name + ")"));
--- a/src/main/java/damsonworks/control/Calls.java
+++ b/src/main/java/damsonworks/control/Calls.java
@@ -11,9 +11,10 @@
  * @param state its state in a word
  * @param standby sends clients away; false where that can't be had
  * @param active takes clients again; false where that can't be had
+ * @param diagnostics what answers the calls of {@link DiagnosticCalls}
  */
 public record Calls(BooleanSupplier takesClients, Supplier<String> state, BooleanSupplier standby,
-        BooleanSupplier active) implements CallHandler {
+        BooleanSupplier active, DiagnosticCalls diagnostics) implements CallHandler {
 
     /**
      * An answer: 2xx is yes, 4xx and 5xx no.
@@ -31,13 +32,16 @@
     public Answer call(String method, String uri) {
         int query = uri.indexOf('?');
         String path = query < 0 ? uri : uri.substring(0, query);
+        if (DiagnosticCalls.method(path) != null) {
+            return diagnostics.call(method, uri);
+        }
         String needed = switch (path) {
             case "/status" -> "GET";
             case "/standby", "/active" -> "POST";
             default -> null;
         };
         if (needed == null) {
-            return new Answer(404, "the calls are GET /status, POST /standby and POST /active");
+            return new Answer(404, "the calls are GET /status, POST /standby, POST /active, " + DiagnosticCalls.NAMES);
         }
         if (!needed.equals(method)) {
             return new Answer(405, "use " + needed + " " + path, needed);
--- a/src/main/java/damsonworks/daemon/ControlPart.java
+++ b/src/main/java/damsonworks/daemon/ControlPart.java
@@ -4,6 +4,7 @@
 import damsonworks.config.ControlSection;
 import damsonworks.config.DaemonFile;
 import damsonworks.control.CallHandler;
+import damsonworks.control.DiagnosticCalls;
 import damsonworks.control.Calls.Answer;
 import damsonworks.control.Door;
 import damsonworks.proxy.Transport;
@@ -19,22 +20,24 @@
     private final ControlSection spec;
     private final Door door;
     private final Map<String, Supplier<CallHandler>> others;
+    private final DiagnosticCalls diagnostics;
     private boolean draining;
 
-    private ControlPart(ControlSection spec, EventLoop loop, Map<String, Supplier<CallHandler>> others) {
+    private ControlPart(ControlSection spec, EventLoop loop, Map<String, Supplier<CallHandler>> others, DiagnosticCalls diagnostics) {
         this.spec = spec;
+        this.diagnostics = diagnostics;
         this.others = others;
         door = new Door(loop, Transport.BEST.server(), this::call);
     }
 
     /** @param others what answers calls whose path is such a word, or begins with it and a slash; a supplier of null: nothing does */
-    static Part open(DaemonFile file, Part before, EventLoop loop, Map<String, Supplier<CallHandler>> others) throws ConfigException,
-            InterruptedException {
+    static Part open(DaemonFile file, Part before, EventLoop loop, Map<String, Supplier<CallHandler>> others, DiagnosticCalls diagnostics)
+            throws ConfigException, InterruptedException {
         ControlSection spec = file.part(ControlSection.class);
         if (spec == null) {
             return null;
         }
-        ControlPart part = new ControlPart(spec, loop, others);
+        ControlPart part = new ControlPart(spec, loop, others, diagnostics);
         Binding.require(part.door.bind(spec.listen()), file, "control", spec.listen());
         return part;
     }
@@ -46,6 +49,9 @@
             return !method.equals("GET") ? new Answer(405, "use GET /status", "GET") : draining ? new Answer(503, "draining")
                     : new Answer(200, "active");
         }
+        if (DiagnosticCalls.method(path) != null) {
+            return diagnostics.call(method, uri);
+        }
         List<String> words = new ArrayList<>(List.of("/status"));
         for (Map.Entry<String, Supplier<CallHandler>> e : others.entrySet()) {
             CallHandler handler = e.getValue().get();
@@ -56,7 +62,7 @@
                 words.add(e.getKey());
             }
         }
-        return new Answer(404, "the calls are GET " + String.join(", GET ", words));
+        return new Answer(404, "the calls are GET " + String.join(", GET ", words) + ", " + DiagnosticCalls.NAMES);
     }
 
     InetSocketAddress address() {
--- a/src/main/java/damsonworks/daemon/Daemon.java
+++ b/src/main/java/damsonworks/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import damsonworks.knowledge.Recollection;
 import damsonworks.limits.Births;
 import damsonworks.limits.ColdBudget;
+import damsonworks.control.DiagnosticCalls;
 import damsonworks.proxy.Clients;
 import damsonworks.proxy.Core;
 import damsonworks.proxy.DrainLoop;
@@ -66,6 +67,7 @@
     private final List<Generation> older = new ArrayList<>();
     private final CountDownLatch ready = new CountDownLatch(1);
     private ColdBudget cold;
+    private volatile Runnable reload;
     /** Whose memory counts where there is none of one's own; null: nobody's. Only at the start. */
     private Path seedFrom;
     private final Parts parts;
@@ -95,7 +97,24 @@
                 (f, before) -> HooksPart.open(f, core),
                 (f, before) -> SiblingSocket.open(f, before, core, seeds.nextInt(), router::generation),
                 (f, before) -> FleetPart.open(f, before, core, seeds.nextLong(), router::generation),
-                (f, before) -> ControlPart.open(f, before, loop, FleetPart.answers(() -> part(FleetPart.class)))));
+                (f, before) -> ControlPart.open(f, before, loop, FleetPart.answers(() -> part(FleetPart.class)),
+                        new DiagnosticCalls(core.invariants::summary, core.events::enabled, this::reloadElsewhere))));
+    }
+
+    /** What {@code POST /reload} of the control address does, on a thread of its own. Null: nothing. */
+    public void reloadBy(Runnable task) {
+        reload = task;
+    }
+
+    private boolean reloadElsewhere() {
+        Runnable task = reload;
+        if (task == null) {
+            return false;
+        }
+        Thread reader = new Thread(task, "reload");
+        reader.setDaemon(true);
+        reader.start();
+        return true;
     }
 
     private <T extends Part> T part(Class<T> kind) {
--- a/src/main/java/damsonworks/eventlog/EventLog.java
+++ b/src/main/java/damsonworks/eventlog/EventLog.java
@@ -82,6 +82,15 @@
         }
     }
 
+    /** Switches it on or off. */
+    public void enabled(boolean on) {
+        if (on) {
+            enable();
+        } else {
+            disable();
+        }
+    }
+
     /** Takes no more lines; those that wait are still written. */
     public void disable() {
         enabled = false;
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -30,7 +30,7 @@
     private static final double STALLED_MS = 10_000;
     /** A client asks as soon as it has connected; one that has not by then is owed a close within 3 s. */
     private static final double SILENT_MS = 2000;
-    /** One that has begun may take 2 s to write its first command. */
+    /** One that has begun may take 2 s to write its first command; one that stops in the middle of any is owed a close within 3 s. */
     private static final double SLOW_MS = 2600;
     /** What a connection that has been taken may need to bring its first command on a busy machine. */
     private static final double FIRST_MS = 500;
@@ -142,12 +142,23 @@
      * that waits for its answer is not stalled, as long as that may take.
      */
     boolean stalled(double now) {
-        return now - activeMs > STALLED_MS && (finished || awaitsClient())
+        return now - activeMs > STALLED_MS && (finished || unwritten())
+                || now - activeMs > SLOW_MS && midway()
                 || !asked && now - acceptedMs > (idle() ? SILENT_MS : SLOW_MS);
     }
 
-    private boolean awaitsClient() {
-        return incoming != null || actualReadableBytes() > 0 && !readPaused || unwritten();
+    /** Ends one that is stalled; what it has asked whole before is answered first. */
+    void endStalled() {
+        if (slots.stream().anyMatch(Slot::owed)) {
+            takeNoMore();
+        } else {
+            close("stalled");
+        }
+    }
+
+    /** Whether a command has begun and is not whole. */
+    private boolean midway() {
+        return incoming != null || actualReadableBytes() > 0 && !readPaused;
     }
 
     /** Whether it lingers: our side has ended it, and its client has not yet. */
@@ -186,7 +197,7 @@
     /** A close of our own owes nothing, but to a client that does not take the answer that has begun. */
     private void checkOwed(String cause) {
         for (Slot slot : slots) {
-            if (!slot.whole && !slot.begun) {
+            if (slot.owed()) {
                 core.invariants.violation(Invariant.CLOSE_OWES_NOTHING, slot.echo.trim(), "its connection is closed, " + cause);
             }
         }
@@ -426,6 +437,11 @@
             this.receipts = receipts;
         }
 
+        /** Whether its client has nothing of its answer yet. */
+        private boolean owed() {
+            return !whole && !begun;
+        }
+
         private void answer(ByteBuf buf) {
             if (whole || begun) {
                 core.invariants.violation(Invariant.SINGLE_ANSWER, echo.trim(), "a second answer was dropped");
--- a/src/main/java/damsonworks/proxy/Clients.java
+++ b/src/main/java/damsonworks/proxy/Clients.java
@@ -68,7 +68,7 @@
         double now = core.now();
         for (ClientConnection c : List.copyOf(all)) {
             if (c.stalled(now)) {
-                c.close("stalled");
+                c.endStalled();
             }
         }
         if (all.size() > max) {
--- a/src/main/java/damsonworks/proxy/Operations.java
+++ b/src/main/java/damsonworks/proxy/Operations.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.control.Calls;
+import damsonworks.control.DiagnosticCalls;
 import damsonworks.control.Door;
 import damsonworks.handover.Handover;
 import damsonworks.lifecycle.Lifecycle;
@@ -14,6 +15,7 @@
 import java.util.Locale;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * What operators do with a running proxy: ask it whether it takes clients, send them away and call them back, and start
@@ -34,23 +36,25 @@
     private Handover handover;
     private Future<?> looking;
 
-    private Operations(EventLoop loop, Core core, Lifecycle lifecycle, Listener listener) {
+    private Operations(EventLoop loop, Core core, Lifecycle lifecycle, Listener listener, BooleanSupplier reload) {
         this.loop = loop;
         this.core = core;
         this.lifecycle = lifecycle;
         this.listener = listener;
         door = new Door(loop, Transport.BEST.server(), new Calls(() -> lifecycle.state() == State.ACTIVE,
-                () -> lifecycle.state().name().toLowerCase(Locale.ROOT), this::standby, this::active));
+                () -> lifecycle.state().name().toLowerCase(Locale.ROOT), this::standby, this::active,
+                new DiagnosticCalls(core.invariants::summary, core.events::enabled, reload)));
     }
 
     /**
      * Takes clients, from a running process at the same address if there is one, and then calls of operators.
      *
      * @param folder one that this process shares with its next version
+     * @param reload has the configuration read again; false where there is none
      */
     static Operations start(EventLoop loop, Core core, Lifecycle lifecycle, Listener listener, InetSocketAddress listen,
-            InetSocketAddress control, Path folder) throws InterruptedException {
-        Operations o = new Operations(loop, core, lifecycle, listener);
+            InetSocketAddress control, Path folder, BooleanSupplier reload) throws InterruptedException {
+        Operations o = new Operations(loop, core, lifecycle, listener, reload);
         Path path = Handover.path(folder, listen.getPort());
         Handover.Taken taken = Epoll.isAvailable() ? Handover.take(loop, path, TAKE_MS) : null;
         if (taken != null) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -36,6 +36,8 @@
     private final Lifecycle lifecycle = new Lifecycle(Periods.USUAL);
     /** Null where no control address is configured. */
     private final Operations operations;
+    /** The file that a reload reads; null: none. */
+    private volatile String reloadFrom;
 
     private Proxy(Config config, boolean warm) throws InterruptedException {
         this.config = config;
@@ -62,10 +64,22 @@
             operations = null;
         } else {
             operations = Operations.start(loop, core, lifecycle, listener, config.listen(), config.control(),
-                    folder());
+                    folder(), this::reloadElsewhere);
         }
     }
 
+    /** Files are not read on the loop. */
+    private boolean reloadElsewhere() {
+        String path = reloadFrom;
+        if (path == null) {
+            return false;
+        }
+        Thread reader = new Thread(() -> reload(path), "reload");
+        reader.setDaemon(true);
+        reader.start();
+        return true;
+    }
+
     private void heard(int peer, byte[] message) {
         if (!ListNews.is(message)) {
             dispatcher.heard(peer, message);
@@ -83,10 +97,15 @@
     public static void main() {
         NettyDefaults.apply();
         Config config = configuration();
+        String path = System.getenv("BALANCER_CONFIG");
         try {
-            Hangup.run(() -> { });
+            boolean heard = Hangup.run(() -> { });
             Proxy proxy = new Proxy(config, true);
-            Hangup.run(() -> proxy.reload(System.getenv("BALANCER_CONFIG")));
+            if (!heard) {
+                proxy.core.log(Hangup.IGNORED);
+            }
+            Hangup.run(() -> proxy.reload(path));
+            proxy.reloadFrom = path;
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
         } catch (Exception e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
@@ -112,11 +131,7 @@
     /** The configuration may switch the event log; where it says nothing, the log stays as it is. */
     private void useEventLog(Config read) {
         if (read.eventLog() != null) {
-            if (read.eventLog()) {
-                core.events.enable();
-            } else {
-                core.events.disable();
-            }
+            core.events.enabled(read.eventLog());
         }
     }
 
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -131,6 +131,41 @@
         }
     }
 
+    /** As under nohup: the JVM leaves an ignored SIGHUP ignored, so that a signal is no way to a new configuration. */
+    @Test
+    void whereSighupIsIgnoredItSaysSoAndReloadsByTheControlAddress() throws Exception {
+        try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            int control = freePort();
+            Path config = withControl(freePort(), control);
+            ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" -jar target/damsonworks.jar serve",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString());
+            builder.environment().put("TMPDIR", folder.toString());
+            builder.environment().put("BALANCER_CONFIG", config.toString());
+            Path errors = folder.resolve("errors");
+            Process process = builder.redirectError(errors.toFile()).start();
+            try {
+                awaitYes(control, process);
+                assertThat(Files.readString(errors)).contains("SIGHUP is ignored").contains("POST /reload");
+                Files.writeString(config, Files.readString(config).replace("\"discovery\": \"127.0.0.1:9\"",
+                        "\"event_log\": true, \"discovery\": \"127.0.0.1:" + discovery.getLocalPort() + "\""));
+                hangup(process);
+                assertThat(call(control, "GET /status")).contains(" 200 ");
+                assertThat(call(control, "POST /reload")).contains(" 202 ");
+                discovery.setSoTimeout(60_000);
+                try (Socket call = discovery.accept()) {
+                    assertThat(new BufferedReader(new InputStreamReader(call.getInputStream())).readLine())
+                            .startsWith("GET /discovery/hosts?since=0&");
+                }
+                assertThat(call(control, "GET /invariants")).contains(" 200 ");
+                process.destroy();
+                assertThat(process.waitFor(60, TimeUnit.SECONDS)).isTrue();
+                assertThat(Files.readString(errors)).contains("state_changed").contains("state=reloaded").contains("discovery_called");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     /** The first line of the control address's answer; empty where there is none yet. */
     private static String call(int port, String line) {
         try (Socket s = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -114,6 +114,34 @@
         }
     }
 
+    /** Whoever stops in the middle of a command and stays is owed a close within 3 s, also one that has asked before. */
+    @Test
+    void aClientThatStopsInTheMiddleOfALaterCommandIsClosedAndWhatItAskedBeforeIsAnswered() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(c -> {
+            String first = c.command();
+            c.say(hit(first));
+            String second = c.command();
+            stopped.await();
+            c.say(hit(second));
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client idle = fleet.client(); Fleet.Client owed = fleet.client()) {
+            idle.read("1");
+            assertThat(idle.line()).isEqualTo("VA 5 O1");
+            assertThat(idle.line()).isEqualTo("hello");
+            long begun = System.nanoTime();
+            owed.say("mg 7f3a9c21e0b4d655 v O2 Pc=text,d=20000\r\nmg 7f3a9c");
+            idle.say("ms 7f3a 5 O3 Pc=fix,d=20000\r\nhe");
+            assertThat(idle.ended()).isTrue();
+            assertThat((System.nanoTime() - begun) / 1e9).as("seconds; 10 would be those of an answer that is not taken").isLessThan(6);
+            stopped.countDown();
+            assertThat(owed.line()).isEqualTo("VA 5 O2");
+            assertThat(owed.line()).isEqualTo("hello");
+            assertThat(owed.ended()).isTrue();
+        }
+    }
+
     @Test
     void brokenCommandsAreToldAndOnlyLostFramingEndsTheConnection() throws Exception {
         try (Fleet fleet = new Fleet().node(ScriptedServer.node(ClientConnectionTest::hit)).start()) {
