Reckon a server's age by what lists tell of starts, not by the proxy's wall clock

Change: limits.StartTimes holds by how much the lists' clock is ahead of ours at the least, from the start whose news came soonest; the newest start of a first list counts as just now. No wall clock is compared. A start seen as a change is never taken for more than 3 s old when its news comes. ColdBudget tells starts apart by born_ms and reckons by that age.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,6 +1,7 @@
 package damsonworks;
 
 import damsonworks.knowledge.Knowledge;
+import damsonworks.limits.StartTimes;
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
 import damsonworks.placement.Placement;
@@ -42,6 +43,8 @@
     private Server[] ranked = new Server[0];
     private final Placement.Factory placements;
     private final Admission admission;
+    private final StartTimes starts = new StartTimes();
+    private boolean listed;
     private final Siblings siblings;
     private Placement placement;
     private int[] top = new int[RANKS];
@@ -69,6 +72,8 @@
         boolean probed;
         /** Whether its failures are only remembered: this instance has seen none of its answers yet. */
         boolean recalled;
+        /** When it was seen to have started since an earlier list; negative infinity: it was on the first. */
+        double changedMs = Double.NEGATIVE_INFINITY;
 
         Server(int id) {
             this.id = id;
@@ -335,6 +340,7 @@
             members.forEach(m -> named.add(m.id()));
             servers.values().removeIf(s -> !named.contains(s.id));
         }
+        starts.listed(now, members);
         for (Member m : members) {
             if (m.state() == State.GONE) {
                 servers.remove(m.id());
@@ -345,8 +351,12 @@
                 s.failures = 0;
                 s.shunnedUntil = 0;
             }
+            if (listed && (s.member == null || s.member.bornMs() != m.bornMs())) {
+                s.changedMs = now;
+            }
             s.member = m;
         }
+        listed |= !servers.isEmpty();
         rank();
     }
 
@@ -756,17 +766,20 @@
         if (f.attempts > 0 || f.spread > 1) {
             return false;
         }
-        double age = now - s.member.bornMs();
+        double started = starts.startedMs(s.member.bornMs(), s.changedMs);
+        double age = now - started;
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         double ramp = capacity / Math.min(MOST_CROWDED, crowd.pressure(now));
         // Each takes its part by chance: of keys chosen alike by all, a new hot one would come from all. Who
         // has just started takes each hot key for a new one, and lets few in until it has seen some requests.
         double part = hot.own * s.share * (f.seen > 1 ? LATER_SIGHT : FIRST_SIGHT);
-        return random.nextDouble() < ramp * Math.min(1, part / f.seen) && admission.cold(now, s.member);
+        return random.nextDouble() < ramp * Math.min(1, part / f.seen)
+                && admission.cold(now, s.member, started);
     }
 
     private boolean cold(double now, Server s) {
-        return s.member.bornMs() != 0 && now - s.member.bornMs() < cfg.warmUpMs();
+        return s.member.bornMs() != 0
+                && now - starts.startedMs(s.member.bornMs(), s.changedMs) < cfg.warmUpMs();
     }
 
     // ---- ends of attempts
--- a/src/main/java/damsonworks/limits/ColdBudget.java
+++ b/src/main/java/damsonworks/limits/ColdBudget.java
@@ -66,9 +66,9 @@
         }
     }
 
-    /** Requests a millisecond that this proxy may send to the server, born then, by now. */
-    private double perMs(int server, double bornMs, double now) {
-        double age = Math.max(0, now - bornMs);
+    /** Requests a millisecond that this proxy may send to the server, started then, by now. */
+    private double perMs(int server, double startedMs, double now) {
+        double age = Math.max(0, now - startedMs);
         double warm = figures.warmUpMs() > 0 ? Math.min(1, age / figures.warmUpMs()) : 1;
         double part = figures.startCapacity() + (1 - figures.startCapacity()) * warm;
         return rates.getOrDefault(server, figures.unknownRate()) * part / 1000 / figures.instances();
@@ -76,8 +76,18 @@
 
     /** Whether a server that started then may be sent one more request; if so it counts as sent. */
     public boolean take(double now, int server, double bornMs) {
+        return take(now, server, bornMs, bornMs);
+    }
+
+    /**
+     * The same where lists tell starts by another clock.
+     *
+     * @param bornMs as the list tells it: another one is another start
+     * @param startedMs when that was, on the caller's clock
+     */
+    public boolean take(double now, int server, double bornMs, double startedMs) {
         Bucket b = buckets.computeIfAbsent(server, s -> new Bucket());
-        double perMs = perMs(server, bornMs, now);
+        double perMs = perMs(server, startedMs, now);
         double most = Math.max(1, perMs * figures.fallMs() * BURST_SPANS);
         if (b.bornMs != bornMs) {
             b.bornMs = bornMs;
--- a/src/main/java/damsonworks/limits/PoolAdmission.java
+++ b/src/main/java/damsonworks/limits/PoolAdmission.java
@@ -26,8 +26,8 @@
     }
 
     @Override
-    public boolean cold(double now, Member server) {
-        return cold.take(now, server.id(), server.bornMs());
+    public boolean cold(double now, Member server, double startedMs) {
+        return cold.take(now, server.id(), server.bornMs(), startedMs);
     }
 
     @Override
--- a/src/main/java/damsonworks/placement/Admission.java
+++ b/src/main/java/damsonworks/placement/Admission.java
@@ -11,8 +11,12 @@
     /** No bounds but the module's own. */
     Admission OPEN = new Admission() { };
 
-    /** Whether a server that is cold may be sent one more request now; if so it counts as sent. */
-    default boolean cold(double now, Member server) {
+    /**
+     * Whether a server that is cold may be sent one more request now; if so it counts as sent.
+     *
+     * @param startedMs when it started, on the module's clock
+     */
+    default boolean cold(double now, Member server, double startedMs) {
         return true;
     }
 
