Soak processes under overlapping faults, and bound what waited in the accept queue

Change: SoakIT plays rounds by a seed: processes of serve before nodes and an origin that record what they are told and misbehave (late, misses, refusals, resets, requests dropped, hangs, idle closes), under clients that pipeline, write in pieces, leave and stop midway, while processes are stopped, killed, ended and moved between two discoveries and servers drain and join. SoakJudge holds the history against deadline, client gone, drain, single effect, one answer, and what the processes say of themselves. Netty accepts one connection a turn of the loop with this kind of channel, so that the last of the queue was accepted turns after the pause, when nothing pointed to it any more. The listener now accepts up to 64 a turn until the queue is empty, and knows whether it has seen it so.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -83,7 +83,7 @@
         /** Whether clients that ask are told to come. */
         boolean takesClients();
 
-        /** Since when a connection that is accepted now may have waited for that; infinite where it has not. */
+        /** Since when a connection that is accepted now may have waited for that. */
         double queuedSinceMs();
 
         /** Nothing is open on one any more. */
@@ -114,7 +114,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         ctx = context;
-        heldSinceMs = Math.min(core.unreadSinceMs(), front.queuedSinceMs());
+        heldSinceMs = front.queuedSinceMs();
         heldUntilTurn = core.turn();
         unreadSinceMs = heldSinceMs;
         acceptedMs = core.now();
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.unix.UnixChannelOption;
@@ -21,6 +22,8 @@
 /** An address where clients connect, and the clients that came there. */
 public final class Listener implements ClientConnection.Front {
     private static final int BACKLOG = 512;
+    /** Connections accepted in a turn of the loop at the most; fewer have left the system's queue empty. */
+    private static final int MAX_ACCEPTS = 64;
 
     private final Core core;
     private final Clients clients;
@@ -37,7 +40,8 @@
     private long accepted;
     /** Since when connections may have waited in the system's queue, until it has been seen empty; infinite where none has. */
     private double queuedSinceMs = Double.POSITIVE_INFINITY;
-    private long queueTurn;
+    private long acceptTurn;
+    private int acceptedInTurn;
 
     /** @param open what stock clients' commands are given; null for the platform's clients */
     public Listener(Core core, Clients clients, RequestHandler handler, OpenMeta open) {
@@ -109,6 +113,8 @@
 
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(core.loop)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
+                        .maxMessagesPerRead(MAX_ACCEPTS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.reads())
@@ -136,9 +142,10 @@
     void accept(boolean on) {
         if (channel.config().isAutoRead() != on) {
             if (!on) {
-                queuedSinceMs = core.now();
+                queuedSinceMs = Math.min(queuedSinceMs, core.now());
             }
-            queueTurn = core.turn();
+            acceptTurn = core.turn();
+            acceptedInTurn = MAX_ACCEPTS; // what came while none was accepted is still there
             channel.config().setAutoRead(on);
         }
     }
@@ -218,13 +225,18 @@
         return client.place() < endsUnder;
     }
 
-    /** A turn in which nothing was accepted has seen the queue empty. */
+    /** A turn that has accepted fewer than it may, or none, has seen the queue empty. */
     @Override
     public double queuedSinceMs() {
-        if (!core.follows(queueTurn)) {
-            queuedSinceMs = Double.POSITIVE_INFINITY;
+        if (core.turn() != acceptTurn || core.turn() == 0) {
+            if (acceptedInTurn < MAX_ACCEPTS || !core.follows(acceptTurn)) {
+                queuedSinceMs = Double.POSITIVE_INFINITY;
+            }
+            acceptTurn = core.turn();
+            acceptedInTurn = 0;
         }
-        queueTurn = core.turn();
+        acceptedInTurn++;
+        queuedSinceMs = Math.min(queuedSinceMs, core.unreadSinceMs());
         return queuedSinceMs;
     }
 
--- /dev/null
+++ b/src/test/java/damsonworks/soak/SoakHistory.java
@@ -0,0 +1,55 @@
+package damsonworks.soak;
+
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** What clients, servers and the fault injector have seen in a round, all on this process's {@link System#nanoTime}. */
+final class SoakHistory {
+    /** Effects of a request's class. */
+    enum Effect { SAFE, SINGLE }
+
+    /** One request as its client saw it; fields are written by its client's thread and read once the round is over. */
+    static final class Request {
+        final String id;
+        final int proxy;
+        final Effect effect;
+        final int waitMs;
+        /** The longest wait of those before it on its connection and its own: answers come in order. */
+        volatile int orderedWaitMs;
+        volatile long beganNanos;
+        /** When the last byte was handed to the system; 0: it never was. */
+        volatile long sentNanos;
+        /** When the client closed its connection before the answer; 0: it did not. */
+        volatile long closedNanos;
+        /** When the last byte of the answer came; 0: none. */
+        volatile long answeredNanos;
+        /** When the connection ended by the proxy's side without an answer; 0: it did not. */
+        volatile long cutNanos;
+
+        Request(String id, int proxy, Effect effect, int waitMs) {
+            this.id = id;
+            this.proxy = proxy;
+            this.effect = effect;
+            this.waitMs = waitMs;
+            orderedWaitMs = waitMs;
+        }
+    }
+
+    /** A command that came whole to a server. */
+    record Arrival(String id, String server, long atNanos, double toldMs, boolean runs) { }
+
+    /** A span in which a proxy's process was stopped, ending or not there: what its clients see then is not the proxy's fault. */
+    record Outage(int proxy, long fromNanos, long toNanos) { }
+
+    final Map<String, Request> requests = new ConcurrentHashMap<>();
+    final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+    final Queue<Outage> outages = new ConcurrentLinkedQueue<>();
+    /** From when on nobody may be sent anything, by server. */
+    final Map<String, Long> leftNanos = new ConcurrentHashMap<>();
+    /** What a process said of itself that is a fault. */
+    final Queue<String> complaints = new ConcurrentLinkedQueue<>();
+    /** The longest time by which this process's own loop and threads were late. */
+    volatile long lateNanos;
+}
--- /dev/null
+++ b/src/test/java/damsonworks/soak/SoakIT.java
@@ -0,0 +1,88 @@
+package damsonworks.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.soak.SoakHistory.Arrival;
+import damsonworks.soak.SoakHistory.Effect;
+import damsonworks.soak.SoakHistory.Request;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The soak: random, overlapping faults over processes of the packaged program, judged by the invariants from outside. CI plays a short
+ * form of fixed seeds. In full: {@code mvn failsafe:integration-test -Dit.test=SoakIT -Dsoak.first=1 -Dsoak.rounds=40 -Dsoak.proxies=30
+ * -Dsoak.seconds=60}.
+ */
+class SoakIT {
+    private static final int FIRST = Integer.getInteger("soak.first", 1);
+    private static final int ROUNDS = Integer.getInteger("soak.rounds", 2);
+    private static final SoakRound.Size SIZE = new SoakRound.Size(Integer.getInteger("soak.proxies", 6), 4, 8,
+            Integer.getInteger("soak.seconds", 10));
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    @Timeout(7200)
+    void theInvariantsHoldUnderOverlappingFaults() throws Exception {
+        List<String> all = new ArrayList<>();
+        for (int seed = FIRST; seed < FIRST + ROUNDS; seed++) {
+            try (SoakRound round = new SoakRound(seed, SIZE, folder.resolve("seed-" + seed))) {
+                List<String> violations = round.play();
+                System.out.printf("soak seed %d: %d violations; %s%n", seed, violations.size(), round.summary());
+                for (String violation : violations.subList(0, Math.min(20, violations.size()))) {
+                    System.out.println("soak seed " + seed + ": " + violation);
+                    round.explain(violation).forEach(line -> System.out.println("    " + line));
+                    all.add("seed " + seed + ": " + violation);
+                }
+            }
+        }
+        assertThat(all).isEmpty();
+    }
+
+    /** The judge finds each kind of violation in a history that has it, and none in one that is sound. */
+    @Test
+    void theJudgeFindsWhatIsPutIn() {
+        SoakHistory sound = new SoakHistory();
+        Request read = request(sound, "a", Effect.SAFE, 500);
+        read.answeredNanos = 100_000_000;
+        sound.arrivals.add(new Arrival("a", "s", 10_000_000, 490, false));
+        assertThat(SoakJudge.violations(sound, 2000)).isEmpty();
+
+        sound.arrivals.add(new Arrival("a", "origin", 400_000_000, 500, true));
+        assertThat(SoakJudge.violations(sound, 2000)).singleElement().asString().startsWith("deadline: a");
+
+        SoakHistory left = new SoakHistory();
+        request(left, "b", Effect.SAFE, 900).closedNanos = 50_000_000;
+        left.arrivals.add(new Arrival("b", "s", 200_000_000, 600, false));
+        assertThat(SoakJudge.violations(left, 2000)).singleElement().asString().startsWith("client gone: b");
+
+        SoakHistory twice = new SoakHistory();
+        request(twice, "c", Effect.SINGLE, 900).answeredNanos = 300_000_000;
+        twice.arrivals.add(new Arrival("c", "origin", 10_000_000, 800, true));
+        twice.arrivals.add(new Arrival("c", "origin", 20_000_000, 800, true));
+        assertThat(SoakJudge.violations(twice, 2000)).containsExactly("effect twice: c");
+
+        SoakHistory silent = new SoakHistory();
+        request(silent, "d", Effect.SAFE, 500);
+        assertThat(SoakJudge.violations(silent, 2000)).singleElement().asString().startsWith("no answer: d").contains("silence");
+
+        SoakHistory drained = new SoakHistory();
+        request(drained, "e", Effect.SAFE, 20_000).answeredNanos = 9_100_000_000L;
+        drained.leftNanos.put("s", 1L);
+        drained.arrivals.add(new Arrival("e", "s", 9_000_000_000L, 100, false));
+        assertThat(SoakJudge.violations(drained, 2000)).singleElement().asString().startsWith("drain: e");
+    }
+
+    private static Request request(SoakHistory history, String id, Effect effect, int waitMs) {
+        Request r = new Request(id, 0, effect, waitMs);
+        r.beganNanos = 1;
+        r.sentNanos = 1;
+        history.requests.put(id, r);
+        return r;
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/soak/SoakProxy.java
@@ -0,0 +1,135 @@
+package damsonworks.soak;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** One process of {@code serve}, as the platform starts it. */
+final class SoakProxy implements AutoCloseable {
+    /** Below the ports that the system gives to outgoing connections, so that none has a proxy's port while it restarts. */
+    private static final int LEAST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final long READY_MS = 30_000;
+
+    final int number;
+    final int port;
+    private final int control;
+    private final Path folder;
+    private final JsonObject config;
+    private Process process;
+
+    SoakProxy(int number, Path parent, JsonObject settings, Random ports) throws IOException {
+        this.number = number;
+        folder = Files.createDirectories(parent.resolve("n" + number));
+        port = freePort(ports);
+        control = freePort(ports);
+        config = new JsonObject();
+        config.addProperty("name", "n" + number);
+        config.addProperty("listen", "127.0.0.1:" + port);
+        config.addProperty("control", "127.0.0.1:" + control);
+        config.addProperty("seed", Long.toHexString(ports.nextLong()));
+        JsonObject own = settings.deepCopy();
+        own.addProperty("me", number);
+        config.add("settings", own);
+    }
+
+    private static int freePort(Random random) throws IOException {
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(LEAST_PORT + random.nextInt(PORTS), 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // taken; another
+            }
+        }
+    }
+
+    /** Writes the configuration; a running process reads it at SIGHUP. */
+    void configure(String discovery, JsonArray known) throws IOException {
+        config.addProperty("discovery", discovery);
+        JsonObject list = new JsonObject();
+        list.addProperty("seq", 0);
+        list.addProperty("whole", true);
+        list.add("hosts", known);
+        config.add("known", list);
+        Path next = folder.resolve("config.new");
+        Files.writeString(next, config.toString());
+        Files.move(next, folder.resolve("config.json"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx40m", "-XX:MaxDirectMemorySize=32m", "-Xss512k", "-XX:-UsePerfData", "-Xlog:cds=off",
+                "-Xlog:cds+dynamic=off", "-XX:SharedArchiveFile=target/damsonworks.jsa", "-Djava.library.path=target/native/META-INF/native",
+                "-jar", "target/damsonworks.jar", "serve");
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().put("BALANCER_CONFIG", folder.resolve("config.json").toString());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        process = builder.start();
+    }
+
+    /** Waits until it takes clients. */
+    void awaitReady() throws IOException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        while (!call("GET /status").contains(" 200 ")) {
+            if (!process.isAlive() || System.nanoTime() > until) {
+                throw new IOException("n" + number + " did not become ready: " + Files.readString(log()));
+            }
+            LockSupport.parkNanos(10_000_000);
+        }
+    }
+
+    /** The status line and the last line of what the control address answers; empty where nothing does. */
+    String call(String line) {
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), control)) {
+            socket.setSoTimeout(5000);
+            socket.getOutputStream().write((line + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").getBytes());
+            List<String> lines = new BufferedReader(new InputStreamReader(socket.getInputStream())).lines().toList();
+            return lines.isEmpty() ? "" : lines.get(0) + " " + lines.get(lines.size() - 1);
+        } catch (IOException | java.io.UncheckedIOException e) {
+            return "";
+        }
+    }
+
+    Path log() {
+        return folder.resolve("log");
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** SIGTERM, and SIGKILL if it is still there after what the platform gives it; false if it had to be killed. */
+    boolean terminate(long graceMs) throws IOException, InterruptedException {
+        signal("TERM");
+        boolean ended = process.waitFor(graceMs, TimeUnit.MILLISECONDS);
+        kill();
+        return ended;
+    }
+
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (process != null && process.isAlive()) {
+            signal("CONT");
+            kill();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/soak/SoakServer.java
@@ -0,0 +1,186 @@
+package damsonworks.soak;
+
+import damsonworks.proxy.Transport;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.string.StringDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A cache node or the origin that records each request with the deadline that it was told, and misbehaves by chance: late answers, misses,
+ * refusals, resets late or at once, requests dropped without a word, idle connections closed, and spells in which it hangs.
+ */
+final class SoakServer implements AutoCloseable {
+    private static final Pattern DEADLINE = Pattern.compile("(?:^|[P,])d=([0-9.]+)");
+    private static final int IDLE_CLOSE_MS = 1500;
+
+    /** Chances in a thousand of what befalls a request. */
+    record Troubles(int miss, int refuse, int fail, int reset, int drop, int late, int mostLateMs) { }
+
+    final String name;
+    private final EventLoop loop;
+    private final SoakHistory history;
+    private final Troubles troubles;
+    private final Random random;
+    private final ChannelGroup connections;
+    private final Channel server;
+    private boolean hanging;
+
+    private SoakServer(String name, boolean origin, EventLoop loop, SoakHistory history, Troubles troubles, long seed)
+            throws InterruptedException {
+        this.name = name;
+        this.loop = loop;
+        this.history = history;
+        this.troubles = troubles;
+        random = new Random(seed);
+        connections = new DefaultChannelGroup(loop);
+        server = new ServerBootstrap().group(loop).channel(Transport.BEST.server()).option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        if (origin) {
+                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), new OriginHandler());
+                        } else {
+                            channel.pipeline().addLast(new LineBasedFrameDecoder(4096), new StringDecoder(StandardCharsets.ISO_8859_1),
+                                    new NodeHandler());
+                        }
+                    }
+                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel();
+    }
+
+    static SoakServer node(String name, EventLoop loop, SoakHistory history, Troubles troubles, long seed) throws InterruptedException {
+        return new SoakServer(name, false, loop, history, troubles, seed);
+    }
+
+    static SoakServer origin(String name, EventLoop loop, SoakHistory history, Troubles troubles, long seed) throws InterruptedException {
+        return new SoakServer(name, true, loop, history, troubles, seed);
+    }
+
+    String dial() {
+        return "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** It carries out what comes and answers nothing, for so long. */
+    void hang(long ms) {
+        loop.execute(() -> {
+            hanging = true;
+            loop.schedule(() -> hanging = false, ms, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Resets all connections at once. */
+    void resetAll() {
+        loop.execute(() -> connections.forEach(SoakServer::reset));
+    }
+
+    private static void reset(Channel channel) {
+        ((SocketChannel) channel).config().setSoLinger(0);
+        channel.close();
+    }
+
+    private static String deadline(String text) {
+        Matcher m = DEADLINE.matcher(text);
+        return m.find() ? m.group(1) : "NaN";
+    }
+
+    private boolean chance(int inThousand) {
+        return random.nextInt(1000) < inThousand;
+    }
+
+    /** Records a request and says whether it is answered; {@code runs} is whether it takes effect. */
+    private boolean arrives(Channel channel, String id, String list, boolean runs) {
+        history.arrivals.add(new SoakHistory.Arrival(id, name, System.nanoTime(), Double.parseDouble(deadline(list)), runs));
+        if (chance(troubles.reset())) {
+            loop.schedule(() -> reset(channel), random.nextInt(200), TimeUnit.MILLISECONDS);
+            return false;
+        }
+        return !hanging && !chance(troubles.drop());
+    }
+
+    private void later(Runnable answer) {
+        int delayMs = chance(troubles.late()) ? random.nextInt(troubles.mostLateMs()) : random.nextInt(4);
+        loop.schedule(answer, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        server.close().syncUninterruptibly();
+        connections.close().syncUninterruptibly();
+    }
+
+    private final class NodeHandler extends SimpleChannelInboundHandler<String> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (chance(100)) {
+                loop.schedule(() -> ctx.close(), IDLE_CLOSE_MS + random.nextInt(IDLE_CLOSE_MS), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, String line) {
+            String id = line.substring(line.indexOf(" O") + 2).split(" ")[0];
+            if (!arrives(ctx.channel(), id, line, false)) {
+                return;
+            }
+            String answer = chance(troubles.miss()) ? "EN O" + id + "\r\n" : chance(troubles.refuse()) ? "SERVER_ERROR busy\r\n"
+                    : chance(troubles.fail()) ? "SERVER_ERROR failed\r\n" : "VA 5 O" + id + " h1\r\nhello\r\n";
+            later(() -> ctx.writeAndFlush(Unpooled.copiedBuffer(answer, StandardCharsets.ISO_8859_1)));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private final class OriginHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            String id = request.headers().get("Req-Id");
+            boolean declined = chance(troubles.refuse());
+            if (!arrives(ctx.channel(), id, request.headers().get("Req-Extra"), !declined)) {
+                return;
+            }
+            boolean write = request.method().equals(HttpMethod.PUT);
+            ByteBuf body = Unpooled.copiedBuffer(declined ? "" : write ? "w" + id : "hello", StandardCharsets.ISO_8859_1);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, declined
+                    ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, body);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            if (declined) {
+                response.headers().set("Srv-Declined", "1");
+            }
+            later(() -> ctx.writeAndFlush(response));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
