Leave hold-ups their time in repeat windows, and retry a failed accept in 20 ms

Change: SendGuard.repeatUntilMs ends a repeat's time 0.15 s (half of a short window) before its window; Listener takes accept failures itself, logs the first, second, fourth ..., and goes on after 20 ms unless the bound on clients holds it.

--- a/src/main/java/damsonworks/invariant/SendGuard.java
+++ b/src/main/java/damsonworks/invariant/SendGuard.java
@@ -15,6 +15,16 @@
         this.drainGraceMs = drainGraceMs;
     }
 
+    /**
+     * Until when a repeat may begin, so that it is written within its window though the process is held up in between.
+     *
+     * @param sentMs when the first attempt that may have run was sent, at the earliest
+     * @param windowMs for how long from then on servers drop repeats
+     */
+    public static double repeatUntilMs(double sentMs, double windowMs) {
+        return sentMs + windowMs - Math.min(HOLD_UP_MS, windowMs / 2);
+    }
+
     /** The invariant that the attempt would violate if it began now; null: none, it may begin. */
     public Invariant violatedBy(SendFacts send, double nowMs) {
         if (send.abandoned()) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -649,7 +649,7 @@
         }
         for (Attempt earlier : x.attempts) {
             if (earlier != a && earlier.begun) {
-                a.beginByMs = Math.min(a.beginByMs, earlier.sentMs + kind.windowMs());
+                a.beginByMs = Math.min(a.beginByMs, SendGuard.repeatUntilMs(earlier.sentMs, kind.windowMs()));
             }
         }
         if (a.beginByMs < a.untilMs) {
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -4,6 +4,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
@@ -24,6 +26,8 @@
     private static final int BACKLOG = 512;
     /** Connections accepted in a turn of the loop at the most; fewer have left the system's queue empty. */
     private static final int MAX_ACCEPTS = 64;
+    /** How long none is accepted after the system had none to give, for want of descriptors or memory. */
+    private static final double ACCEPT_RETRY_MS = 20;
 
     private final Core core;
     private final Clients clients;
@@ -42,6 +46,9 @@
     private double queuedSinceMs = Double.POSITIVE_INFINITY;
     private long acceptTurn;
     private int acceptedInTurn;
+    /** Whether the bound on clients lets connections be accepted. */
+    private boolean mayAccept = true;
+    private long acceptFailures;
 
     /** @param open what stock clients' commands are given; null for the platform's clients */
     public Listener(Core core, Clients clients, RequestHandler handler, OpenMeta open) {
@@ -112,7 +119,7 @@
     }
 
     private ServerBootstrap bootstrap() {
-        return new ServerBootstrap().group(core.loop)
+        return new ServerBootstrap().group(core.loop).handler(new AcceptFailures())
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
                         .maxMessagesPerRead(MAX_ACCEPTS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -129,6 +136,31 @@
                 });
     }
 
+    /**
+     * What the system says when it has no connection to give: one that was reset in its queue, too few descriptors or buffers for a moment.
+     * Netty's own way is to accept nothing for a second, in which requests that wait in the queue would run out of time.
+     */
+    private final class AcceptFailures extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            acceptFailures++;
+            if ((acceptFailures & acceptFailures - 1) == 0) { // the first, the second, the fourth: a shortage must not take all the log's lines
+                core.log("accept failed, " + acceptFailures + " in all: " + cause.getMessage());
+            }
+            reading(false);
+            core.after(ACCEPT_RETRY_MS, () -> {
+                if (mayAccept && !draining) {
+                    reading(true);
+                }
+            });
+        }
+    }
+
+    /** For tests that have an accept fail. */
+    Channel channel() {
+        return channel;
+    }
+
     private ChannelFuture opened(ChannelFuture bound) {
         channel = bound.channel();
         core.loop.execute(() -> clients.add(this));
@@ -140,6 +172,11 @@
     }
 
     void accept(boolean on) {
+        mayAccept = on;
+        reading(on);
+    }
+
+    private void reading(boolean on) {
         if (channel.config().isAutoRead() != on) {
             if (!on) {
                 queuedSinceMs = Math.min(queuedSinceMs, core.now());
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -203,6 +203,11 @@
         return loop.submit(listener::size).syncUninterruptibly().getNow();
     }
 
+    /** Has an accept fail as the system would; for tests. */
+    void failAccept(IOException as) {
+        listener.channel().pipeline().fireExceptionCaught(as);
+    }
+
     /** What was stopped and violated so far, in a line. */
     String invariants() {
         return loop.submit(core.invariants::summary).syncUninterruptibly().getNow();
--- a/src/test/java/damsonworks/invariant/SendGuardTest.java
+++ b/src/test/java/damsonworks/invariant/SendGuardTest.java
@@ -98,6 +98,12 @@
         assertThat(guard.violatedBy(facts, NOW_MS)).isEqualTo(Invariant.SINGLE_ATTEMPT);
     }
 
+    @Test
+    void aRepeatsWindowLeavesWhatMayHoldTheProxyUp() {
+        assertThat(SendGuard.repeatUntilMs(1000, 1500)).isEqualTo(2500 - SendGuard.HOLD_UP_MS);
+        assertThat(SendGuard.repeatUntilMs(1000, 100)).as("half of a short one is left").isEqualTo(1050);
+    }
+
     @Test
     void aServerThatDrainsIsSentToWithinTheGraceLessWhatMayHoldTheProxyUp() {
         facts.serverLeftMs = NOW_MS - GRACE_MS + SendGuard.HOLD_UP_MS;
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -114,6 +114,21 @@
         }
     }
 
+    /** The system is short of descriptors for a moment: who waits in the queue is accepted soon after, not a second later. */
+    @Test
+    void anAcceptThatFailsHoldsUpTheNextForAMomentOnly() throws Exception {
+        try (Fleet fleet = new Fleet().node("127.0.0.1:9").start()) {
+            for (int i = 0; i < 3; i++) {
+                fleet.proxy.failAccept(new IOException("accept(..) failed: Too many open files in system"));
+                long failed = System.nanoTime();
+                try (Fleet.Client client = fleet.client()) {
+                    assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
+                }
+                assertThat((System.nanoTime() - failed) / 1e6).as("ms; Netty's own pause is 1,000").isLessThan(900);
+            }
+        }
+    }
+
     /** Whoever stops in the middle of a command and stays is owed a close within 3 s, also one that has asked before. */
     @Test
     void aClientThatStopsInTheMiddleOfALaterCommandIsClosedAndWhatItAskedBeforeIsAnswered() throws Exception {
