Accept one connection a turn again, and bound the queue's wait by time

Change: one accept a turn, as before. Where the loop had not looked for over 25 ms, or accepting had been paused, what is accepted in the turns right after, for 100 ms at most, may have queued since.

--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.unix.UnixChannelOption;
@@ -24,8 +23,10 @@
 /** An address where clients connect, and the clients that came there. */
 public final class Listener implements ClientConnection.Front {
     private static final int BACKLOG = 512;
-    /** Connections accepted in a turn of the loop at the most; fewer have left the system's queue empty. */
-    private static final int MAX_ACCEPTS = 64;
+    /** Where the loop has not looked for longer than this, connections may have queued up. */
+    private static final double QUEUES_UP_MS = 25;
+    /** How long it may take to accept those that had queued up: one a turn of the loop, for as long as each turn has one. */
+    private static final double DRAINS_WITHIN_MS = 100;
     /** How long none is accepted after the system had none to give, for want of descriptors or memory. */
     private static final double ACCEPT_RETRY_MS = 20;
 
@@ -44,8 +45,8 @@
     private long accepted;
     /** Since when connections may have waited in the system's queue, until it has been seen empty; infinite where none has. */
     private double queuedSinceMs = Double.POSITIVE_INFINITY;
+    private double queueDrainsMs;
     private long acceptTurn;
-    private int acceptedInTurn;
     /** Whether the bound on clients lets connections be accepted. */
     private boolean mayAccept = true;
     private long acceptFailures;
@@ -120,8 +121,6 @@
 
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(core.loop).handler(new AcceptFailures())
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
-                        .maxMessagesPerRead(MAX_ACCEPTS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.reads())
@@ -181,8 +180,8 @@
             if (!on) {
                 queuedSinceMs = Math.min(queuedSinceMs, core.now());
             }
+            queueDrainsMs = core.now() + DRAINS_WITHIN_MS;
             acceptTurn = core.turn();
-            acceptedInTurn = MAX_ACCEPTS; // what came while none was accepted is still there
             channel.config().setAutoRead(on);
         }
     }
@@ -262,19 +261,20 @@
         return client.place() < endsUnder;
     }
 
-    /** A turn that has accepted fewer than it may, or none, has seen the queue empty. */
+    /** What has queued up is accepted turn after turn; a turn without one has seen the queue empty. */
     @Override
     public double queuedSinceMs() {
-        if (core.turn() != acceptTurn || core.turn() == 0) {
-            if (acceptedInTurn < MAX_ACCEPTS || !core.follows(acceptTurn)) {
-                queuedSinceMs = Double.POSITIVE_INFINITY;
-            }
-            acceptTurn = core.turn();
-            acceptedInTurn = 0;
+        double unreadSinceMs = core.unreadSinceMs();
+        double now = core.now();
+        if (now > queueDrainsMs || !core.follows(acceptTurn)) {
+            queuedSinceMs = Double.POSITIVE_INFINITY;
+        }
+        if (now - unreadSinceMs > QUEUES_UP_MS) {
+            queuedSinceMs = Math.min(queuedSinceMs, unreadSinceMs);
+            queueDrainsMs = now + DRAINS_WITHIN_MS;
         }
-        acceptedInTurn++;
-        queuedSinceMs = Math.min(queuedSinceMs, core.unreadSinceMs());
-        return queuedSinceMs;
+        acceptTurn = core.turn();
+        return Math.min(queuedSinceMs, unreadSinceMs);
     }
 
     @Override
