Keep a call to discovery that waits, though another proxy was told before

The list then is older than 6 s. Change: ListFreshness.trustedUntil; a call that is out is not given up for what others say before its wait is over and, beyond that, 0.3 s or twice what answers took. Calls wait 2.8 s, so a silent one shows soon by itself. Measured: DiscoveryClientTest.aCallThatWaits... fails without the change; KnownStateIT, ListFreshnessTest, ListDoubtTest pass.

--- a/src/main/java/damsonworks/membership/ListFreshness.java
+++ b/src/main/java/damsonworks/membership/ListFreshness.java
@@ -28,6 +28,8 @@
     static final double MOST_LIMIT_MS = 4000;
     /** How many times what answers took lately a call may take. */
     private static final double SLACK = 2;
+    /** What an answer may take beyond its call's wait, at the least, before the call counts as silent if others have news. */
+    private static final double LEAST_TRUST_MS = 300;
     /** What is left, after each answer, of the longest that one took. */
     private static final double FADES = 0.75;
     private static final double FIRST_RETRY_MS = 250;
@@ -121,6 +123,15 @@
         return dueAt;
     }
 
+    /**
+     * Until when the call that is out is not to be given up for what others say: discovery answers its callers in turn, and who gives
+     * up in its queue comes last again, or is turned away. A call waits for news so shortly that a silent one shows soon enough by itself.
+     * Negative infinity: none is out.
+     */
+    public double trustedUntil() {
+        return out ? sentAt + waitMs + Math.max(LEAST_TRUST_MS, SLACK * tookMs) : Double.NEGATIVE_INFINITY;
+    }
+
     /** Whether a call is out that still counts. */
     public boolean out() {
         return out;
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -322,11 +322,12 @@
 
     /** Comes back when the doubt is due. One that has moved to later since finds out then. */
     private void look() {
-        if (doubt.dueAt() < lookAt && !closed) {
+        double dueAt = Math.max(doubt.dueAt(), freshness.trustedUntil());
+        if (dueAt < lookAt && !closed) {
             if (looking != null) {
                 looking.cancel();
             }
-            lookAt = doubt.dueAt();
+            lookAt = dueAt;
             looking = core.after(lookAt - core.now(), this::doubt);
         }
     }
@@ -334,7 +335,7 @@
     /** A watch that has fallen silent is begun anew; between two watches the module asks by itself. */
     private void doubt() {
         lookAt = Double.POSITIVE_INFINITY;
-        if (!closed && doubt.ask(core.now())) {
+        if (!closed && core.now() >= freshness.trustedUntil() && doubt.ask(core.now())) {
             if (freshness.out()) {
                 dispatcher.log("discovery: the watch seems to have fallen silent, asking anew");
             }
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -195,6 +195,34 @@
         }
     }
 
+    /** Discovery tells its callers in turn: whoever gives up a call that waits comes last again, or is turned away. */
+    @Test
+    void aCallThatWaitsIsNotGivenUpBecauseAnotherProxyWasToldBefore() throws Exception {
+        CountDownLatch claimed = new CountDownLatch(1);
+        ScriptedServer discovery = new ScriptedServer(c -> {
+            c.request();
+            claimed.await();
+            c.sayHttp(200, "", Fleet.list(42, false, new JsonArray()).toString());
+            c.request();
+            c.awaitEnd();
+        });
+        try (DatagramSocket other = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+            Fleet setup = new Fleet().node(hits()).discovery(discovery).set("caps.connect-timeout", "50.0")
+                    .set("guarantees.ask-within", "200.0");
+            JsonArray peers = new JsonArray();
+            peers.add("127.0.0.1:" + other.getLocalPort());
+            setup.config.add("peers", peers);
+            setup.config.addProperty("peer_listen", "127.0.0.1:0");
+            try (Fleet fleet = setup.start()) {
+                assertThat(discovery.next()).contains("since=41&timeout_ms=2800");
+                other.send(new DatagramPacket(version(42), version(42).length, fleet.proxy.peerAddress()));
+                fleet.proxy.after(500, claimed::countDown); // its turn comes some time after that of the other
+                assertThat(discovery.next()).contains("since=42&timeout_ms=2800");
+                assertThat(served(fleet)).isEqualTo("VA 5 O1");
+            }
+        }
+    }
+
     /** It refuses nothing and says nothing; noise, cut messages and versions that it has already change nothing. */
     @Test
     void aWatchThatFellSilentIsBegunAnewWhenAnotherProxyHasALaterVersion() throws Exception {
