Move start times to the platform's packages, so that serve loads none of the daemon's

Cause: DaemonJarIT.thePlatformsCommandsLoadNoneOfTheDaemonsClasses failed in the full suite: Policy loaded damsonworks.limits.StartTimes, and limits is a package of the daemon's. A figure of 1e15 or more is no start, in place of the daemon's constant.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,10 +1,10 @@
 package damsonworks;
 
 import damsonworks.knowledge.Knowledge;
-import damsonworks.limits.StartTimes;
 import damsonworks.placement.Admission;
 import damsonworks.placement.CarpPlacement;
 import damsonworks.placement.Placement;
+import damsonworks.placement.StartTimes;
 import damsonworks.siblings.Siblings;
 import java.util.*;
 
--- a/src/main/java/damsonworks/placement/StartTimes.java
+++ b/src/main/java/damsonworks/placement/StartTimes.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package damsonworks.placement;
 
 import damsonworks.RoutingApi.Member;
 import java.util.Collection;
@@ -17,6 +17,9 @@
     /** What a list says of a start is relied on for so long before the list has come. */
     public static final double LONGEST_NEWS_MS = 3000;
 
+    /** No Unix time in milliseconds of the next 30,000 years is later. */
+    private static final double LATEST_START_MS = 1e15;
+
     /** What lists' times are ahead of ours, at least; negative infinity: no list has told of a start. */
     private double aheadMs = Double.NEGATIVE_INFINITY;
 
@@ -40,8 +43,8 @@
         return Math.max(bornMs - aheadMs, changedMs - LONGEST_NEWS_MS);
     }
 
-    /** Whether a list's figure is a start: not 0, which is long ago, nor {@link Births#UNUSED}. */
+    /** Whether a list's figure is a start: not 0, which is long ago, nor one that is to come. */
     private static boolean isStart(double bornMs) {
-        return bornMs > 0 && bornMs < Births.UNUSED;
+        return bornMs > 0 && bornMs < LATEST_START_MS;
     }
 }
--- a/src/test/java/damsonworks/placement/StartTimesTest.java
+++ b/src/test/java/damsonworks/placement/StartTimesTest.java
@@ -1,9 +1,10 @@
-package damsonworks.limits;
+package damsonworks.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.limits.Births;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
