Say once in the tests how a proxy beside a peer is set up, and read lines by one reader

Need: two tests of DiscoveryClientTest shared twelve lines, SoakClient had a line reader of its own beside ScriptedServer's.

--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -195,6 +195,16 @@
         }
     }
 
+    /** A proxy that doubts its list soon where this other one says that it has a later one. */
+    private static Fleet besidePeer(ScriptedServer discovery, DatagramSocket other) throws Exception {
+        Fleet setup = new Fleet().node(hits()).discovery(discovery).set("caps.connect-timeout", "50.0").set("guarantees.ask-within", "200.0");
+        JsonArray peers = new JsonArray();
+        peers.add("127.0.0.1:" + other.getLocalPort());
+        setup.config.add("peers", peers);
+        setup.config.addProperty("peer_listen", "127.0.0.1:0");
+        return setup;
+    }
+
     /** Discovery tells its callers in turn: whoever gives up a call that waits comes last again, or is turned away. */
     @Test
     void aCallThatWaitsIsNotGivenUpBecauseAnotherProxyWasToldBefore() throws Exception {
@@ -207,13 +217,7 @@
             c.awaitEnd();
         });
         try (DatagramSocket other = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
-            Fleet setup = new Fleet().node(hits()).discovery(discovery).set("caps.connect-timeout", "50.0")
-                    .set("guarantees.ask-within", "200.0");
-            JsonArray peers = new JsonArray();
-            peers.add("127.0.0.1:" + other.getLocalPort());
-            setup.config.add("peers", peers);
-            setup.config.addProperty("peer_listen", "127.0.0.1:0");
-            try (Fleet fleet = setup.start()) {
+            try (Fleet fleet = besidePeer(discovery, other).start()) {
                 assertThat(discovery.next()).contains("since=41&timeout_ms=2800");
                 other.send(new DatagramPacket(version(42), version(42).length, fleet.proxy.peerAddress()));
                 fleet.proxy.after(500, claimed::countDown); // its turn comes some time after that of the other
@@ -231,13 +235,7 @@
             c.awaitEnd();
         });
         try (DatagramSocket other = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
-            Fleet setup = new Fleet().node(hits()).discovery(discovery).set("caps.connect-timeout", "50.0")
-                    .set("guarantees.ask-within", "200.0");
-            JsonArray peers = new JsonArray();
-            peers.add("127.0.0.1:" + other.getLocalPort());
-            setup.config.add("peers", peers);
-            setup.config.addProperty("peer_listen", "127.0.0.1:0");
-            try (Fleet fleet = setup.start()) {
+            try (Fleet fleet = besidePeer(discovery, other).start()) {
                 assertThat(discovery.next()).contains("since=41&");
                 SocketAddress to = fleet.proxy.peerAddress();
                 for (byte[] message : List.of(new byte[256], new byte[] {'V'}, version(41), version(40), version(42))) {
--- a/src/test/java/damsonworks/soak/SoakClient.java
+++ b/src/test/java/damsonworks/soak/SoakClient.java
@@ -2,6 +2,7 @@
 
 import damsonworks.soak.SoakHistory.Effect;
 import damsonworks.soak.SoakHistory.Request;
+import damsonworks.standin.ScriptedServer;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -135,7 +136,7 @@
     /** False if the connection ended. */
     private boolean readAnswer(InputStream in, Request r) {
         try {
-            String line = line(in);
+            String line = ScriptedServer.line(in);
             if (line == null) {
                 return false;
             }
@@ -153,19 +154,6 @@
         }
     }
 
-    private static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int b; (b = in.read()) != '\n';) {
-            if (b < 0) {
-                return null;
-            }
-            if (b != '\r') {
-                line.append((char) b);
-            }
-        }
-        return line.toString();
-    }
-
     private static void cut(List<Request> sent) {
         long now = System.nanoTime();
         for (Request r : sent) {
