Send the soak's signals to processes that are there alone

Need: a signal to a process that has ended may reach another that has its number by now; only what the soak started may be ended by it. Change: SoakProxy.signal and ServeProcess.close look first.

--- a/src/test/java/damsonworks/ServeProcess.java
+++ b/src/test/java/damsonworks/ServeProcess.java
@@ -137,7 +137,7 @@
 
     @Override
     public void close() throws Exception {
-        if (process != null) {
+        if (process != null && process.isAlive()) {
             signal("CONT");
             process.destroyForcibly().waitFor();
         }
--- a/src/test/java/damsonworks/soak/SoakProxy.java
+++ b/src/test/java/damsonworks/soak/SoakProxy.java
@@ -109,8 +109,11 @@
         return process.isAlive();
     }
 
+    /** Not to one that has ended: its number may be another process's by now. */
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        if (process.isAlive()) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        }
     }
 
     /** SIGTERM, and SIGKILL if it is still there after what the platform gives it; false if it had to be killed. */
