--- a/src/test/java/damsonworks/soak/SoakProxy.java
+++ b/src/test/java/damsonworks/soak/SoakProxy.java
@@ -10,8 +10,10 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -21,6 +23,8 @@
     private static final int LEAST_PORT = 12_000;
     private static final int PORTS = 18_000;
     private static final long READY_MS = 30_000;
+    /** Ports of all rounds, each given once: a proxy that is not started yet holds its own by nothing else. */
+    private static final Set<Integer> GIVEN = new HashSet<>();
 
     final int number;
     final int port;
@@ -46,7 +50,11 @@
 
     private static int freePort(Random random) throws IOException {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(LEAST_PORT + random.nextInt(PORTS), 1, InetAddress.getByName("127.0.0.1"))) {
+            int port = LEAST_PORT + random.nextInt(PORTS);
+            if (!GIVEN.add(port)) {
+                continue;
+            }
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return socket.getLocalPort();
             } catch (IOException e) {
                 // taken; another
