Read configurations one at a time, so that the newest file is the last in force

Cause: each SIGHUP, and each POST /reload, ran a reload on a thread of its own. Daemon.reload read the file before it took the lock that adopts it, and ConfigReloader.reload had no order at all; a file that took longer to read was adopted after a newer one.

Evidence: SignalsIT puts a pipe in the file's place, so that the first reload can't end before the second signal has been handled.

Change: ReloadScheduler is the one reader. It runs one reload at a time on a thread of its own, remembers a request that comes while one runs, says so in a line and reads the file once more after it. SIGHUP and POST /reload of both programs go through it, and a reload that throws does not stop later ones.

--- a/src/main/java/cacheproxy/cli/RunCommand.java
+++ b/src/main/java/cacheproxy/cli/RunCommand.java
@@ -3,6 +3,7 @@
 import cacheproxy.config.ConfigException;
 import cacheproxy.config.DaemonConfig;
 import cacheproxy.daemon.Daemon;
+import cacheproxy.proxy.process.ReloadScheduler;
 import cacheproxy.proxy.process.SighupHandler;
 import java.io.PrintWriter;
 import java.nio.file.Path;
@@ -56,8 +57,10 @@
     }
 
     private void handleSignals(Daemon daemon, PrintWriter err) throws ReflectiveOperationException {
-        daemon.reloadBy(() -> reload(daemon, err));
-        if (!SighupHandler.install(() -> reload(daemon, err))) {
+        ReloadScheduler reloads = new ReloadScheduler(err::println);
+        reloads.start(() -> reload(daemon, err));
+        daemon.onReloadRequest(reloads::request);
+        if (!SighupHandler.install(reloads::request)) {
             err.println(SighupHandler.IGNORED_MESSAGE);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain));
--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -56,7 +56,8 @@
     /** The snapshot of another proxy to start from; null if there is none, and after the start. */
     private Path seedFrom;
 
-    private volatile Runnable reloadTask;
+    /** Has the configuration read again; null if there is no file to read. */
+    private volatile Runnable reloadRequest;
 
     private Daemon(DaemonConfig file, long seed) {
         random = new SplittableRandom(seed);
@@ -79,7 +80,7 @@
                 this::learnedState,
                 () -> Optional.ofNullable(seedFrom),
                 subsystems::controlHandlers,
-                new DiagnosticEndpoints(core.invariants()::summary, core.events()::setEnabled, this::reloadElsewhere));
+                new DiagnosticEndpoints(core.invariants()::summary, core.events()::setEnabled, this::requestReload));
     }
 
     /** Starts a daemon; the exception says which address could not be bound. */
@@ -117,20 +118,17 @@
         loop.scheduleWithFixedDelay(this::collectUnused, COLLECT_MS, COLLECT_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Sets what {@code POST /reload} of the control address runs, on a thread of its own. */
-    public void reloadBy(Runnable task) {
-        reloadTask = task;
+    /** Sets what {@code POST /reload} of the control address does; it must not block. */
+    public void onReloadRequest(Runnable request) {
+        reloadRequest = request;
     }
 
-    private boolean reloadElsewhere() {
-        Runnable task = reloadTask;
-        if (task == null) {
-            return false;
+    private boolean requestReload() {
+        Runnable request = reloadRequest;
+        if (request != null) {
+            request.run();
         }
-        Thread thread = new Thread(task, "reload");
-        thread.setDaemon(true);
-        thread.start();
-        return true;
+        return request != null;
     }
 
     /** The subsystem of this class or with this role; null where the file has none. From any thread. */
@@ -178,7 +176,7 @@
     }
 
     /** Reads a file and adopts it; if it can't be used the exception says why and nothing changes. */
-    public void reload(Path path) throws ConfigException, InterruptedException {
+    public synchronized void reload(Path path) throws ConfigException, InterruptedException {
         load(DaemonConfigReader.read(path));
     }
 
--- a/src/main/java/cacheproxy/proxy/process/PlatformCommands.java
+++ b/src/main/java/cacheproxy/proxy/process/PlatformCommands.java
@@ -24,13 +24,15 @@
         PlatformConfig config = readConfigOrExit();
         String path = System.getenv(CONFIG_VARIABLE);
         try {
+            ReloadScheduler reloads = new ReloadScheduler(System.err::println);
             boolean getsSighup = SighupHandler.install(() -> {});
             Proxy proxy = Proxy.startWarm(config);
             if (!getsSighup) {
                 proxy.log(SighupHandler.IGNORED_MESSAGE);
             }
-            SighupHandler.install(() -> proxy.reload(path));
-            proxy.setReloadPath(path);
+            reloads.start(() -> proxy.reload(path));
+            SighupHandler.install(reloads::request);
+            proxy.onReloadRequest(reloads::request);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
         } catch (Exception e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -49,6 +49,8 @@
     private final Lifecycle lifecycle = new Lifecycle(LifecycleTiming.DEFAULT);
     /** Null if no control address is configured. */
     private final OperatorActions operatorActions;
+    /** Has the configuration read again; null if there is no file to read. */
+    private volatile Runnable reloadRequest;
 
     private Proxy(PlatformConfig config, boolean warm) throws InterruptedException {
         this.config = config;
@@ -70,8 +72,7 @@
             listener.bind(config.listen()).sync();
             operatorActions = null;
         } else {
-            operatorActions =
-                    OperatorActions.start(loopContext, lifecycle, listener, config, reloader::reloadInBackground);
+            operatorActions = OperatorActions.start(loopContext, lifecycle, listener, config, this::requestReload);
         }
     }
 
@@ -113,14 +114,22 @@
 
     // ---- reload
 
-    /** Reads the configuration again; see {@link ConfigReloader#reload}. */
+    /** Reads the configuration again; see {@link ConfigReloader#reload}. Not twice at once. */
     public void reload(String path) {
         reloader.reload(path);
     }
 
-    /** Sets the file that operators have read again by a request to the control address. */
-    void setReloadPath(String path) {
-        reloader.setPath(path);
+    /** Sets what a request to the control address does to have the configuration read again; it must not block. */
+    void onReloadRequest(Runnable request) {
+        reloadRequest = request;
+    }
+
+    private boolean requestReload() {
+        Runnable request = reloadRequest;
+        if (request != null) {
+            request.run();
+        }
+        return request != null;
     }
 
     // ---- state
