Hear SIGHUP and SIGTERM before the first connection, so that none is lost or cuts a client

What callers saw, each start signalled at its first connection: `run` was ended by SIGHUP (12 of 12), and reset the connection with its command unanswered at SIGTERM (8 of 8); `serve` lost SIGHUP (11 of 14), and at SIGTERM closed or reset connections without an answer (6 of 14).

Cause: both programs took connections first and installed the handler of SIGHUP and the shutdown hook after, so that a signal between the two met the JVM's default (`run`) or an empty handler (`serve`).

A SIGHUP while `run` waits for its lists ended it, too.

Change: ServiceSignals is installed before anything else. A SIGHUP during the start is remembered, and the file read once the proxy is up. The shutdown hook asks ShutdownCoordinator: before the process listens for clients nothing is owed, the start ends at once and never listens; from then on the hook waits until the start is complete, and drains. Proxy and ListenerSet ask right before they listen; a start that fails lets the hook go.

Why this works: listening comes after both handlers are in place, in one process, so there is no moment left in which a connection exists and a signal has no owner; the claim to listen and the shutdown's claim to end are one lock.

--- a/src/main/java/cacheproxy/cli/RunCommand.java
+++ b/src/main/java/cacheproxy/cli/RunCommand.java
@@ -3,7 +3,7 @@
 import cacheproxy.config.ConfigException;
 import cacheproxy.config.DaemonConfig;
 import cacheproxy.daemon.Daemon;
-import cacheproxy.proxy.process.ReloadScheduler;
+import cacheproxy.proxy.process.ServiceSignals;
 import cacheproxy.proxy.process.SighupHandler;
 import java.io.PrintWriter;
 import java.nio.file.Path;
@@ -39,31 +39,36 @@
     @Override
     public Integer call() throws Exception {
         PrintWriter err = spec.commandLine().getErr();
+        ServiceSignals signals = ServiceSignals.install(line -> print(err, line));
         Optional<DaemonConfig> config = ConfigFiles.read(file, err);
         if (config.isEmpty()) {
             return ExitCode.UNUSABLE;
         }
         Daemon daemon;
         try {
-            daemon = Daemon.start(config.get(), new SecureRandom().nextLong(), siblingSnapshot);
+            daemon = Daemon.start(
+                    config.get(), new SecureRandom().nextLong(), siblingSnapshot, signals::mayAcceptConnections);
         } catch (ConfigException e) {
+            signals.startFailed();
             e.errors().forEach(err::println);
             return ExitCode.UNUSABLE;
+        } catch (RuntimeException e) {
+            signals.startFailed();
+            throw e;
+        }
+        daemon.onReloadRequest(signals::requestReload);
+        signals.started(() -> reload(daemon, err), daemon::drain);
+        if (!signals.receivesSighup()) {
+            err.println(SighupHandler.IGNORED_MESSAGE);
         }
-        handleSignals(daemon, err);
         printListeners(daemon, err);
         new CountDownLatch(1).await(); // the shutdown hook ends the process
         return ExitCode.OK;
     }
 
-    private void handleSignals(Daemon daemon, PrintWriter err) throws ReflectiveOperationException {
-        ReloadScheduler reloads = new ReloadScheduler(err::println);
-        reloads.start(() -> reload(daemon, err));
-        daemon.onReloadRequest(reloads::request);
-        if (!SighupHandler.install(reloads::request)) {
-            err.println(SighupHandler.IGNORED_MESSAGE);
-        }
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain));
+    private static void print(PrintWriter err, String line) {
+        err.println(line);
+        err.flush();
     }
 
     private static void printListeners(Daemon daemon, PrintWriter err) {
--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * The daemon: listeners, routes, pools and subsystems by one configuration file, which may be replaced under load. A
@@ -59,7 +60,7 @@
     /** Has the configuration read again; null if there is no file to read. */
     private volatile Runnable reloadRequest;
 
-    private Daemon(DaemonConfig file, long seed) {
+    private Daemon(DaemonConfig file, long seed, BooleanSupplier mayAcceptConnections) {
         random = new SplittableRandom(seed);
         StandardProtocols protocols = new StandardProtocols(random.nextLong());
         ProcessBudget budget = ProcessBudget.of(file.limits());
@@ -71,7 +72,7 @@
         core.watchPauses();
         clients = new ClientRegistry(core, budget.clientSockets());
         router = new Router(core);
-        listeners = new ListenerSet(core, clients, router, protocols);
+        listeners = new ListenerSet(core, clients, router, protocols, mayAcceptConnections);
         subsystems = new Subsystems(task -> loop.submit(task).syncUninterruptibly(), StandardSubsystems.ALL);
         context = new SubsystemContext(
                 core,
@@ -88,15 +89,23 @@
         return start(file, seed, null);
     }
 
+    /** Starts a daemon that takes over from the snapshot of another proxy where it has none; null if there is none. */
+    public static Daemon start(DaemonConfig file, long seed, Path seedFrom)
+            throws ConfigException, InterruptedException {
+        return start(file, seed, seedFrom, () -> true);
+    }
+
     /**
      * Starts a daemon and returns once it accepts clients.
      *
      * @param seed of all its random draws
      * @param seedFrom the snapshot of another proxy, for what this one has no snapshot of; null if there is none
+     * @param mayAcceptConnections asked on the event loop right before the daemon listens for clients. If it returns
+     *     false, as the process is about to end, this method does not return
      */
-    public static Daemon start(DaemonConfig file, long seed, Path seedFrom)
+    public static Daemon start(DaemonConfig file, long seed, Path seedFrom, BooleanSupplier mayAcceptConnections)
             throws ConfigException, InterruptedException {
-        Daemon daemon = new Daemon(file, seed);
+        Daemon daemon = new Daemon(file, seed, mayAcceptConnections);
         daemon.seedFrom = seedFrom;
         try {
             daemon.load(file);
--- a/src/main/java/cacheproxy/daemon/ListenerSet.java
+++ b/src/main/java/cacheproxy/daemon/ListenerSet.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
 
 /**
  * The daemon's listeners. Addresses of a new configuration are reserved before it is committed; a listener accepts
@@ -33,6 +34,7 @@
     private final ClientRegistry clients;
     private final Router router;
     private final StandardProtocols protocols;
+    private final BooleanSupplier mayAcceptConnections;
     private final Map<String, Listener> byName = new LinkedHashMap<>();
     /** The configured addresses, of which port 0 leaves the choice to the system. */
     private final Map<Listener, InetSocketAddress> configuredAddresses = new HashMap<>();
@@ -40,12 +42,22 @@
     private final List<Listener> draining = new ArrayList<>();
     private final CountDownLatch accepting = new CountDownLatch(1);
 
-    /** No listener yet. */
-    ListenerSet(EventLoopContext core, ClientRegistry clients, Router router, StandardProtocols protocols) {
+    /**
+     * No listener yet.
+     *
+     * @param mayAcceptConnections asked before listeners accept clients; false if the process is about to end
+     */
+    ListenerSet(
+            EventLoopContext core,
+            ClientRegistry clients,
+            Router router,
+            StandardProtocols protocols,
+            BooleanSupplier mayAcceptConnections) {
         this.core = core;
         this.clients = clients;
         this.router = router;
         this.protocols = protocols;
+        this.mayAcceptConnections = mayAcceptConnections;
     }
 
     /**
@@ -108,6 +120,9 @@
             core.after(LIST_POLL_MS, () -> acceptOnceListed(listeners, latestMs));
             return;
         }
+        if (!mayAcceptConnections.getAsBoolean()) {
+            return;
+        }
         int[] pending = {listeners.size()};
         for (Listener listener : listeners) {
             listener.listen().addListener(bound -> {
--- a/src/main/java/cacheproxy/proxy/process/PlatformCommands.java
+++ b/src/main/java/cacheproxy/proxy/process/PlatformCommands.java
@@ -20,26 +20,40 @@
      * configuration is invalid, and 1 if the proxy can't be started.
      */
     public static void serve() {
+        ServiceSignals signals = installSignalsOrExit();
         NettyDefaults.apply();
         PlatformConfig config = readConfigOrExit();
-        String path = System.getenv(CONFIG_VARIABLE);
         try {
-            ReloadScheduler reloads = new ReloadScheduler(System.err::println);
-            boolean getsSighup = SighupHandler.install(() -> {});
-            Proxy proxy = Proxy.startWarm(config);
-            if (!getsSighup) {
-                proxy.log(SighupHandler.IGNORED_MESSAGE);
-            }
-            reloads.start(() -> proxy.reload(path));
-            SighupHandler.install(reloads::request);
-            proxy.onReloadRequest(reloads::request);
-            Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
+            start(config, signals);
+        } catch (StartAbandonedException e) {
+            // the shutdown that is in progress ends the process
         } catch (Exception e) {
+            signals.startFailed();
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
             System.exit(1);
         }
     }
 
+    private static void start(PlatformConfig config, ServiceSignals signals) throws InterruptedException {
+        String path = System.getenv(CONFIG_VARIABLE);
+        Proxy proxy = Proxy.startWarm(config, signals::mayAcceptConnections);
+        proxy.onReloadRequest(signals::requestReload);
+        signals.started(() -> proxy.reload(path), proxy::drain);
+        if (!signals.receivesSighup()) {
+            proxy.log(SighupHandler.IGNORED_MESSAGE);
+        }
+    }
+
+    private static ServiceSignals installSignalsOrExit() {
+        try {
+            return ServiceSignals.install(System.err::println);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("can't handle signals: " + e);
+            System.exit(1);
+            throw new IllegalStateException(e);
+        }
+    }
+
     private static PlatformConfig readConfigOrExit() {
         try {
             return PlatformConfig.read(System.getenv(CONFIG_VARIABLE));
@@ -59,9 +73,10 @@
     public static int train() {
         NettyDefaults.apply();
         try {
-            SighupHandler.install(() -> {});
+            ServiceSignals signals = ServiceSignals.install(System.err::println);
             PlatformConfig config = readConfigOrExit().forTraining();
-            Proxy first = Proxy.startWarm(config);
+            Proxy first = Proxy.startWarm(config, signals::mayAcceptConnections);
+            signals.started(() -> {}, () -> {});
             Proxy next = Proxy.start(config);
             for (String request : OPERATOR_REQUESTS) {
                 sendToControl(config, next, request);
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -22,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * The platform's proxy: one pool, one listener and one event loop. Starts them, and shuts them down. Its methods may be
@@ -52,7 +53,8 @@
     /** Has the configuration read again; null if there is no file to read. */
     private volatile Runnable reloadRequest;
 
-    private Proxy(PlatformConfig config, boolean warm) throws InterruptedException {
+    private Proxy(PlatformConfig config, boolean warm, BooleanSupplier mayAcceptConnections)
+            throws InterruptedException {
         this.config = config;
         if (warm) {
             warmUp();
@@ -68,6 +70,9 @@
         loop.submit(this::startDispatching).syncUninterruptibly();
         listener = new Listener(
                 loopContext, clients, new SinglePoolHandler(loopContext, dispatcher), MetaProtocol.platform());
+        if (!mayAcceptConnections.getAsBoolean()) {
+            throw new StartAbandonedException();
+        }
         if (config.control() == null) {
             listener.bind(config.listen()).sync();
             operatorActions = null;
@@ -97,14 +102,19 @@
         }
     }
 
-    /** Starts a proxy after a warm-up, which has the JVM compile what requests run through. */
-    static Proxy startWarm(PlatformConfig config) throws InterruptedException {
-        return new Proxy(config, true);
+    /**
+     * Starts a proxy after a warm-up, which has the JVM compile what requests run through.
+     *
+     * @param mayAcceptConnections asked right before the proxy listens for clients
+     * @throws StartAbandonedException if it may not accept connections
+     */
+    static Proxy startWarm(PlatformConfig config, BooleanSupplier mayAcceptConnections) throws InterruptedException {
+        return new Proxy(config, true, mayAcceptConnections);
     }
 
     /** Starts a proxy without a warm-up. */
     public static Proxy start(PlatformConfig config) throws InterruptedException {
-        return new Proxy(config, false);
+        return new Proxy(config, false, () -> true);
     }
 
     /** The folder that a process shares with its next version. */
--- a/src/main/java/cacheproxy/proxy/process/ReloadScheduler.java
+++ b/src/main/java/cacheproxy/proxy/process/ReloadScheduler.java
@@ -7,7 +7,7 @@
  * it run once more, as the file may have been replaced since it was read; so the newest file is always the last to be
  * adopted. Requests that come before {@link #start} are remembered. All methods may be called from any thread.
  */
-public final class ReloadScheduler {
+final class ReloadScheduler {
     private final Consumer<String> log;
     /** Reads and adopts the configuration; null until the process has started. */
     private Runnable reload;
@@ -16,12 +16,12 @@
     private boolean running;
 
     /** @param log takes a line for operators, from any thread */
-    public ReloadScheduler(Consumer<String> log) {
+    ReloadScheduler(Consumer<String> log) {
         this.log = log;
     }
 
     /** Sets what a reload does, and runs it if one was requested before. */
-    public synchronized void start(Runnable newReload) {
+    synchronized void start(Runnable newReload) {
         reload = newReload;
         if (requested) {
             runInBackground();
@@ -29,7 +29,7 @@
     }
 
     /** Has the configuration read again; returns at once. */
-    public synchronized void request() {
+    synchronized void request() {
         requested = true;
         if (running) {
             log.accept("a reload is in progress: the configuration is read once more after it");
--- a/src/test/java/cacheproxy/SignalsIT.java
+++ b/src/test/java/cacheproxy/SignalsIT.java
@@ -13,13 +13,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Signals in series. */
+/**
+ * Signals at the moments that an operator or a supervisor may choose: with the first connection, before it, in series
+ * and mixed. Repetitions are taken from the property {@code signals.starts}, for long runs by hand.
+ */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class SignalsIT {
+    /** What a shell reports of a process that SIGTERM has ended: 128 and the signal's number. */
+    private static final int ENDED_BY_SIGTERM = 143;
+
+    private static final int STARTS = Integer.getInteger("signals.starts", 3);
+
     @TempDir
     private Path folder;
 
@@ -53,6 +62,118 @@
         return daemonText.replace("refuse_ms = 1000", "refuse_ms = " + milliseconds);
     }
 
+    private static ServerSocket silentSocket() throws IOException {
+        ServerSocket socket = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout(60_000);
+        return socket;
+    }
+
+    /** A pool whose list is awaited before clients are taken. */
+    private static String poolListedBy(ServerSocket discovery) {
+        return "\n[[pool]]\nname = \"listed\"\n[pool.discovery]\naddress = \"127.0.0.1:" + discovery.getLocalPort()
+                + "\"\nzones = [\"east\"]\nkinds = [\"node\", \"origin\"]\norigin_kind = \"origin\"\n";
+    }
+
+    /** Guards against SIGHUP ending a daemon that has taken its first connection. */
+    @Test
+    void sighupWithTheFirstConnectionOfRunIsRemembered() throws Exception {
+        for (int start = 0; start < STARTS; start++) {
+            SignalProcess.replace(daemonFile, daemonText);
+            try (SignalProcess run = SignalProcess.run(daemonFile);
+                    Socket client = run.firstConnection(port)) {
+                SignalProcess.replace(daemonFile, daemonFileRefusingFor(7));
+                run.signal("HUP");
+                run.awaitLine(line -> line.contains("as it is now"));
+                send(client, "mg health v");
+                assertThat(reader(client).readLine()).isEqualTo("SERVER_ERROR busy 7");
+                assertThat(run.isAlive()).isTrue();
+            }
+        }
+    }
+
+    /** Guards against a command that is cut by a SIGTERM just after the daemon's first connection. */
+    @Test
+    void sigtermWithTheFirstCommandOfRunAnswersItAndDrains() throws Exception {
+        for (int start = 0; start < STARTS; start++) {
+            try (SignalProcess run = SignalProcess.run(daemonFile);
+                    Socket client = run.firstConnection(port)) {
+                send(client, "mg health v");
+                run.signal("TERM");
+                BufferedReader answers = reader(client);
+                assertThat(answers.readLine()).isEqualTo("SERVER_ERROR busy 1000");
+                assertThat(answers.readLine()).isNull();
+                assertThat(run.awaitEnd()).isEqualTo(ENDED_BY_SIGTERM);
+            }
+        }
+    }
+
+    /** Guards against a command that is cut by a SIGTERM just after the platform proxy's first connection. */
+    @Test
+    void sigtermWithTheFirstCommandOfServeAnswersItAndDrains() throws Exception {
+        for (int start = 0; start < STARTS; start++) {
+            try (SignalProcess serve = SignalProcess.serve(platformFile, folder);
+                    Socket client = serve.firstConnection(port)) {
+                send(client, "mn");
+                serve.signal("TERM");
+                BufferedReader answers = reader(client);
+                assertThat(answers.readLine()).isEqualTo("MN");
+                assertThat(answers.readLine()).isNull();
+                assertThat(serve.awaitEnd()).isEqualTo(ENDED_BY_SIGTERM);
+            }
+        }
+    }
+
+    /** Guards against a SIGHUP that is lost between the platform proxy's first connection and its handler. */
+    @Test
+    void sighupWithTheFirstConnectionOfServeIsRemembered() throws Exception {
+        for (int start = 0; start < STARTS; start++) {
+            SignalProcess.replace(platformFile, platformText);
+            try (SignalProcess serve = SignalProcess.serve(platformFile, folder);
+                    Socket client = serve.firstConnection(port)) {
+                SignalProcess.replace(platformFile, "{");
+                serve.signal("HUP");
+                serve.awaitLine(line -> line.contains("config.json"));
+                send(client, "mn");
+                assertThat(reader(client).readLine()).isEqualTo("MN");
+            }
+        }
+    }
+
+    /** Guards against a start that goes on to take connections after SIGTERM, and then cuts them. */
+    @Test
+    void sigtermBeforeTheFirstConnectionEndsTheStart() throws Exception {
+        try (ServerSocket silentDiscovery = silentSocket()) {
+            SignalProcess.replace(daemonFile, daemonText + poolListedBy(silentDiscovery));
+            try (SignalProcess run = SignalProcess.run(daemonFile);
+                    Socket discoveryCall = silentDiscovery.accept()) {
+                assertThat(discoveryCall.isConnected()).isTrue();
+                run.signal("TERM");
+                assertThat(run.awaitEnd()).isEqualTo(ENDED_BY_SIGTERM);
+                assertThat(run.restOfErrors()).noneMatch(line -> line.startsWith("listening on"));
+            }
+        }
+    }
+
+    /** Guards against SIGHUP ending the process while it starts, and against its loss there. */
+    @Test
+    void sighupBeforeTheFirstConnectionIsRemembered() throws Exception {
+        try (ServerSocket silentDiscovery = silentSocket()) {
+            String waiting = daemonText + poolListedBy(silentDiscovery);
+            SignalProcess.replace(daemonFile, waiting);
+            try (SignalProcess run = SignalProcess.run(daemonFile);
+                    Socket discoveryCall = silentDiscovery.accept()) {
+                assertThat(discoveryCall.isConnected()).isTrue();
+                SignalProcess.replace(daemonFile, waiting.replace("refuse_ms = 1000", "refuse_ms = 7"));
+                run.signal("HUP");
+                run.awaitLine(line -> line.contains("as it is now"));
+                try (Socket client = run.firstConnection(port)) {
+                    send(client, "mg health v");
+                    assertThat(reader(client).readLine()).isEqualTo("SERVER_ERROR busy 7");
+                }
+            }
+        }
+    }
+
     /** Guards against the older of two files in force, where the older takes longer to read than the newer. */
     @Test
     void theNewestOfTwoFilesOfRunIsInForceThoughTheOlderIsReadForLonger() throws Exception {
@@ -119,4 +240,20 @@
         process.signal("HUP");
         return Files.newOutputStream(pipe); // returns once the process has opened the other end
     }
+
+    /** Guards against a second SIGTERM, or a SIGHUP between two, that cuts the drain short. */
+    @RepeatedTest(2)
+    void signalsInSeriesLeaveTheDrainAsItIs() throws Exception {
+        try (SignalProcess run = SignalProcess.run(daemonFile);
+                Socket client = run.firstConnection(port)) {
+            send(client, "mg health v");
+            for (String signal : new String[] {"HUP", "TERM", "TERM", "HUP", "TERM"}) {
+                run.signal(signal);
+            }
+            BufferedReader answers = reader(client);
+            assertThat(answers.readLine()).isEqualTo("SERVER_ERROR busy 1000");
+            assertThat(answers.readLine()).isNull();
+            assertThat(run.awaitEnd()).isEqualTo(ENDED_BY_SIGTERM);
+        }
+    }
 }
