Bind nothing for a reload that fails, or that the shutdown overtakes

What callers saw: a reload in which a subsystem threw left its new addresses bound until the process ended, so that no later file could use them. A reload that came in a shutdown, or ended in one, opened its new listeners there: clients that connected were cut when the process ended, and a process that drained took on a whole new configuration.

Cause: Daemon.load released the reserved listeners for ConfigException alone, and its commit on the event loop did not look at whether the shutdown had begun.

Change: load() releases what it has reserved however it ends, and commits unless the shutdown has begun, in one task of the event loop; otherwise the subsystems are rolled back and the caller is told that the daemon is shutting down. A start that throws closes the daemon, as one with an unusable file did.

--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -3,25 +3,22 @@
 import cacheproxy.config.ConfigException;
 import cacheproxy.config.DaemonConfig;
 import cacheproxy.config.DaemonConfigReader;
-import cacheproxy.config.PoolConfig;
 import cacheproxy.control.DiagnosticEndpoints;
 import cacheproxy.policy.ServiceClass;
 import cacheproxy.proxy.client.ClientRegistry;
 import cacheproxy.proxy.client.Listener;
-import cacheproxy.proxy.dispatch.LearnedStateProvider;
 import cacheproxy.proxy.net.PollClock;
 import cacheproxy.proxy.net.Transport;
 import cacheproxy.proxy.process.GracefulShutdown;
 import cacheproxy.proxy.request.RequestValidator;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import cacheproxy.proxy.upstream.EventLoopLimits;
-import cacheproxy.snapshot.state.PoolState;
 import cacheproxy.snapshot.state.StateSnapshot;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -53,14 +50,21 @@
     private final RetiredConfigs retired = new RetiredConfigs();
     private final SplittableRandom random;
     private final Subsystems subsystems;
+    private final PoolTransition poolTransition;
     private final SubsystemContext context;
     /** The snapshot of another proxy to start from; null if there is none, and after the start. */
     private Path seedFrom;
 
     /** Has the configuration read again; null if there is no file to read. */
     private volatile Runnable reloadRequest;
+    /** Whether the shutdown has begun, so that no configuration is adopted any more; on the event loop. */
+    private boolean draining;
 
-    private Daemon(DaemonConfig file, long seed, BooleanSupplier mayAcceptConnections) {
+    private Daemon(
+            DaemonConfig file,
+            long seed,
+            BooleanSupplier mayAcceptConnections,
+            List<Subsystem.Registration> registrations) {
         random = new SplittableRandom(seed);
         StandardProtocols protocols = new StandardProtocols(random.nextLong());
         ProcessBudget budget = ProcessBudget.of(file.limits());
@@ -73,7 +77,8 @@
         clients = new ClientRegistry(core, budget.clientSockets());
         router = new Router(core);
         listeners = new ListenerSet(core, clients, router, protocols, mayAcceptConnections);
-        subsystems = new Subsystems(task -> loop.submit(task).syncUninterruptibly(), StandardSubsystems.ALL);
+        subsystems = new Subsystems(task -> loop.submit(task).syncUninterruptibly(), registrations);
+        poolTransition = new PoolTransition(core, serverStarts, subsystems, random);
         context = new SubsystemContext(
                 core,
                 random,
@@ -86,13 +91,7 @@
 
     /** Starts a daemon; the exception says which address could not be bound. */
     public static Daemon start(DaemonConfig file, long seed) throws ConfigException, InterruptedException {
-        return start(file, seed, null);
-    }
-
-    /** Starts a daemon that takes over from the snapshot of another proxy where it has none; null if there is none. */
-    public static Daemon start(DaemonConfig file, long seed, Path seedFrom)
-            throws ConfigException, InterruptedException {
-        return start(file, seed, seedFrom, () -> true);
+        return start(file, seed, null, () -> true);
     }
 
     /**
@@ -105,18 +104,28 @@
      */
     public static Daemon start(DaemonConfig file, long seed, Path seedFrom, BooleanSupplier mayAcceptConnections)
             throws ConfigException, InterruptedException {
-        Daemon daemon = new Daemon(file, seed, mayAcceptConnections);
+        Daemon daemon = new Daemon(file, seed, mayAcceptConnections, StandardSubsystems.ALL);
         daemon.seedFrom = seedFrom;
+        return daemon.start(file);
+    }
+
+    /** Starts a daemon with these subsystems, for tests. */
+    static Daemon start(DaemonConfig file, long seed, List<Subsystem.Registration> registrations)
+            throws ConfigException, InterruptedException {
+        return new Daemon(file, seed, () -> true, registrations).start(file);
+    }
+
+    private Daemon start(DaemonConfig file) throws ConfigException, InterruptedException {
         try {
-            daemon.load(file);
-        } catch (ConfigException e) {
-            daemon.close();
+            load(file);
+        } catch (ConfigException | RuntimeException e) {
+            close();
             throw e;
         }
-        daemon.seedFrom = null;
-        daemon.listeners.awaitAccepting();
-        daemon.loop.submit(daemon::startPeriodicTasks).sync();
-        return daemon;
+        seedFrom = null;
+        listeners.awaitAccepting();
+        loop.submit(this::startPeriodicTasks).sync();
+        return this;
     }
 
     // The tasks end with the event loop, so that nobody needs their futures.
@@ -189,23 +198,44 @@
         load(DaemonConfigReader.read(path));
     }
 
-    /** Adopts a configuration; not on the event loop, as binding addresses blocks. */
+    /**
+     * Adopts a configuration; not on the event loop, as binding addresses blocks.
+     *
+     * @throws ConfigException if it can't be used, or the daemon is shutting down; nothing has changed then
+     */
     public synchronized void load(DaemonConfig file) throws ConfigException, InterruptedException {
         Map<String, Listener> reserved = listeners.reserve(file);
-        Subsystems.Change change;
+        boolean adopted = false;
         try {
-            change = subsystems.prepare(context, file);
-        } catch (ConfigException e) {
-            reserved.values().forEach(Listener::close);
-            throw e;
+            adopted = adopt(file, reserved);
+        } finally {
+            if (!adopted) {
+                reserved.values().forEach(Listener::close);
+            }
         }
-        loop.submit(() -> {
-                    change.commit();
-                    commit(file, reserved);
-                    change.closeReplaced();
-                })
-                .sync();
-        change.endReplaced();
+        if (!adopted) {
+            throw ConfigException.of(List.of("the daemon is shutting down and adopts no configuration"));
+        }
+    }
+
+    /** Returns false, and changes nothing, if the daemon is shutting down. */
+    private boolean adopt(DaemonConfig file, Map<String, Listener> reserved)
+            throws ConfigException, InterruptedException {
+        Subsystems.Change change = subsystems.prepare(context, file);
+        boolean adopted = onLoop(() -> !draining && commit(change, file, reserved));
+        if (adopted) {
+            change.endReplaced();
+        } else {
+            change.rollBack();
+        }
+        return adopted;
+    }
+
+    private boolean commit(Subsystems.Change change, DaemonConfig file, Map<String, Listener> reserved) {
+        change.commit();
+        commit(file, reserved);
+        change.closeReplaced();
+        return true;
     }
 
     private void commit(DaemonConfig file, Map<String, Listener> reserved) {
@@ -216,11 +246,7 @@
         if (previous == null && restored != null) {
             restored.restoreStartTimes(serverStarts.times(), nowMs);
         }
-        Map<String, PoolRuntime> pools = new LinkedHashMap<>();
-        for (PoolConfig pool : file.pools().values()) {
-            PoolRuntime current = previous == null ? null : previous.pools.get(pool.name());
-            pools.put(pool.name(), continueOrReplace(file, pool, current, nowMs));
-        }
+        Map<String, PoolRuntime> pools = poolTransition.poolsOf(file, previous, nowMs);
         RequestValidator validator = new RequestValidator(core, file.classes(), file.tenants());
         ConfigSnapshot next = new ConfigSnapshot(file, pools, validator, subsystems);
         router.use(next);
@@ -230,23 +256,6 @@
         listeners.commit(file, reserved);
     }
 
-    private PoolRuntime continueOrReplace(DaemonConfig file, PoolConfig pool, PoolRuntime current, double nowMs) {
-        if (current != null && current.fits(file, pool)) {
-            current.apply(file);
-            return current;
-        }
-        long seed = random.nextLong();
-        LearnedStateSource restored = subsystems.get(LearnedStateSource.class);
-        LearnedStateProvider learned = null;
-        if (current != null) {
-            learned = LearnedStates.handOver(file, pool, current, nowMs);
-        } else if (restored != null) {
-            learned = restored.learnedStateFor(file, pool);
-        }
-        PoolContext poolContext = new PoolContext(core, serverStarts.budget(), serverStarts.times(), subsystems);
-        return new PoolRuntime(poolContext, file, pool, seed, learned);
-    }
-
     private void collectUnused() {
         listeners.removeDrained();
         retired.collect(router.configuration().file, core.nowMs());
@@ -254,7 +263,10 @@
 
     /** Shuts down gracefully: serves pending requests, and returns once that is done or at the longest deadline. */
     public void drain() {
-        loop.execute(subsystems::drain);
+        loop.execute(() -> {
+            draining = true;
+            subsystems.drain();
+        });
         new GracefulShutdown(loop, core, ACCEPT_AFTER_SIGTERM_MS, this::drainListeners)
                 .run(() -> router.configuration().file.classes().stream()
                         .mapToDouble(ServiceClass::deadlineMs)
@@ -271,16 +283,7 @@
 
     /** The state worth saving, with at most so many hot keys a pool. */
     private StateSnapshot learnedState(int maxKeys) {
-        DaemonConfig file = router.configuration().file;
-        Map<String, PoolState> pools = new LinkedHashMap<>();
-        router.configuration().pools.forEach((name, pool) -> pools.put(name, pool.learned(maxKeys)));
-        return new StateSnapshot(
-                file.site().name(),
-                file.site().proxyIndex(),
-                core.nowMs(),
-                0,
-                pools,
-                serverStarts.snapshot(LearnedStates.addresses(file)));
+        return LearnedStates.export(router.configuration(), serverStarts, core.nowMs(), maxKeys);
     }
 
     /** Ends at once. */
--- a/src/main/java/cacheproxy/daemon/LearnedStates.java
+++ b/src/main/java/cacheproxy/daemon/LearnedStates.java
@@ -6,9 +6,11 @@
 import cacheproxy.proxy.discovery.ListedServer;
 import cacheproxy.proxy.dispatch.LearnedStateProvider;
 import cacheproxy.snapshot.state.CurrentServer;
+import cacheproxy.snapshot.state.PoolState;
 import cacheproxy.snapshot.state.StateSnapshot;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -16,6 +18,15 @@
 public final class LearnedStates {
     private LearnedStates() {}
 
+    /** What all pools of a configuration have learned, with at most so many hot keys a pool. */
+    static StateSnapshot export(ConfigSnapshot configuration, ServerStarts starts, double nowMs, int maxKeys) {
+        DaemonConfig file = configuration.file;
+        Map<String, PoolState> pools = new LinkedHashMap<>();
+        configuration.pools.forEach((name, pool) -> pools.put(name, pool.learned(maxKeys)));
+        return new StateSnapshot(
+                file.site().name(), file.site().proxyIndex(), nowMs, 0, pools, starts.snapshot(addresses(file)));
+    }
+
     /** The state that a pool hands to the one that replaces it. */
     static LearnedStateProvider handOver(DaemonConfig file, PoolConfig pool, PoolRuntime from, double nowMs) {
         StateSnapshot snapshot = new StateSnapshot(
--- a/src/main/java/cacheproxy/daemon/StandardSubsystems.java
+++ b/src/main/java/cacheproxy/daemon/StandardSubsystems.java
@@ -4,6 +4,7 @@
 import cacheproxy.daemon.hooks.HookSubsystem;
 import cacheproxy.daemon.snapshot.SnapshotSubsystem;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** The subsystems of the daemon: the one place where they are listed. */
 final class StandardSubsystems {
@@ -16,4 +17,9 @@
             new Subsystem.Registration(ControlSubsystem.SECTION, ControlSubsystem::open));
 
     private StandardSubsystems() {}
+
+    /** All, and another one that is opened last, for tests. */
+    static List<Subsystem.Registration> with(Subsystem.Registration last) {
+        return Stream.concat(ALL.stream(), Stream.of(last)).toList();
+    }
 }
--- a/src/main/java/cacheproxy/daemon/Subsystems.java
+++ b/src/main/java/cacheproxy/daemon/Subsystems.java
@@ -102,7 +102,7 @@
         }
 
         /** Closes what was opened for a rejected configuration; not on the event loop. */
-        private void rollBack() throws ConfigException, InterruptedException {
+        void rollBack() throws ConfigException, InterruptedException {
             for (Subsystem subsystem : next) {
                 if (subsystem != null && !present.contains(subsystem)) {
                     onLoop.execute(subsystem::close);
--- a/src/test/java/cacheproxy/daemon/MemoryTest.java
+++ b/src/test/java/cacheproxy/daemon/MemoryTest.java
@@ -176,7 +176,7 @@
 
     private int askedOf(FakeCacheServer node, String text, Path seedFrom) throws Exception {
         int before = node.commands();
-        try (Daemon daemon = Daemon.start(DaemonConfigReader.parse("rig", text), 7, seedFrom)) {
+        try (Daemon daemon = Daemon.start(DaemonConfigReader.parse("rig", text), 7, seedFrom, () -> true)) {
             LoadClient.Account a = ask(daemon, 400, 0);
             assertThat(a.faults).isEmpty();
             assertThat(a.answered()).isEqualTo(400);
