Keep a hot key's retry within a list that has shrunk since its request came

What callers saw: an exception on the event loop in place of an answer, where a hot key's attempt ended after its list had shrunk; the request then waited for its deadline.

Cause: ServerSelector took the spread of the key at the request's arrival as the number of ranked servers to start from, so that it read candidates of an earlier selection, beyond the list's end or of servers that rank elsewhere.

Evidence: ServerSelectorTest failed before, 'Index 14 out of bounds for length 2', at the first of 18 places where the list shrinks from 20 to 2 servers. The spread is at most the ranked count now; draws and choices are the same where the list has not shrunk.

--- a/src/main/java/cacheproxy/policy/ServerSelector.java
+++ b/src/main/java/cacheproxy/policy/ServerSelector.java
@@ -57,7 +57,7 @@
      */
     private ServerState selectCacheServer(double nowMs, PendingRequest pending, PolicyActions actions) {
         int count = rank(pending);
-        int spread = pending.hotKeySpread();
+        int spread = Math.min(pending.hotKeySpread(), count); // the list may have shrunk since the request came
         int offset = spread > 1 ? environment.random().nextInt(spread) : 0;
         ServerState fallback = null;
         boolean passedRestored = false;
--- /dev/null
+++ b/src/test/java/cacheproxy/policy/ServerSelectorTest.java
@@ -0,0 +1,61 @@
+package cacheproxy.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** The choice of a server from a list that has changed since the request came. */
+class ServerSelectorTest {
+    private static final int FLEET = 20;
+    private static final int LEFT = 2;
+
+    /** Makes key 7 so hot that it is spread over several servers; all requests are answered. */
+    private static PolicyHarness harnessWithHotKey() {
+        PolicyHarness harness = PolicyHarness.cacheAside().withFleet(FLEET);
+        for (int id = 1; id <= 400; id++) {
+            harness.nowMs += 5;
+            harness.read(id, id % 4 == 0 ? 7 : id + 1000);
+            harness.end(harness.lastSent(), AttemptOutcome.OK);
+        }
+        return harness;
+    }
+
+    /** Guards against an index beyond the list for a hot key's retry, after the list has shrunk under its spread. */
+    @Test
+    void retriesOfAHotKeyGoToWhatIsLeftOfAListThatHasShrunk() {
+        for (int firstLeft = 1; firstLeft <= FLEET - LEFT; firstLeft++) {
+            PolicyHarness harness = harnessWithHotKey();
+            for (int id = 1001; id <= 1010; id++) {
+                harness.read(id, 7);
+            }
+            Endpoint[] gone = new Endpoint[FLEET - LEFT];
+            int next = 0;
+            for (int id = 1; id <= FLEET; id++) {
+                if (id < firstLeft || id >= firstLeft + LEFT) {
+                    gone[next++] = PolicyHarness.endpoint(id, EndpointState.GONE, 0);
+                }
+            }
+            harness.changeEndpoints(gone);
+            int sent = harness.sentAttempts.size();
+            for (PolicyHarness.SentAttempt attempt :
+                    harness.sentAttempts.subList(sent - 10, sent).toArray(new PolicyHarness.SentAttempt[0])) {
+                harness.end(attempt, AttemptOutcome.RESET);
+            }
+            assertThat(harness.sentAttempts.subList(sent, harness.sentAttempts.size()))
+                    .as("retries with servers from %d on", firstLeft)
+                    .isNotEmpty()
+                    .allMatch(attempt -> attempt.serverId() == PolicyHarness.ORIGIN
+                            || attempt.serverId() == firstLeftOf(attempt, gone));
+        }
+    }
+
+    /** The server of an attempt unless it is gone. */
+    private static int firstLeftOf(PolicyHarness.SentAttempt attempt, Endpoint[] gone) {
+        for (Endpoint endpoint : gone) {
+            if (endpoint.id() == attempt.serverId()) {
+                return -1;
+            }
+        }
+        return attempt.serverId();
+    }
+}
