Count a connection's claim to buffer a long body once

What callers saw in time: bodies without a length wait for a budget that never comes back, up to their deadlines, until the process restarts.

Cause: BodyBufferClaim did not tell apart the grants of two bodies. Where a body ended while its claim waited and the next body of the connection claimed as well, both grants arrived, and one was given back.

Evidence: BodyBufferClaimTest failed before (one of two places left at the end). A grant that comes while one is held, or for a body that has ended, is given back at once. The claim takes its limit and the connection's reading as parameters, so that it can be tested without a connection.

--- a/src/main/java/cacheproxy/proxy/upstream/BodyBufferClaim.java
+++ b/src/main/java/cacheproxy/proxy/upstream/BodyBufferClaim.java
@@ -1,13 +1,15 @@
 package cacheproxy.proxy.upstream;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * A connection's claim to buffer one long body under the {@link BufferedBodyLimit}. Until it is granted, reading is
  * suspended, so that the rest of the body waits with the kernel; the request's deadline goes on.
  */
 final class BodyBufferClaim {
-    private final UpstreamConnection connection;
+    private final BufferedBodyLimit limit;
+    private final Consumer<Boolean> setReadable;
     private final BooleanSupplier complete;
     private boolean requested;
     private boolean granted;
@@ -16,11 +18,13 @@
     /**
      * Creates a claim that is not requested.
      *
+     * @param setReadable suspends or resumes the reading of the connection
      * @param complete whether the body came completely with the read that made the claim; reading is then not resumed
      *     on the grant, as the next response is not due yet
      */
-    BodyBufferClaim(UpstreamConnection connection, BooleanSupplier complete) {
-        this.connection = connection;
+    BodyBufferClaim(BufferedBodyLimit limit, Consumer<Boolean> setReadable, BooleanSupplier complete) {
+        this.limit = limit;
+        this.setReadable = setReadable;
         this.complete = complete;
     }
 
@@ -31,13 +35,13 @@
         }
         requested = true;
         readingSuspended = true;
-        connection.responses().setReadable(false);
-        limit().acquire(this::onAcquired);
+        setReadable.accept(false);
+        limit.acquire(this::onAcquired);
     }
 
     private void onAcquired() {
-        if (!requested) { // the body has ended meanwhile
-            limit().release();
+        if (!requested || granted) { // asked for a body that has ended meanwhile
+            limit.release();
             return;
         }
         granted = true;
@@ -52,18 +56,14 @@
         resumeReading(); // a body that was complete before the grant must not leave its connection unread
         if (granted) {
             granted = false;
-            limit().release();
+            limit.release();
         }
     }
 
     private void resumeReading() {
         if (readingSuspended) {
             readingSuspended = false;
-            connection.responses().setReadable(true);
+            setReadable.accept(true);
         }
     }
-
-    private BufferedBodyLimit limit() {
-        return connection.core().bufferedBodies();
-    }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -54,7 +54,7 @@
     private OriginCodec(UpstreamConnection connection) {
         this.connection = connection;
         responses = connection.responses();
-        claim = new BodyBufferClaim(connection, () -> forwarding);
+        claim = new BodyBufferClaim(connection.core().bufferedBodies(), responses::setReadable, () -> forwarding);
         connection.setCodec(this);
     }
 
--- /dev/null
+++ b/src/test/java/cacheproxy/proxy/upstream/BodyBufferClaimTest.java
@@ -0,0 +1,68 @@
+package cacheproxy.proxy.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cacheproxy.proxy.request.MetaCodec;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A connection's claims on the bound of buffered bodies, one body after another. */
+@Timeout(30)
+class BodyBufferClaimTest {
+    private final EventLoop loop = new DefaultEventLoop();
+    private final BufferedBodyLimit limit = new BufferedBodyLimit(loop, 2 * MetaCodec.MAX_VALUE_BYTES);
+    private final List<Boolean> readable = new ArrayList<>();
+    private final BodyBufferClaim claim = new BodyBufferClaim(limit, readable::add, () -> false);
+
+    @AfterEach
+    void endLoop() {
+        loop.shutdownGracefully();
+    }
+
+    /** Runs what releases have scheduled, those that follow from it included. */
+    private void runScheduled() {
+        for (int round = 0; round < 5; round++) {
+            loop.submit(() -> {}).syncUninterruptibly();
+        }
+    }
+
+    /** How many more bodies may be buffered at once now, of two in all. */
+    private int free() {
+        AtomicInteger acquired = new AtomicInteger();
+        limit.acquire(acquired::incrementAndGet);
+        limit.acquire(acquired::incrementAndGet);
+        return acquired.get();
+    }
+
+    @Test
+    void aGrantedClaimIsGivenBackOnce() {
+        claim.request();
+        assertThat(readable).containsExactly(false, true);
+        claim.release();
+        claim.release();
+        assertThat(free()).isEqualTo(2);
+    }
+
+    /** Guards against a budget that never comes back, where a body ends while it waits and the next one claims, too. */
+    @Test
+    void aClaimThatWaitsForTwoBodiesCountsOnce() {
+        limit.acquire(() -> {}); // the bodies of other connections
+        limit.acquire(() -> {});
+        claim.request();
+        claim.release();
+        claim.request();
+        limit.release();
+        limit.release();
+        runScheduled();
+        assertThat(readable).endsWith(true);
+        claim.release();
+        runScheduled();
+        assertThat(free()).isEqualTo(2);
+    }
+}
