Ignore cost hints that no request can mean

What callers saw: one client's h=Infinity made the average cost infinite for good, so that hedging delays of all others were of no use; a huge or a tiny one bent them for long. A size hint was taken unchecked as well.

Cause: hints were read by Double.parseDouble, which takes Infinity, NaN, signs, exponents and suffixes, and LatencyEstimates took any positive number.

Hints are decimal digits now, as deadlines are; LatencyEstimates, which the simulator reaches without the validator, takes hints from 1 us, the wire's unit, to the longest deadline.

--- a/src/main/java/cacheproxy/policy/LatencyEstimates.java
+++ b/src/main/java/cacheproxy/policy/LatencyEstimates.java
@@ -22,6 +22,12 @@
     /** Deviations above the average up to which a latency is usual. */
     private static final int USUAL_DEVIATIONS = 3;
 
+    /** The unit of the hints on the wire. */
+    private static final double MIN_COST_MS = 0.001;
+
+    /** The longest deadline: no request may take longer. */
+    private final double maxCostMs;
+
     private double originMs;
     private double serverMs;
     private double serverDeviationMs;
@@ -37,14 +43,15 @@
                 .mapToDouble(ServiceClass::latencyObjectiveMs)
                 .min()
                 .orElseThrow(() -> new IllegalArgumentException("settings name no class"));
+        maxCostMs = classes.stream().mapToDouble(ServiceClass::deadlineMs).max().orElseThrow();
         originMs = shortestObjectiveMs / INITIAL_ORIGIN_DIVISOR;
         serverMs = shortestObjectiveMs / INITIAL_SERVER_DIVISOR;
         serverDeviationMs = serverMs;
     }
 
-    /** Records a request's cost hint, if it has one; the first is the average. */
+    /** Records a request's cost hint, if it has a plausible one; the first is the average. */
     void recordCost(RoutingRequest request) {
-        if (request.costHintMs() > 0) {
+        if (hasPlausibleCost(request)) {
             cost += (request.costHintMs() - cost) / (cost > 0 ? COST_DIVISOR : 1);
         }
     }
@@ -76,9 +83,14 @@
         return (serverMs + USUAL_DEVIATIONS * serverDeviationMs) * relativeCost(request);
     }
 
-    /** Returns the cost that a request hints at as a multiple of the average; 1 without a hint. */
+    /** Returns the cost that a request hints at as a multiple of the average; 1 without a plausible hint. */
     private double relativeCost(RoutingRequest request) {
-        return request.costHintMs() > 0 && cost > 0 ? request.costHintMs() / cost : 1;
+        return hasPlausibleCost(request) && cost > 0 ? request.costHintMs() / cost : 1;
+    }
+
+    /** Clients write the hints: one that no request can mean must not outweigh all others. */
+    private boolean hasPlausibleCost(RoutingRequest request) {
+        return request.costHintMs() >= MIN_COST_MS && request.costHintMs() <= maxCostMs;
     }
 
     /** Returns the estimates for a snapshot. */
--- a/src/main/java/cacheproxy/proxy/request/RequestValidator.java
+++ b/src/main/java/cacheproxy/proxy/request/RequestValidator.java
@@ -57,8 +57,8 @@
         }
         request.resolve(serviceClass, tenant, request.arrivedMs() + deadlineMs);
         request.setHints(
-                number(attributes, "h", Double.NaN) / MICROS_PER_MS,
-                (float) number(attributes, "size", 0),
+                hint(attributes, "h", Integer.MAX_VALUE * MICROS_PER_MS, Double.NaN) / MICROS_PER_MS,
+                (float) hint(attributes, "size", MetaCodec.MAX_VALUE_BYTES, 0),
                 "1".equals(MetaCodec.attribute(attributes, "r")));
         return null;
     }
@@ -78,16 +78,23 @@
         if (text == null) {
             return defaultMs;
         }
-        boolean decimal = text.chars().allMatch(digit -> (digit >= '0' && digit <= '9') || digit == '.');
-        return decimal ? number(attributes, "d", 0) : 0;
+        return decimal(text, 0);
     }
 
-    private static double number(String attributes, String name, double absent) {
+    /** A hint, which counts as absent if it is no decimal number or over its greatest value. */
+    private static double hint(String attributes, String name, double maximum, double absent) {
         String text = MetaCodec.attribute(attributes, name);
+        double value = text == null ? absent : decimal(text, absent);
+        return value <= maximum ? value : absent;
+    }
+
+    /** A number of decimal digits, without the signs, exponents, names and suffixes that Java reads as well. */
+    private static double decimal(String text, double invalid) {
+        boolean digitsAlone = text.chars().allMatch(digit -> (digit >= '0' && digit <= '9') || digit == '.');
         try {
-            return text == null ? absent : Double.parseDouble(text);
+            return digitsAlone ? Double.parseDouble(text) : invalid;
         } catch (NumberFormatException e) {
-            return absent;
+            return invalid;
         }
     }
 
--- a/src/test/java/cacheproxy/proxy/request/RequestValidatorTest.java
+++ b/src/test/java/cacheproxy/proxy/request/RequestValidatorTest.java
@@ -147,4 +147,14 @@
         }
         assertThat(RequestValidator.keyHash(key)).isEqualTo(hash);
     }
+
+    /** Guards against a client's hint that is no time, or longer than any request may take, reaching the policy. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Infinity", "-Infinity", "NaN", "-7", "1e300", "0x1p9", "1d", "9999999999999", ""})
+    void aHintThatIsNoTimeCountsAsNone(String hint) {
+        ClientRequest request = request("c=page,h=" + hint + ",size=" + hint);
+        assertThat(validator.resolve(request)).isNull();
+        assertThat(request.workHintMs()).isNaN();
+        assertThat(request.sizeHintBytes()).isZero();
+    }
 }
