Refuse a list with a start time that is no number

What callers saw: a born_ms of NaN or Infinity from discovery is unequal to itself, or later than all others, so that its server seemed to restart with each list and stayed in slow start for good.

Evidence: EndpointListParserTest failed before for four texts. Such a list is refused with the host's name, as one with a bad share is.

--- a/src/main/java/cacheproxy/proxy/discovery/EndpointListParser.java
+++ b/src/main/java/cacheproxy/proxy/discovery/EndpointListParser.java
@@ -60,6 +60,9 @@
             throw new DiscoveryException("host " + name + ": unknown site or class, or bad share");
         }
         double startedMs = json.has("born_ms") ? json.get("born_ms").getAsDouble() : 0;
+        if (!Double.isFinite(startedMs)) {
+            throw new DiscoveryException("host " + name + ": born_ms is no time");
+        }
         int cell = json.has("block") ? json.get("block").getAsInt() : 0;
         return new ListedServer(
                 new Endpoint(ServerId.fromName(name), zone, kind, cell, state, weight, startedMs),
--- a/src/test/java/cacheproxy/proxy/discovery/EndpointListParserTest.java
+++ b/src/test/java/cacheproxy/proxy/discovery/EndpointListParserTest.java
@@ -123,4 +123,15 @@
     void namesHaveNoSpacesAndCommasInSettings(String name, String settingName) {
         assertThat(SettingNames.toSettingName(name)).isEqualTo(settingName);
     }
+
+    /** Guards against a start time that equals no other, by which a server would seem to restart with each list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"'NaN'", "'Infinity'", "'-Infinity'", "1e999"})
+    void aStartTimeThatIsNoNumberIsRefused(String startedMs) {
+        String text = serverWith("born_ms", startedMs);
+        assertThatThrownBy(() -> server(text))
+                .isInstanceOf(DiscoveryException.class)
+                .hasMessageContaining("cache-1f")
+                .hasMessageContaining("born_ms");
+    }
 }
