Do not take an invalid list for discovery's answer

What callers saw: a discovery that keeps sending invalid lists is called without growing pauses, as each of them took back the count of failures.

Cause: RoutingPolicy told the watch of a list before EndpointList had validated it.

Evidence: EndpointListWatchTest failed before (the pause after four failures and an invalid list was that after one). The watch counts as answered once the list is taken over; the subscription that follows the cached list still begins if that list is invalid, as discovery's may be valid.

--- a/src/main/java/cacheproxy/policy/EndpointListWatch.java
+++ b/src/main/java/cacheproxy/policy/EndpointListWatch.java
@@ -22,13 +22,18 @@
         this.random = random;
     }
 
-    /** A list was received. The first one comes without a subscription, which is to follow if discovery is polled. */
-    void listReceived(EndpointListKind kind, PolicyActions actions) {
-        if (kind == EndpointListKind.CACHED && settings.pollsDiscovery()) {
+    /** The first list comes without a subscription, which is to follow if discovery is polled. */
+    void cachedListReceived(PolicyActions actions) {
+        if (settings.pollsDiscovery()) {
             double spanMs =
                     Math.min(settings.maxPollAgeMs() / 2, settings.instanceCount() * settings.connectTimeoutMs() / 2);
             startTimer(random.nextDouble() * spanMs, actions);
-        } else if (requested) {
+        }
+    }
+
+    /** A valid list was received, which answers the subscription if there is one. */
+    void answered() {
+        if (requested) {
             requested = false;
             failures = 0;
         }
--- a/src/main/java/cacheproxy/policy/RoutingPolicy.java
+++ b/src/main/java/cacheproxy/policy/RoutingPolicy.java
@@ -71,8 +71,13 @@
             listWatch.failed(actions);
             return;
         }
-        listWatch.listReceived(kind, actions);
-        endpointList.update(nowMs, kind, endpoints);
+        if (kind == EndpointListKind.CACHED) {
+            listWatch.cachedListReceived(actions); // also if that list is invalid, as discovery's may be valid
+        }
+        endpointList.update(nowMs, kind, endpoints); // throws if the list is invalid, and so no answer
+        if (kind != EndpointListKind.CACHED) {
+            listWatch.answered();
+        }
         slowStart.recordList(nowMs, endpoints);
     }
 
--- a/src/test/java/cacheproxy/policy/EndpointListWatchTest.java
+++ b/src/test/java/cacheproxy/policy/EndpointListWatchTest.java
@@ -1,6 +1,7 @@
 package cacheproxy.policy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -23,4 +24,25 @@
         harness.advanceTime(60000);
         assertThat(harness.watchCount).isEqualTo(2);
     }
+
+    /** Guards against an invalid list that counts as discovery's answer, after which it is called without backoff. */
+    @Test
+    void anInvalidListIsNoAnswer() {
+        PolicyHarness harness =
+                new PolicyHarness(PolicyHarness.settings(true, true, false, DeduplicationScope.ALL)).withFleet(5);
+        harness.advanceTime(5000);
+        for (int failure = 0; failure < 3; failure++) {
+            harness.policy.onEndpointList(harness.nowMs, EndpointListKind.FAILED, List.of(), harness);
+            harness.advanceTime(10_000);
+        }
+        Endpoint twice = PolicyHarness.endpoint(3, EndpointState.READY, 0);
+        assertThatThrownBy(() -> harness.changeEndpoints(twice, twice)).isInstanceOf(IllegalArgumentException.class);
+        harness.timers.clear();
+        harness.policy.onEndpointList(harness.nowMs, EndpointListKind.FAILED, List.of(), harness);
+        assertThat(harness.timers)
+                .singleElement()
+                .satisfies(retry -> assertThat(retry.dueAtMs() - harness.nowMs)
+                        .as("after four failures in a row")
+                        .isGreaterThanOrEqualTo(10_000.0 / 16 * 8 / 2));
+    }
 }
