Forget overdue attempts and probes of a server when it restarts

What callers saw: a restarted server was ejected by its first reset, as the overdue attempts of the process before still counted; a half-open probe that was out over the restart kept the next one from being sent.

Evidence: ServerStateTest failed before in both cases. A restart clears all that the earlier process did.

--- a/src/main/java/cacheproxy/policy/ServerState.java
+++ b/src/main/java/cacheproxy/policy/ServerState.java
@@ -40,13 +40,16 @@
         return endpoint.state() == EndpointState.READY;
     }
 
-    /** Takes over a listing; a restarted server has no failures. */
+    /** Takes over a listing; nothing that a server did before a restart counts after it. */
     void update(double nowMs, Endpoint listed, boolean firstList) {
         boolean isNew = endpoint == null;
         boolean restarted = !isNew && endpoint.startedMs() != listed.startedMs();
         if (restarted) {
-            failures = 0;
+            clearFailures();
             ejectedUntilMs = 0;
+            probing = false;
+            probeSucceeded = false;
+            failuresRestored = false;
         }
         if (!firstList && (isNew || restarted)) {
             restartSeenMs = nowMs;
--- /dev/null
+++ b/src/test/java/cacheproxy/policy/ServerStateTest.java
@@ -0,0 +1,53 @@
+package cacheproxy.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cacheproxy.snapshot.state.LearnedServer;
+import org.junit.jupiter.api.Test;
+
+/** What is known of a server, over its restarts. */
+class ServerStateTest {
+    private static ServerState listed(double startedMs) {
+        ServerState server = new ServerState(5);
+        server.update(1000, PolicyHarness.endpoint(5, EndpointState.READY, startedMs), true);
+        return server;
+    }
+
+    /** Guards against what an earlier process of the server did counting against, or for, the one that runs now. */
+    @Test
+    void aRestartForgetsFailuresOverdueAttemptsAndProbes() {
+        ServerState server = listed(100);
+        server.countOverdueAttempt();
+        server.eject(5000);
+        server.startProbe();
+        server.update(2000, PolicyHarness.endpoint(5, EndpointState.READY, 1900), false);
+        assertThat(server.failures()).isZero();
+        assertThat(server.ejectedUntilMs()).isZero();
+        assertThat(server.overdueAttempts()).isZero();
+        assertThat(server.isProbing()).isFalse();
+        assertThat(server.restartSeenMs()).isEqualTo(2000);
+    }
+
+    /** Guards against a passed probe of the process before making later failures of the new one count for nothing. */
+    @Test
+    void aProbeThatWasPassedBeforeARestartVouchesForNothingAfterIt() {
+        ServerState server = listed(100);
+        server.eject(5000);
+        server.passProbe();
+        server.update(2000, PolicyHarness.endpoint(5, EndpointState.READY, 1900), false);
+        server.restore(new LearnedServer(5, 1900, 1, 100, 0), 2100);
+        assertThat(server.isTrusted()).isFalse();
+    }
+
+    @Test
+    void aListingWithoutARestartChangesNothingOfIt() {
+        ServerState server = listed(100);
+        server.countOverdueAttempt();
+        server.eject(5000);
+        server.startProbe();
+        server.update(2000, PolicyHarness.endpoint(5, EndpointState.READY, 100), false);
+        assertThat(server.failures()).isEqualTo(1);
+        assertThat(server.overdueAttempts()).isEqualTo(1);
+        assertThat(server.isProbing()).isTrue();
+    }
+}
