Keep refunds of hedges within their budget

What callers saw: after many hedges that paid off without a plain success between, a slowdown of all servers was answered by more hedges at once than the budget of five.

Evidence: HedgingPolicyTest failed before (50 hedges after 50 refunds). A refund is bounded as an earned token is.

--- a/src/main/java/cacheproxy/policy/HedgingPolicy.java
+++ b/src/main/java/cacheproxy/policy/HedgingPolicy.java
@@ -69,9 +69,9 @@
         return settings.hedgingAllowed();
     }
 
-    /** Gives back a hedge that has paid off: the later attempt has brought the response. */
+    /** Gives back a hedge that has paid off, up to the budget: the later attempt has brought the response. */
     void refund() {
-        tokens++;
+        tokens = Math.min(MAX_TOKENS, tokens + 1);
     }
 
     /** Records a successful attempt at a cache server. */
--- a/src/test/java/cacheproxy/policy/HedgingPolicyTest.java
+++ b/src/test/java/cacheproxy/policy/HedgingPolicyTest.java
@@ -45,4 +45,25 @@
         harness.advanceTime(140);
         assertThat(harness.sentAttempts).hasSize(3);
     }
+
+    /** Guards against a burst of hedges beyond the budget, after many that have paid off without a success between. */
+    @Test
+    void refundsNeverExceedTheBudget() {
+        PolicySettings settings = PolicyHarness.settings(true, false, true, DeduplicationScope.ALL);
+        HedgingPolicy hedging = new HedgingPolicy(settings, new LatencyEstimates(settings.classes()));
+        for (int refund = 0; refund < 50; refund++) {
+            hedging.refund();
+        }
+        PendingRequest pending = new PendingRequest(
+                0,
+                new RoutingRequest(1, 0, 0, 7, 1000, Double.NaN, 0, false, false),
+                settings.classes().get(0),
+                1,
+                3);
+        int hedges = 0;
+        while (hedges < 50 && hedging.tryAcquire(0, pending)) {
+            hedges++;
+        }
+        assertThat(hedges).isEqualTo(5);
+    }
 }
