Leave a lease's name free when its duration is refused

What operators saw: after one invalid duration a lease was refused for good with 'd and d have one id; rename one'.

Cause: LeaseManager.campaign entered the name before LeaseCandidate checked the duration.

Evidence: LeaseTest failed before with that text. The name is entered once the candidate is made.

--- a/src/main/java/cacheproxy/fleet/lease/LeaseManager.java
+++ b/src/main/java/cacheproxy/fleet/lease/LeaseManager.java
@@ -67,10 +67,11 @@
         if (candidates.size() >= MAX_LEASES) {
             throw new IllegalArgumentException("more than " + MAX_LEASES + " duties");
         }
-        names.put(id, lease);
         LeaseCandidateConfig config =
                 new LeaseCandidateConfig(selfId, incarnation, lease, leaseMs, voterSet, timing, eligible);
-        candidates.put(lease, new LeaseCandidate(config, random.split(), nowMs, candidateListener));
+        LeaseCandidate candidate = new LeaseCandidate(config, random.split(), nowMs, candidateListener);
+        names.put(id, lease);
+        candidates.put(lease, candidate);
     }
 
     /** Is no longer a candidate for a lease; if it is held, it is released once the permitted actions are over. */
--- a/src/test/java/cacheproxy/fleet/lease/LeaseTest.java
+++ b/src/test/java/cacheproxy/fleet/lease/LeaseTest.java
@@ -284,6 +284,16 @@
         assertThat(fencing.accepts(999_999, 1)).isFalse();
     }
 
+    /** Guards against a lease that is refused for good, by a misleading error, after one invalid duration. */
+    @Test
+    void aRefusedDurationLeavesTheNameFree() {
+        LeaseManager manager = new LeaseManager("p1", TIMING, new SplittableRandom(1), 0, new IgnoringListener());
+        VoterSet voterSet = new VoterSet("d", List.of("p1", "p2", "p3"), List.of(), 3);
+        assertThatThrownBy(() -> manager.campaign("d", 0, voterSet, 0)).hasMessageContaining("lease 0");
+        manager.campaign("d", 1000, voterSet, 0);
+        assertThat(manager.statuses(0)).hasSize(1);
+    }
+
     @Test
     void rejectsInvalidArguments() {
         LeaseManager manager = new LeaseManager("p1", TIMING, new SplittableRandom(1), 0, new IgnoringListener());
