Report a hook module that ends within a group of locals

What operators saw: such a module passed HookLoader as an IndexOutOfBoundsException, so that a reload ended without naming the hook, and a start with a stack trace.

Cause: WasmFunctionMeter skipped the type of a group beyond the module's end and copied the range; the copy throws another exception than the reads that WasmMeter expects.

The end of the locals is compared with the end of the body, and any index beyond the module is reported as a module that ends too early.

--- a/src/main/java/cacheproxy/hooks/WasmFunctionMeter.java
+++ b/src/main/java/cacheproxy/hooks/WasmFunctionMeter.java
@@ -53,6 +53,10 @@
             localCount += Integer.toUnsignedLong(reader.readU32());
             reader.skip(1); // type
         }
+        if (reader.position() > end) {
+            throw new HookException(
+                    "the module ends too early, or a function's locals go beyond its body, at byte " + end);
+        }
         if (localCount > MAX_LOCALS) {
             throw new HookException("a function has " + localCount + " locals; at most " + MAX_LOCALS);
         }
--- a/src/main/java/cacheproxy/hooks/WasmMeter.java
+++ b/src/main/java/cacheproxy/hooks/WasmMeter.java
@@ -51,7 +51,7 @@
         }
         try {
             return new WasmMeter(module, maxPages, offeredImports).meter(initialFuel);
-        } catch (ArrayIndexOutOfBoundsException | NegativeArraySizeException e) {
+        } catch (IndexOutOfBoundsException | NegativeArraySizeException e) {
             throw new HookException("the module ends too early, at byte " + module.length);
         }
     }
--- a/src/test/java/cacheproxy/hooks/HookInstanceTest.java
+++ b/src/test/java/cacheproxy/hooks/HookInstanceTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -272,4 +273,19 @@
         assertThat(new HookCall("ab", "c", "t", true, true, 258).encode())
                 .containsExactly(1, 3, 2, 1, 0, 0, 2, 0, 'a', 'b', 1, 0, 'c', 1, 0, 't');
     }
+
+    /** Guards against a module that ends within a group of locals ending the start instead of being reported. */
+    @Test
+    void aModuleThatEndsWithinItsLocalsIsReported() {
+        byte[] module = HexFormat.of()
+                .parseHex(
+                        "0061736d01000000" // preamble
+                                + "0104016000" + "00" // a type without parameters and results
+                                + "03020100" // a function of it
+                                + "070801046d61696e0000" // exported
+                                + "0a04010201" + "01"); // its body: one group of one local, and no type
+        assertThatThrownBy(() -> HookModule.load(module, limits(false), ""))
+                .isInstanceOf(HookException.class)
+                .hasMessageContaining("ends too early");
+    }
 }
