Begin no attempt for a client whose close the system knows of already

Cause: after a pause the loop handles what is ready in the order in which the system tells it. A failed answer that came before the close was handled first, and its retry was sent in the same turn. The close was known to the system then, and to the send guard only by its event.

Change: where events have waited for over 50 ms, or the poll has lasted nearly a heartbeat so that it may hide a pause, SendGuard's caller asks the system for the state of the client's connection (TCP_INFO) right before the first byte, and the attempt ends as not sent. It covers retries, hedges and attempts that waited for a connection, on serve and the daemon. On time nothing is asked: no system call is added there. Other transports than epoll tell nothing, as before.

--- a/src/main/java/cacheproxy/daemon/ResponseObserver.java
+++ b/src/main/java/cacheproxy/daemon/ResponseObserver.java
@@ -73,4 +73,9 @@
         observer.accept(Answer.FAILED);
         client.abortValue();
     }
+
+    @Override
+    public boolean hasClientLeft() {
+        return client.hasClientLeft();
+    }
 }
--- a/src/main/java/cacheproxy/daemon/RoutedRequest.java
+++ b/src/main/java/cacheproxy/daemon/RoutedRequest.java
@@ -238,6 +238,11 @@
         client.abortValue();
     }
 
+    @Override
+    public boolean hasClientLeft() {
+        return client.hasClientLeft();
+    }
+
     @Override
     public void clientDisconnected() {
         if (!concluded) {
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -1,6 +1,7 @@
 package cacheproxy.proxy.client;
 
 import cacheproxy.limits.ConnectionEviction;
+import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.request.ClientRequest;
 import cacheproxy.proxy.request.MetaCodec;
 import cacheproxy.proxy.upstream.EventLoopContext;
@@ -123,6 +124,11 @@
         return decoder.isReadingValue() || (actualReadableBytes() > 0 && !readControl.isPaused());
     }
 
+    /** Whether the system knows of the client's close, though its event may not have been handled yet. */
+    boolean hasClientLeft() {
+        return SocketState.isEndedByPeer(ctx.channel());
+    }
+
     // ---- closing
 
     /** Closes a stalled connection, after the responses to its complete requests. */
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -223,6 +223,11 @@
         connection.close(CloseCause.RESPONSE_ABORTED);
     }
 
+    @Override
+    public boolean hasClientLeft() {
+        return connection.hasClientLeft();
+    }
+
     private void streamEnded() {
         source = null;
         if (streaming) {
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestAttempts.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestAttempts.java
@@ -80,6 +80,9 @@
     boolean mayBegin(RequestAttempt attempt) {
         RequestContext context = attempt.context();
         Invariant violated = sendGuard.violatedBy(attempt, core.nowMs());
+        if (violated == null && core.isBehind() && context.hasClientLeft()) {
+            violated = Invariant.CLIENT_PRESENT;
+        }
         if (violated != null) {
             String server = pool.servers().name(attempt.server());
             core.invariants()
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestContext.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestContext.java
@@ -106,6 +106,11 @@
 
     // ---- state
 
+    /** Whether the system knows of the client's close already; asks it, so not to be called for every attempt. */
+    boolean hasClientLeft() {
+        return responder.hasClientLeft();
+    }
+
     /** Whether its client has had nothing yet and still waits. */
     boolean isPending() {
         return state == State.PENDING;
--- a/src/main/java/cacheproxy/proxy/net/EventLoopClock.java
+++ b/src/main/java/cacheproxy/proxy/net/EventLoopClock.java
@@ -41,6 +41,11 @@
         return polls.turn() > 0 && polls.turn() - turn <= 1;
     }
 
+    /** Whether the end of a connection may have gone unnoticed for long; see {@link PollClock#isBehind}. */
+    public boolean isBehind() {
+        return polls.turn() > 0 && polls.isBehind(System.nanoTime());
+    }
+
     /** An event is handled: what is read later in this turn may have waited since now. */
     public void handling() {
         polls.handling(System.nanoTime());
--- a/src/main/java/cacheproxy/proxy/net/PollClock.java
+++ b/src/main/java/cacheproxy/proxy/net/PollClock.java
@@ -21,6 +21,12 @@
     static final double MAX_POLL_MS = HEARTBEAT_MS + 25;
 
     private static final long MAX_POLL_NANOS = (long) (MAX_POLL_MS * 1e6);
+    /** Events that have waited for so long show a loop that is behind: half of what a close may go unnoticed. */
+    static final double BEHIND_MS = 50;
+    /**
+     * A poll that lasts longer may hide a pause; an idle loop's polls last for a heartbeat, and few end just before.
+     */
+    private static final long LONG_POLL_NANOS = (long) (0.9 * HEARTBEAT_MS * 1e6);
 
     /** Number of the current iteration of the loop, which begins with a poll. */
     private long turn;
@@ -75,6 +81,14 @@
         return (nowNanos - since) / (double) TimeUnit.MILLISECONDS.toNanos(1);
     }
 
+    /**
+     * Whether the end of a connection may have gone unnoticed for long: events have waited for the loop, or the poll of
+     * this turn may have returned before a pause that is shorter than a poll may last.
+     */
+    public boolean isBehind(long nowNanos) {
+        return unreadForMs(nowNanos) > BEHIND_MS || nowNanos - pollNanos > LONG_POLL_NANOS;
+    }
+
     /** Whether the poll of this turn has met a pause; if no event has been handled yet, by now. */
     private boolean paused(long nowNanos) {
         return (handled ? handledNanos : nowNanos) - pollNanos > MAX_POLL_NANOS;
--- a/src/main/java/cacheproxy/proxy/request/Responder.java
+++ b/src/main/java/cacheproxy/proxy/request/Responder.java
@@ -3,14 +3,10 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * <<<<<<< HEAD Receives the one response to a request and writes it in the client's grammar. The caller calls exactly
- * one of {@link #value}, {@link #stored}, {@link #miss}, {@link #busy}, {@link #failed} and {@link #badRequest}; or
+ * Receives the one response to a request and writes it in the client's grammar. The caller calls exactly one of
+ * {@link #value}, {@link #stored}, {@link #miss}, {@link #busy}, {@link #failed} and {@link #badRequest}; or
  * {@link #beginValue}, then any number of {@link #valuePart}, and {@link #endValue} or {@link #abortValue}. Calls come
- * on the event loop, perhaps before the call that submitted the request has returned. ======= Where the one answer to a
- * request goes. A front writes it in its own grammar. Exactly one of {@link #value}, {@link #stored}, {@link #miss},
- * {@link #busy}, {@link #failed} and {@link #badRequest} is called, or {@link #beginValue} and then parts up to
- * {@link #endValue} or {@link #abortValue}. All calls come on the event loop, perhaps before the call that handed the
- * request in has returned. >>>>>>> ready-e
+ * on the event loop, perhaps before the call that submitted the request has returned.
  */
 public interface Responder {
     /** Where the parts of a value come from. */
@@ -48,4 +44,7 @@
 
     /** The value that has begun will not be completed. */
     void abortValue();
+
+    /** Whether the client is known to have closed its connection, though its event may not have been handled yet. */
+    boolean hasClientLeft();
 }
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -91,6 +91,11 @@
         return clock.isTurnOrNext(turn);
     }
 
+    /** Whether the end of a connection may have gone unnoticed for long, as the loop has been busy or paused. */
+    public boolean isBehind() {
+        return clock.isBehind();
+    }
+
     /** An event is handled: what is read later in this turn may have waited since now. */
     void handling() {
         clock.handling();
--- a/src/test/java/cacheproxy/proxy/net/PollClockTest.java
+++ b/src/test/java/cacheproxy/proxy/net/PollClockTest.java
@@ -96,4 +96,24 @@
         }
         assertThat(most).as("pauses were played").isGreaterThan(900);
     }
+
+    /** Guards against a close that goes unnoticed for over 100 ms, whatever the loop was held up by. */
+    @Test
+    void isBehindAfterWorkOrAPauseInWhichAClosePassesUnnoticed() {
+        clock.polling(0);
+        clock.handling(10 * MS);
+        assertThat(clock.isBehind(11 * MS)).isFalse();
+        assertThat(clock.isBehind(70 * MS))
+                .as("events of this turn have taken long")
+                .isTrue();
+        clock.polling(71 * MS);
+        clock.handling(72 * MS);
+        assertThat(clock.isBehind(73 * MS)).as("those of the turn before have").isTrue();
+        clock.polling(74 * MS);
+        clock.handling(170 * MS);
+        assertThat(clock.isBehind(170 * MS)).as("a pause within the poll").isTrue();
+        clock.polling(171 * MS);
+        clock.handling(231 * MS);
+        assertThat(clock.isBehind(231 * MS)).as("an idle poll").isFalse();
+    }
 }
