--- a/src/test/java/cacheproxy/soak/SoakHistory.java
+++ b/src/test/java/cacheproxy/soak/SoakHistory.java
@@ -22,6 +22,9 @@
         /** The longest wait of those before it on its connection and its own: answers come in order. */
         volatile int orderedWaitMs;
 
+        /** When its connection had come up. */
+        volatile long connectedNanos;
+
         volatile long beganNanos;
         /** When the last byte was handed to the system; 0: it never was. */
         volatile long sentNanos;
@@ -45,8 +48,7 @@
     record Arrival(String id, String server, long atNanos, double toldMs, boolean runs) {}
 
     /**
-     * A span in which a proxy's process was stopped, ending or not there: what its clients see then is not the proxy's
-     * fault.
+     * A span in which a proxy's process was stopped or killed: what its clients see then is not the proxy's fault.
      *
      * @param fromNanos when the signal was asked for; until {@code inForceNanos} the process may still have been
      *     running
@@ -55,9 +57,22 @@
      */
     record Outage(int proxy, long fromNanos, long inForceNanos, long toNanos) {}
 
+    /**
+     * A planned end of a proxy's process, in which it owes what it has taken.
+     *
+     * @param askedNanos when SIGTERM was about to be sent
+     * @param endedNanos when the process had ended for certain, by itself or by SIGKILL
+     */
+    record Ending(int proxy, long askedNanos, long endedNanos) {}
+
+    /** A proxy's process, with all its connections, had ended for certain, in whatever way. */
+    record Death(int proxy, long endedNanos) {}
+
     final Map<String, Request> requests = new ConcurrentHashMap<>();
     final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
     final Queue<Outage> outages = new ConcurrentLinkedQueue<>();
+    final Queue<Ending> endings = new ConcurrentLinkedQueue<>();
+    final Queue<Death> deaths = new ConcurrentLinkedQueue<>();
     /** From when on nobody may be sent anything, by server. */
     final Map<String, Long> leftNanos = new ConcurrentHashMap<>();
     /** What a process said of itself that is a fault. */
--- a/src/test/java/cacheproxy/soak/SoakIT.java
+++ b/src/test/java/cacheproxy/soak/SoakIT.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.soak.SoakHistory.Arrival;
+import cacheproxy.soak.SoakHistory.Death;
 import cacheproxy.soak.SoakHistory.Effect;
+import cacheproxy.soak.SoakHistory.Ending;
 import cacheproxy.soak.SoakHistory.Outage;
 import cacheproxy.soak.SoakHistory.Request;
 import java.nio.file.Path;
@@ -83,6 +85,41 @@
                 .startsWith("no answer: d")
                 .contains("silence");
 
+        assertThat(SoakJudge.violations(cutInAPlannedEnd(900, 1300), 2000))
+                .as("taken before SIGTERM")
+                .singleElement()
+                .asString()
+                .startsWith("no answer: g by n0 in its planned end, cut");
+        assertThat(SoakJudge.violations(cutInAPlannedEnd(1100, 1200), 2000))
+                .as("sent after SIGTERM on a connection that stayed open")
+                .singleElement()
+                .asString()
+                .contains("in its planned end");
+        assertThat(SoakJudge.violations(cutInAPlannedEnd(2500, 2600), 2000))
+                .as("owed at the kill")
+                .singleElement()
+                .asString()
+                .contains("in its planned end");
+        assertThat(SoakJudge.violations(cutInAPlannedEnd(1100, 1105), 2000))
+                .as("closed before the command came")
+                .isEmpty();
+        assertThat(SoakJudge.violations(cutInAPlannedEnd(2700, 2701), 2000))
+                .as("cut by the next process, which has no end to excuse it")
+                .hasSize(1);
+        assertThat(SoakJudge.violations(cutInAPlannedEnd(1100, 0), 2000))
+                .as("silence up to the deadline in a planned end")
+                .hasSize(1);
+
+        SoakHistory ended = cutInAPlannedEnd(2700, 2701);
+        ended.deaths.add(new Death(0, 2_600_000_000L));
+        assertThat(SoakJudge.violations(ended, 2000))
+                .as("sent on a connection of a process that had ended")
+                .isEmpty();
+        ended.requests.get("g").connectedNanos = 2_650_000_000L;
+        assertThat(SoakJudge.violations(ended, 2000))
+                .as("sent on a connection of the next process")
+                .hasSize(1);
+
         SoakHistory drained = new SoakHistory();
         request(drained, "e", Effect.SAFE, 20_000).answeredNanos = 9_100_000_000L;
         drained.leftNanos.put("s", 1L);
@@ -106,6 +143,17 @@
         return history;
     }
 
+    /** A request that was sent and cut at these times; its process was told to end at 1 s and had ended at 2.6 s. */
+    private static SoakHistory cutInAPlannedEnd(int sentMs, int cutMs) {
+        SoakHistory history = new SoakHistory();
+        Request read = request(history, "g", Effect.SAFE, 500);
+        read.beganNanos = sentMs * 1_000_000L;
+        read.sentNanos = sentMs * 1_000_000L;
+        read.cutNanos = cutMs * 1_000_000L;
+        history.endings.add(new Ending(0, 1_000_000_000L, 2_600_000_000L));
+        return history;
+    }
+
     private static Request request(SoakHistory history, String id, Effect effect, int waitMs) {
         Request r = new Request(id, 0, effect, waitMs);
         r.beganNanos = 1;
