--- /dev/null
+++ b/src/test/java/cacheproxy/soak/ProxyFaults.java
@@ -0,0 +1,113 @@
+package cacheproxy.soak;
+
+import cacheproxy.soak.SoakHistory.Death;
+import cacheproxy.soak.SoakHistory.Ending;
+import cacheproxy.soak.SoakHistory.Outage;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+/** What befalls the process of one proxy: stops, kills, planned ends, signals in series. Used from several threads. */
+final class ProxyFaults {
+    /** Writes the configuration of a proxy with one of two addresses of discovery. */
+    interface Configuration {
+        void write(SoakProxy proxy, int discovery) throws IOException;
+    }
+
+    /** The earliest SIGKILL after SIGTERM: the longest deadline of the classes below, and 0.7 s. */
+    private static final long EARLIEST_KILL_MS = 1600;
+    /** From and until when after SIGTERM new connections are still served. */
+    private static final int LATE_CONNECTION_FROM_MS = 200;
+
+    private static final int LATE_CONNECTION_UNTIL_MS = 400;
+
+    private final SoakHistory history;
+    private final Configuration configuration;
+    /** Numbers the requests of connections that come late in an end. */
+    private final AtomicInteger endings = new AtomicInteger();
+
+    ProxyFaults(SoakHistory history, Configuration configuration) {
+        this.history = history;
+        this.configuration = configuration;
+    }
+
+    /** Stops the process for a moment. */
+    void pause(SoakProxy proxy, Random by) throws Exception {
+        long from = System.nanoTime();
+        proxy.signal("STOP");
+        long inForce = System.nanoTime();
+        LockSupport.parkNanos((50 + by.nextInt(650)) * 1_000_000L);
+        proxy.signal("CONT");
+        history.outages.add(new Outage(proxy.number, from, inForce, System.nanoTime()));
+    }
+
+    /** Ends the process without a word, and starts the next. */
+    void kill(SoakProxy proxy, Random by) throws Exception {
+        long from = System.nanoTime();
+        proxy.kill();
+        long ended = System.nanoTime();
+        history.outages.add(new Outage(proxy.number, from, from, ended));
+        history.deaths.add(new Death(proxy.number, ended));
+        restart(proxy, by);
+    }
+
+    /** A planned end, in which clients go on and further signals may come, and SIGKILL as early as it may. */
+    void terminate(SoakProxy proxy, Random by) throws Exception {
+        end(proxy, by);
+        restart(proxy, by);
+    }
+
+    private void end(SoakProxy proxy, Random by) throws Exception {
+        if (by.nextInt(3) == 0) {
+            proxy.signal("HUP");
+        }
+        long asked = System.nanoTime();
+        proxy.signal("TERM");
+        if (by.nextInt(3) == 0) {
+            proxy.signal(by.nextBoolean() ? "HUP" : "TERM");
+        }
+        int lateMs = LATE_CONNECTION_FROM_MS + by.nextInt(LATE_CONNECTION_UNTIL_MS - LATE_CONNECTION_FROM_MS);
+        LockSupport.parkNanos(asked + lateMs * 1_000_000L - System.nanoTime());
+        SoakClient late = new SoakClient(
+                "c" + proxy.number + "xe" + endings.incrementAndGet(), proxy.number, proxy.port, history, 0, 0);
+        if (System.nanoTime() - asked < LATE_CONNECTION_UNTIL_MS * 1_000_000L) {
+            late.askOnce("connection " + lateMs + " ms after SIGTERM");
+        }
+        if (by.nextInt(3) == 0) {
+            proxy.signal(by.nextBoolean() ? "HUP" : "TERM");
+        }
+        proxy.awaitEndOrKill(asked + EARLIEST_KILL_MS * 1_000_000L);
+        long ended = System.nanoTime();
+        history.endings.add(new Ending(proxy.number, asked, ended));
+        history.deaths.add(new Death(proxy.number, ended));
+    }
+
+    /** Starts it again; some starts get a signal with the first connection, and some are ended by it. */
+    private void restart(SoakProxy proxy, Random by) throws Exception {
+        configuration.write(proxy, 0);
+        proxy.start();
+        int signal = by.nextInt(6);
+        if (signal < 3) {
+            try (Socket first = proxy.firstConnection()) {
+                if (signal == 0) {
+                    end(proxy, by);
+                    proxy.start();
+                } else {
+                    proxy.signal("HUP");
+                }
+            }
+        }
+        proxy.awaitReady();
+    }
+
+    /** Several configurations in quick succession; the last one stays. */
+    void moveDiscovery(SoakProxy proxy, Random by) throws Exception {
+        for (int i = 1 + by.nextInt(3); i > 0; i--) {
+            configuration.write(proxy, by.nextInt(2));
+            proxy.signal("HUP");
+            LockSupport.parkNanos(by.nextInt(200) * 1_000_000L);
+        }
+    }
+}
--- a/src/test/java/cacheproxy/soak/SoakRound.java
+++ b/src/test/java/cacheproxy/soak/SoakRound.java
@@ -2,15 +2,11 @@
 
 import cacheproxy.fakes.FakeDiscovery;
 import cacheproxy.proxy.net.Transport;
-import cacheproxy.soak.SoakHistory.Death;
-import cacheproxy.soak.SoakHistory.Ending;
-import cacheproxy.soak.SoakHistory.Outage;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
-import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,7 +15,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReferenceArray;
 import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
@@ -36,12 +31,6 @@
     record Size(int proxies, int clientsEach, int servers, double seconds) {}
 
     static final double DRAIN_GRACE_MS = 2000;
-    /** The earliest SIGKILL after SIGTERM: the longest deadline of the classes below, and 0.7 s. */
-    private static final long EARLIEST_KILL_MS = 1600;
-    /** From and until when after SIGTERM new connections are still served. */
-    private static final int LATE_CONNECTION_FROM_MS = 200;
-
-    private static final int LATE_CONNECTION_UNTIL_MS = 400;
     private static final int BEAT_MS = 10;
     private static final double MS = 1e6;
     /** Stops further from a request than this are not told with it. */
@@ -104,16 +93,16 @@
     private final List<SoakServer> servers = new ArrayList<>();
     private final List<SoakProxy> proxies = new ArrayList<>();
     private final AtomicReferenceArray<Boolean> busy;
+    private final ProxyFaults proxyFaults;
     private final ExecutorService workers = Executors.newCachedThreadPool();
     private int named;
     private int faults;
-    /** Numbers the requests of connections that come late in an end. */
-    private final AtomicInteger endings = new AtomicInteger();
 
     SoakRound(long seed, Size size, Path folder) throws Exception {
         this.size = size;
         random = new Random(seed);
         busy = new AtomicReferenceArray<>(size.proxies());
+        proxyFaults = new ProxyFaults(history, this::configure);
         for (int i = 0; i < discoveries.length; i++) {
             discoveries[i] = FakeDiscovery.start(discoveryLoop);
         }
@@ -152,10 +141,14 @@
         return discoveries[0].whole().getAsJsonArray("hosts");
     }
 
+    private void configure(SoakProxy proxy, int discovery) throws IOException {
+        proxy.configure(discoveries[discovery].dial(), known());
+    }
+
     /** Plays it; what was violated, a line each. */
     List<String> play() throws Exception {
         for (SoakProxy p : proxies) {
-            p.configure(discoveries[0].dial(), known());
+            configure(p, 0);
             p.start();
         }
         for (SoakProxy p : proxies) {
@@ -221,15 +214,15 @@
         faults++;
         SoakServer server = servers.get(random.nextInt(servers.size()));
         switch (random.nextInt(12)) {
-            case 0, 1, 2 -> onProxy(this::pause);
-            case 3 -> onProxy(this::kill);
-            case 4 -> onProxy(this::terminate);
-            case 5, 6 -> onProxy(this::moveDiscovery);
+            case 0, 1, 2 -> onProxy(proxyFaults::pause);
+            case 3 -> onProxy(proxyFaults::kill);
+            case 4 -> onProxy(proxyFaults::terminate);
+            case 5, 6 -> onProxy(proxyFaults::moveDiscovery);
             case 7 -> server.hang(200 + random.nextInt(1800));
             case 8 -> server.resetAll();
             case 9 -> join((double) System.currentTimeMillis());
             case 10 -> drain();
-            default -> onProxy(this::pause);
+            default -> onProxy(proxyFaults::pause);
         }
     }
 
@@ -255,82 +248,6 @@
         });
     }
 
-    private void pause(SoakProxy proxy, Random by) throws Exception {
-        long from = System.nanoTime();
-        proxy.signal("STOP");
-        long inForce = System.nanoTime();
-        LockSupport.parkNanos((50 + by.nextInt(650)) * 1_000_000L);
-        proxy.signal("CONT");
-        history.outages.add(new Outage(proxy.number, from, inForce, System.nanoTime()));
-    }
-
-    private void kill(SoakProxy proxy, Random by) throws Exception {
-        long from = System.nanoTime();
-        proxy.kill();
-        long ended = System.nanoTime();
-        history.outages.add(new Outage(proxy.number, from, from, ended));
-        history.deaths.add(new Death(proxy.number, ended));
-        restart(proxy, by);
-    }
-
-    /** A planned end, in which clients go on and further signals may come, and SIGKILL as early as it may. */
-    private void terminate(SoakProxy proxy, Random by) throws Exception {
-        end(proxy, by);
-        restart(proxy, by);
-    }
-
-    private void end(SoakProxy proxy, Random by) throws Exception {
-        if (by.nextInt(3) == 0) {
-            proxy.signal("HUP");
-        }
-        long asked = System.nanoTime();
-        proxy.signal("TERM");
-        if (by.nextInt(3) == 0) {
-            proxy.signal(by.nextBoolean() ? "HUP" : "TERM");
-        }
-        int lateMs = LATE_CONNECTION_FROM_MS + by.nextInt(LATE_CONNECTION_UNTIL_MS - LATE_CONNECTION_FROM_MS);
-        LockSupport.parkNanos(asked + lateMs * 1_000_000L - System.nanoTime());
-        SoakClient late = new SoakClient(
-                "c" + proxy.number + "xe" + endings.incrementAndGet(), proxy.number, proxy.port, history, 0, 0);
-        if (System.nanoTime() - asked < LATE_CONNECTION_UNTIL_MS * 1_000_000L) {
-            late.askOnce("connection " + lateMs + " ms after SIGTERM");
-        }
-        if (by.nextInt(3) == 0) {
-            proxy.signal(by.nextBoolean() ? "HUP" : "TERM");
-        }
-        proxy.awaitEndOrKill(asked + EARLIEST_KILL_MS * 1_000_000L);
-        long ended = System.nanoTime();
-        history.endings.add(new Ending(proxy.number, asked, ended));
-        history.deaths.add(new Death(proxy.number, ended));
-    }
-
-    /** Starts it again; some starts get a signal with the first connection, and some are ended by it. */
-    private void restart(SoakProxy proxy, Random by) throws Exception {
-        proxy.configure(discoveries[0].dial(), known());
-        proxy.start();
-        int signal = by.nextInt(6);
-        if (signal < 3) {
-            try (Socket first = proxy.firstConnection()) {
-                if (signal == 0) {
-                    end(proxy, by);
-                    proxy.start();
-                } else {
-                    proxy.signal("HUP");
-                }
-            }
-        }
-        proxy.awaitReady();
-    }
-
-    /** Several configurations in quick succession; the last one stays. */
-    private void moveDiscovery(SoakProxy proxy, Random by) throws Exception {
-        for (int i = 1 + by.nextInt(3); i > 0; i--) {
-            proxy.configure(discoveries[by.nextInt(2)].dial(), known());
-            proxy.signal("HUP");
-            LockSupport.parkNanos(by.nextInt(200) * 1_000_000L);
-        }
-    }
-
     /** A server drains and is gone later; it stays up, as it may. A few always stay. */
     private void drain() {
         List<SoakServer> candidates = servers.stream()
