Reserve the control address before clients are accepted

What callers saw: a serve whose control address was taken, or could not be bound, accepted clients for some milliseconds and then ended: their connections were cut with commands unanswered. Found while looking for relatives of the signals in a process's first moments.

Cause: OperatorActions listened for clients, or took over the running version's socket, and bound the control address after.

Evidence: SignalsIT's new case, with the control address taken, got a connection on the code before (first start of three). The address is bound without listening first, as the daemon does with its listeners, and listened at after the clients' port; a start that can't have it now ends before it accepts anybody.

--- a/src/main/java/cacheproxy/proxy/client/ReservedAddress.java
+++ b/src/main/java/cacheproxy/proxy/client/ReservedAddress.java
@@ -9,7 +9,7 @@
  * An address that is bound and not listened at yet, so that clients are refused and go elsewhere at once instead of
  * waiting in a queue while their requests' time runs.
  */
-final class ReservedAddress implements AutoCloseable {
+public final class ReservedAddress implements AutoCloseable {
     private final Socket socket;
 
     private ReservedAddress(Socket socket) {
@@ -21,7 +21,7 @@
      *
      * @throws IOException if the address can't be bound, with the system's reason
      */
-    static ReservedAddress bind(SocketAddress address) throws IOException {
+    public static ReservedAddress bind(SocketAddress address) throws IOException {
         Socket socket = new Socket();
         try {
             // Without it the listening socket could not bind the address while this one has it.
@@ -35,7 +35,7 @@
     }
 
     /** The bound address, with the port that the system chose for port 0. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -10,6 +10,7 @@
 import cacheproxy.lifecycle.Lifecycle;
 import cacheproxy.lifecycle.LifecycleState;
 import cacheproxy.proxy.client.Listener;
+import cacheproxy.proxy.client.ReservedAddress;
 import cacheproxy.proxy.net.Transport;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.channel.Channel;
@@ -70,7 +71,8 @@
 
     /**
      * Accepts clients, at the socket of a process that runs at the same address if there is one, and then requests of
-     * operators.
+     * operators. The control address is reserved first: a start that failed for it after clients had been accepted
+     * would cut their connections.
      *
      * @param reload begins to read the configuration again; returns false if there is none to read
      * @throws IllegalStateException if the control address can't be bound
@@ -83,11 +85,11 @@
             BooleanSupplier reload)
             throws InterruptedException {
         OperatorActions actions = new OperatorActions(loopContext, lifecycle, listener, reload);
-        actions.listen(config);
         InetSocketAddress control = config.control();
-        try {
-            actions.controlServer.bind(control).sync();
-        } catch (Exception e) {
+        try (ReservedAddress reserved = ReservedAddress.bind(control)) {
+            actions.listen(config);
+            actions.controlServer.bind(reserved.address()).sync();
+        } catch (IOException e) {
             throw new IllegalStateException("control " + control + ": " + e.getMessage(), e);
         }
         return actions;
--- a/src/test/java/cacheproxy/SignalsIT.java
+++ b/src/test/java/cacheproxy/SignalsIT.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -174,6 +175,25 @@
         }
     }
 
+    /** Guards against a start that takes connections, finds the control address taken, and cuts them. */
+    @Test
+    void aStartThatCanNotHaveItsControlAddressTakesNoConnection() throws Exception {
+        try (ServerSocket taken = silentSocket()) {
+            SignalProcess.replace(
+                    platformFile,
+                    platformText.replace(
+                            "\"listen\":", "\"control\": \"127.0.0.1:" + port(taken) + "\", \"listen\":"));
+            for (int start = 0; start < STARTS; start++) {
+                try (SignalProcess serve = SignalProcess.serve(platformFile, folder)) {
+                    assertThatThrownBy(() -> serve.firstConnection(port))
+                            .isInstanceOf(AssertionError.class)
+                            .hasMessage("ended with 1");
+                    assertThat(serve.restOfErrors()).anyMatch(line -> line.contains("control"));
+                }
+            }
+        }
+    }
+
     /** Guards against the older of two files in force, where the older takes longer to read than the newer. */
     @Test
     void theNewestOfTwoFilesOfRunIsInForceThoughTheOlderIsReadForLonger() throws Exception {
