Answer a write in the grammar that it began in, also across a reload

What callers saw: a client whose listener was switched between the open and the strict grammar in the middle of its write got the other grammar's answer, which its library can't read.

Cause: RequestDecoder asked its owner for the grammar again when the value was complete; a reload replaces it in between.

Evidence: ReloadTest's new case failed before. The grammar of a command is kept from its first line on; what a write of the open grammar leaves behind (echo, error line) is set anew by each write, too.

--- a/src/main/java/cacheproxy/proxy/client/RequestDecoder.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestDecoder.java
@@ -20,6 +20,9 @@
     private final ConnectionOwner owner;
     private final Output output;
 
+    /** The grammar of the command that is being read, which stays its own if a reload replaces the owner's. */
+    private MetaProtocol protocol;
+
     private boolean readingValue;
     /** The write whose value is being read; null if it can't be carried out. */
     private ClientRequest write;
@@ -68,7 +71,8 @@
             output.respond(owner.acceptsClients() ? "MN\r\n" : "SERVER_ERROR standby\r\n");
             return;
         }
-        owner.protocol().parse(line, this);
+        protocol = owner.protocol();
+        protocol.parse(line, this);
         if (readingValue && write != null) {
             reserveValue(allocator);
         }
@@ -76,11 +80,17 @@
 
     @Override
     public void onRead(ClientRequest request, String echo) {
-        output.request(request, owner.protocol(), echo);
+        output.request(request, protocol, echo);
     }
 
     @Override
     public void onWrite(ClientRequest request, int valueBytes) {
+        beginWrite(request, valueBytes, null, null);
+    }
+
+    private void beginWrite(ClientRequest request, int valueBytes, String echo, String errorLine) {
+        standardEcho = echo;
+        standardErrorLine = errorLine;
         readingValue = true;
         write = request;
         missingBytes = valueBytes + CRLF_BYTES;
@@ -88,9 +98,7 @@
 
     @Override
     public void onStandardWrite(ClientRequest request, int valueBytes, String echo, String errorLine) {
-        standardEcho = echo;
-        standardErrorLine = errorLine;
-        onWrite(request, valueBytes);
+        beginWrite(request, valueBytes, echo, errorLine);
     }
 
     @Override
@@ -134,7 +142,6 @@
             request.release(loopContext);
             throw new MetaCodec.SyntaxException("bad data chunk");
         }
-        MetaProtocol protocol = owner.protocol();
         output.request(request, protocol, protocol.writeEcho(request, standardEcho));
     }
 
--- a/src/test/java/cacheproxy/daemon/ReloadTest.java
+++ b/src/test/java/cacheproxy/daemon/ReloadTest.java
@@ -177,4 +177,27 @@
             assertThat(node[0].commands() + node[1].commands()).isEqualTo(1);
         }
     }
+
+    /**
+     * Guards against a write that began in one grammar and is answered in the one that a reload has put in its place.
+     */
+    @Test
+    void answersAWriteInTheGrammarThatItBeganIn() throws Exception {
+        FakeFleet fleet = new FakeFleet(1);
+        String pools = DaemonHarness.pool("a", fleet, "", fleet.nodes.get(0)) + DaemonHarness.route("all", "", "a");
+        String open = DaemonHarness.CLASSES + DaemonHarness.MAIN + pools;
+        String strict = DaemonHarness.CLASSES + "[[listen]]\nname = \"main\"\naddress = \"127.0.0.1:0\"\n" + pools;
+        try (DaemonHarness rig = new DaemonHarness(fleet, open);
+                DaemonHarness.Talk whole = rig.talk();
+                DaemonHarness.Talk half = rig.talk();
+                DaemonHarness.Talk halfInvalid = rig.talk()) {
+            String stored = whole.say("ms page/1 5\r\nhello\r\n").line();
+            String invalid = whole.say("ms page/1 5 X\r\nhello\r\n").line();
+            assertThat(half.say("mn\r\nms page/1 5\r\nhe").line()).isEqualTo("MN"); // the line was read with it
+            assertThat(halfInvalid.say("mn\r\nms page/1 5 X\r\nhe").line()).isEqualTo("MN");
+            rig.load(strict);
+            assertThat(half.say("llo\r\n").line()).isEqualTo(stored);
+            assertThat(halfInvalid.say("llo\r\n").line()).isEqualTo(invalid);
+        }
+    }
 }
