Report a timeout of nginx that is no duration, in place of taking it for the least

What operators saw: 'proxy_connect_timeout $slow' made the imported file's connect timeout the smallest allowed, silently.

Cause: an unreadable duration is -1, which is less than all others. Evidence: ImporterTest's new case failed before. It is reported as not carried and sets nothing.

With it: dropped directives are reported in the file's order; they came in the order of an IdentityHashMap, which changes from run to run (ImporterTest's other new case failed before).

--- a/src/main/java/cacheproxy/nginx/importer/Report.java
+++ b/src/main/java/cacheproxy/nginx/importer/Report.java
@@ -44,6 +44,8 @@
 
     /** Entries by directive, until {@link #finish}. */
     private final IdentityHashMap<Directive, List<Entry>> entriesByDirective = new IdentityHashMap<>();
+    /** The directives with entries, in the order of their first ones. */
+    private final List<Directive> directives = new ArrayList<>();
 
     private List<Entry> entries = List.of();
     private final List<String> notes = new ArrayList<>();
@@ -53,7 +55,10 @@
         if (directive == null) {
             return;
         }
-        List<Entry> known = entriesByDirective.computeIfAbsent(directive, absent -> new ArrayList<>(1));
+        List<Entry> known = entriesByDirective.computeIfAbsent(directive, absent -> {
+            directives.add(directive);
+            return new ArrayList<>(1);
+        });
         if (known.stream().noneMatch(entry -> entry.level == level && entry.text.equals(text))) {
             known.add(new Entry(directive, level, text));
         }
@@ -129,9 +134,11 @@
     private void addDropped(List<Entry> ordered) {
         Set<Directive> reported = Collections.newSetFromMap(new IdentityHashMap<>());
         ordered.forEach(entry -> reported.add(entry.directive));
-        entriesByDirective.forEach((directive, own) -> own.stream()
-                .filter(entry -> !reported.contains(directive) && entry.level == Level.NOT)
-                .forEach(ordered::add));
+        directives.stream()
+                .filter(directive -> !reported.contains(directive))
+                .flatMap(directive -> entriesByDirective.get(directive).stream())
+                .filter(entry -> entry.level == Level.NOT)
+                .forEach(ordered::add);
     }
 
     /** All entries in the configuration's order, once the import is finished. */
--- a/src/main/java/cacheproxy/nginx/importer/TimeoutTranslator.java
+++ b/src/main/java/cacheproxy/nginx/importer/TimeoutTranslator.java
@@ -47,16 +47,8 @@
 
     private void visit(Directive directive) {
         switch (directive.name()) {
-            case "proxy_connect_timeout" -> {
-                double ms = Durations.ms(directive.arg(0));
-                connectTimeoutMs = connectTimeoutMs == 0 ? ms : Math.min(connectTimeoutMs, ms);
-                report.changed(
-                        directive, "one bound for all servers, the shortest: connect_timeout_ms, from 10 to 60,000");
-            }
-            case "proxy_read_timeout" -> {
-                readTimeoutMs = Math.max(readTimeoutMs, Durations.ms(directive.arg(0)));
-                report.changed(directive, "one deadline for all requests, the longest, and for the whole answer");
-            }
+            case "proxy_connect_timeout" -> addConnectTimeout(directive);
+            case "proxy_read_timeout" -> addReadTimeout(directive);
             case "proxy_next_upstream_tries" -> {
                 addAttempts(directive.arg(0));
                 report.changed(directive, "one bound for all requests, the least: max_attempts, from 1 to 8");
@@ -69,6 +61,30 @@
         }
     }
 
+    private void addConnectTimeout(Directive directive) {
+        double ms = Durations.ms(directive.arg(0));
+        if (ms < 0) {
+            reportNoDuration(directive);
+            return;
+        }
+        connectTimeoutMs = connectTimeoutMs == 0 ? ms : Math.min(connectTimeoutMs, ms);
+        report.changed(directive, "one bound for all servers, the shortest: connect_timeout_ms, from 10 to 60,000");
+    }
+
+    private void addReadTimeout(Directive directive) {
+        double ms = Durations.ms(directive.arg(0));
+        if (ms < 0) {
+            reportNoDuration(directive);
+            return;
+        }
+        readTimeoutMs = Math.max(readTimeoutMs, ms);
+        report.changed(directive, "one deadline for all requests, the longest, and for the whole answer");
+    }
+
+    private void reportNoDuration(Directive directive) {
+        report.notCarried(directive, "'" + directive.arg(0) + "' is no duration such as 500ms or 2s; it sets nothing");
+    }
+
     private void addAttempts(String text) {
         int tries = text.matches("[0-9]{1,6}") ? Integer.parseInt(text) : 0;
         if (tries > 0) { // nginx: 0 is no bound
--- a/src/test/java/cacheproxy/nginx/importer/ImporterTest.java
+++ b/src/test/java/cacheproxy/nginx/importer/ImporterTest.java
@@ -8,7 +8,10 @@
 import cacheproxy.daemon.RouteExplainer;
 import cacheproxy.fakes.NginxReferenceModel;
 import cacheproxy.nginx.ConfParser;
+import cacheproxy.nginx.Directive;
+import cacheproxy.nginx.Position;
 import cacheproxy.routes.RouteInput;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -245,4 +248,37 @@
                 .anyMatch(note -> note.matches(
                         "pool u: going over to CARP would move (4[89]|5[012])\\.[0-9]% of its keys to another server"));
     }
+
+    /** Guards against a timeout that can't be read counting as the shortest of all. */
+    @Test
+    void aTimeoutThatIsNoDurationIsReportedAndSetsNothing() throws Exception {
+        Importer.Result result = run(UPSTREAMS
+                + "proxy_connect_timeout $slow; proxy_read_timeout soon;\n"
+                + site("location / { proxy_pass http://u; proxy_connect_timeout 2s; }"));
+        assertThat(parsed(result).limits().connectTimeoutMs()).isEqualTo(2000);
+        assertThat(result.report().entries())
+                .filteredOn(entry -> entry.level() == Report.Level.NOT)
+                .extracting(entry -> entry.directive().name())
+                .contains("proxy_connect_timeout", "proxy_read_timeout");
+    }
+
+    /** Guards against a report whose lines change their order from one run to the next. */
+    @Test
+    void directivesThatWereDroppedAreReportedInTheOrderOfTheFile() {
+        for (int attempt = 0; attempt < 20; attempt++) {
+            Report report = new Report();
+            List<String> names = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                names.add("dropped" + i);
+                report.add(
+                        new Directive("dropped" + i, List.of(), null, "", new Position("n.conf", i + 1, 1)),
+                        Report.Level.NOT,
+                        "");
+            }
+            report.finish(new ConfParser.Conf(List.of(), List.of(), 1, 0));
+            assertThat(report.entries())
+                    .extracting(entry -> entry.directive().name())
+                    .containsExactlyElementsOf(names);
+        }
+    }
 }
