--- a/src/main/java/cacheproxy/cli/ControlClient.java
+++ b/src/main/java/cacheproxy/cli/ControlClient.java
@@ -5,13 +5,14 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A blocking HTTP client of a running proxy's control address, one connection a call. */
 final class ControlClient {
     private static final int TIMEOUT_MS = 3000;
     private static final int STATUS_OK = 200;
-    private static final int STATUS_DIGITS = 3;
-    private static final String STATUS_LINE_START = "HTTP/1.1 ";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([0-9]{3})\\b");
     private static final String HEADERS_END = "\r\n\r\n";
 
     private final String control;
@@ -56,11 +57,11 @@
 
     private static Response parse(String received) throws IOException {
         int headersEnd = received.indexOf(HEADERS_END);
-        if (!received.startsWith(STATUS_LINE_START) || headersEnd < 0) {
+        Matcher statusLine = STATUS_LINE.matcher(received);
+        if (!statusLine.lookingAt() || headersEnd < 0) {
             throw new IOException("no answer in HTTP");
         }
-        int statusAt = STATUS_LINE_START.length();
-        int status = Integer.parseInt(received.substring(statusAt, statusAt + STATUS_DIGITS));
+        int status = Integer.parseInt(statusLine.group(1));
         return new Response(
                 status, received.substring(headersEnd + HEADERS_END.length()).strip());
     }
--- a/src/test/java/cacheproxy/cli/ControlCommandsTest.java
+++ b/src/test/java/cacheproxy/cli/ControlCommandsTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** {@code duties} and {@code limits}: calls of a control address, tables, JSON and exit codes. */
 class ControlCommandsTest {
@@ -26,6 +28,18 @@
         }
     }
 
+    /** Guards against a stack trace for an answer that is shorter than a status line. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP", "HTTP/1.1 ", "HTTP/1.1 20", "HTTP/1.1 \r\n\r\n", "HTTP/1.1 2\r\n\r\n"})
+    void anAnswerThatIsTooShortIsReportedInALine(String answer) throws Exception {
+        try (FakeControlServer server = new FakeControlServer(answer)) {
+            CommandResult result = CommandResult.run("duties", "--control", server.address());
+            assertThat(result.exitCode()).isNotZero();
+            assertThat(result.err().lines()).hasSize(1);
+            assertThat(result.err()).contains(server.address()).doesNotContain("\tat ");
+        }
+    }
+
     @Test
     void listsQuotasAsTable() throws Exception {
         try (FakeControlServer server = FakeControlServer.responding(200, QUOTAS)) {
