Take up a transferred lease also amid a query of one's own

Cause: a candidate heeded a transfer in its idle state alone, and the message comes once.

Evidence: LeaseTest's case on virtual time failed before. It replaces the one that held the fault fast ('is ignored and another may claim the lease'): replies are lost until the transfer arrives as there, and the successor must hold the lease within the time of a transfer, which is stricter.

Change: amid a query the candidate asks anew, as replies under way tell of the time before the release, and asks again soon if that gets no majority. Lease states, walks and golden bytes pass (40 tests). A transfer whose one datagram is lost is still not repeated.

--- a/src/main/java/cacheproxy/fleet/lease/LeaseCandidate.java
+++ b/src/main/java/cacheproxy/fleet/lease/LeaseCandidate.java
@@ -166,7 +166,8 @@
                     timerMs = Math.max(candidacy.claimsFromMs(), nowMs + candidacy.leaseMs());
                 }
             }
-            case QUERYING -> becomeIdle(delays.retryAtMs(nowMs));
+            case QUERYING ->
+                becomeIdle(nowMs < transferredUntilMs ? delays.transferRetryAtMs(nowMs) : delays.retryAtMs(nowMs));
             default -> abandonClaim(nowMs);
         }
     }
@@ -262,8 +263,10 @@
         }
     }
 
+    /** The message comes once. Replies to a query that is under way tell of the time before the release. */
     private void onTransfer(double nowMs) {
-        if (state == State.IDLE && candidacy.mayClaimAt(nowMs)) {
+        boolean mayQuery = state == State.IDLE || state == State.QUERYING;
+        if (mayQuery && candidacy.mayClaimAt(nowMs)) {
             transferredUntilMs = nowMs + candidacy.leaseMs() / 2;
             query(nowMs);
         }
--- a/src/test/java/cacheproxy/SignalsIT.java
+++ b/src/test/java/cacheproxy/SignalsIT.java
@@ -181,8 +181,7 @@
         try (ServerSocket taken = silentSocket()) {
             SignalProcess.replace(
                     platformFile,
-                    platformText.replace(
-                            "\"listen\":", "\"control\": \"127.0.0.1:" + port(taken) + "\", \"listen\":"));
+                    platformText.replace("\"listen\":", "\"control\": \"127.0.0.1:" + port(taken) + "\", \"listen\":"));
             for (int start = 0; start < STARTS; start++) {
                 try (SignalProcess serve = SignalProcess.serve(platformFile, folder)) {
                     assertThatThrownBy(() -> serve.firstConnection(port))
--- a/src/test/java/cacheproxy/fleet/lease/LeaseTest.java
+++ b/src/test/java/cacheproxy/fleet/lease/LeaseTest.java
@@ -209,17 +209,20 @@
                 .isFalse();
     }
 
-    /** A transfer is sent once and is no claim: a candidate that awaits replies to a query of its own ignores it. */
+    /** Guards against a transfer that its successor ignores, as it awaits replies to a query of its own. */
     @Test
-    void transferToPeerThatAwaitsRepliesIsIgnoredAndAnotherMayClaimTheLease() {
+    void transferToPeerThatAwaitsRepliesIsTakenUp() {
         LeaseWorld world = fleet(3);
         world.run(3000);
         LeaseWorld.Member holder = holder(world);
         LeaseWorld.Member successor = world.processes.get((holder.index + 1) % 3);
         LeaseWorld.Network connected = world.network;
         world.network = (from, to, bytes) -> {
-            if (to != successor.index || LeaseMessage.decode(bytes).kind() == LeaseMessage.Kind.TRANSFER) {
-                connected.send(from, to, bytes); // no reply reaches the successor
+            if (to == successor.index && LeaseMessage.decode(bytes).kind() == LeaseMessage.Kind.TRANSFER) {
+                world.network = connected; // until then no reply reaches the successor
+            }
+            if (to != successor.index || world.network == connected) {
+                connected.send(from, to, bytes);
             }
         };
         while (!successor.manager.fingerprint(successor.localMs()).contains("QUERYING")) {
@@ -227,14 +230,12 @@
         }
         assertThat(holder.manager.transfer("d", NameHash.of(successor.name), holder.localMs(), "x"))
                 .isTrue();
-        world.run(20);
-        world.network = connected;
-        world.run(100);
+        world.run(120);
         assertThat(successor.isHolding("d"))
                 .as("within the time that a transfer takes")
-                .isFalse();
+                .isTrue();
         world.run(3000);
-        assertThat(holder(world)).as("claimed by any of the three").isNotNull();
+        assertThat(holder(world)).as("one of the three").isNotNull();
         assertThat(world.violations()).isEmpty();
     }
 
