--- a/src/test/java/cacheproxy/SignalProcess.java
+++ b/src/test/java/cacheproxy/SignalProcess.java
@@ -13,12 +13,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 /** The packaged program as a process that a test sends signals to, with its standard error read line by line. */
 final class SignalProcess implements AutoCloseable {
     private static final int ANSWER_TIMEOUT_MS = 15_000;
+    /** Linux gives ports from 32768 on to outgoing connections. */
+    private static final int LEAST_PORT = 20_000;
+
+    private static final int PORTS = 12_000;
     private static final String END = "(the end of standard error)";
 
     private final Process process;
@@ -65,9 +70,15 @@
         return command;
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /** A port that the system gives to no outgoing connection, so that none has it between two starts. */
+    static int freePort() {
+        while (true) {
+            int port = LEAST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                Thread.onSpinWait(); // taken; another
+            }
         }
     }
 
