--- a/review/standins/src/SlowReaders.java
+++ b/review/standins/src/SlowReaders.java
@@ -9,7 +9,7 @@
 /** Other clients send many reads at once and take seconds to read the answers; the usual ones must get theirs. */
 final class SlowReaders {
     private static final int NODES = 30;
-    private static final int SLOW_CLIENTS = 50;
+    private static final int SLOW_CLIENTS = 80;
     private static final int COMMANDS = 32;
     private static final int LONGEST = 4_000_000;
     private static final int LONG = 64_000;
@@ -49,7 +49,7 @@
         for (int i = 0; i < SLOW_CLIENTS; i++) {
             int number = i;
             Rig.thread(() -> pipeliningClient(number));
-            Rig.sleep(120);
+            Rig.sleep(160);
         }
         Rig.sleep(20_000);
         ended = true;
@@ -138,7 +138,7 @@
                 }
                 socket = null;
             }
-            Rig.sleep(60);
+            Rig.sleep(80);
         }
     }
 }
