--- a/review/standins/src/BrokenValue.java
+++ b/review/standins/src/BrokenValue.java
@@ -22,6 +22,7 @@
 
     private static int play(Rig opened) throws IOException, InterruptedException {
         rig = opened;
+        Node.record = rig;
         Origin origin = rig.add(new Origin(rig, 100, 140, 0, 0));
         List<String> hosts = new ArrayList<>();
         hosts.add(Rig.host("s-origin", origin.dial(), "origin"));
@@ -69,6 +70,7 @@
         try (Socket socket = new Socket()) {
             socket.connect(proxy, 1000);
             socket.setSoTimeout(4000);
+            commands.toString().lines().forEach(line -> rig.note("client sends " + line));
             socket.getOutputStream().write(Rig.ascii(commands.toString()));
             Rig.Lines lines = new Rig.Lines(socket.getInputStream());
             List<String> order = new ArrayList<>(waiting);
--- a/review/standins/src/Node.java
+++ b/review/standins/src/Node.java
@@ -13,6 +13,9 @@
     /** The ids of the requests that any node has got, with how often. */
     static final Map<String, AtomicInteger> RUN = Rig.map();
 
+    /** Where the nodes record what they run; null for nowhere. */
+    static volatile Rig record;
+
     private final double workMs;
     /** Until when the node stands still. */
     volatile double stalledUntil;
@@ -66,7 +69,9 @@
             }
             String id = Rig.flag(line, 'O');
             RUN.computeIfAbsent(id, absent -> new AtomicInteger()).incrementAndGet();
-            got(id, line, socket);
+            if (record != null) {
+                record.note(dial() + " begins " + line);
+            }
             if (words[1].startsWith("miss")) {
                 due.add(new Due(Rig.now() + 1, Rig.ascii("EN O" + id + " h0\r\n")));
                 continue;
@@ -87,7 +92,4 @@
         socket.getOutputStream().write(answer);
         return true;
     }
-
-    /** Called when a command's last byte has come. */
-    void got(String id, String line, Socket socket) {}
 }
--- a/review/standins/src/SecondAnswers.java
+++ b/review/standins/src/SecondAnswers.java
@@ -9,20 +9,26 @@
 
 /**
  * Some answers of the origin are followed by a second copy some milliseconds later. No client may get what was made for
- * another request. The load is that of one proxy of the planned fleet while it carries more than its share.
+ * another request. The load is that of one proxy of a small fleet: most reads are hits, the rest and the writes go to the
+ * origin.
  */
 final class SecondAnswers {
-    private static final int NODES = 20;
-    /** As many proxies as the deployment plans; it divides the connections that the origin bears. */
-    private static final int PROXIES = 60;
-    private static final int CLIENTS = 12;
-    private static final double SECOND_COPY_SHARE = 0.1;
+    private static final int NODES = 30;
+    private static final int PROXIES = 6;
+    private static final int DESCRIPTORS = 256;
+    /** Clients whose reads are hits. */
+    private static final int HIT_CLIENTS = 38;
+    /** Clients whose reads are misses, and which write. */
+    private static final int CLIENTS = 7;
+    private static final int HIT_BYTES = 100;
+    private static final double SECOND_COPY_SHARE = 0.2;
     /** How late a second copy is, at most: some milliseconds. */
     private static final double LATE_MS = 8;
     /** One way between two data centres. */
     private static final double CROSS_MS = 2;
-    private static final double RUN_MS = 40_000;
+    private static final double RUN_MS = 60_000;
 
+    private static final AtomicInteger HITS = new AtomicInteger();
     private static final AtomicInteger SERVED = new AtomicInteger();
     private static final AtomicInteger REFUSED = new AtomicInteger();
     private static final AtomicInteger FAILED = new AtomicInteger();
@@ -38,16 +44,21 @@
 
     private static int play(Rig opened) throws IOException, InterruptedException {
         rig = opened;
+        Node.record = rig;
         Origin origin = rig.add(new Origin(rig, 100, 240, Rig.trouble() ? SECOND_COPY_SHARE : 0, LATE_MS));
         Rig.DelayRelay relay = rig.add(new Rig.DelayRelay(origin.dial(), CROSS_MS));
         List<String> hosts = new ArrayList<>();
         hosts.add(Rig.host("s-origin", relay.dial(), "origin"));
         for (int i = 0; i < NODES; i++) {
-            hosts.add(Rig.host("s-" + i, rig.add(new Node(10)).dial(), "node-fast"));
+            hosts.add(Rig.host("s-" + i, rig.add(new Node(30)).dial(), "node-fast"));
         }
         String list = Rig.list(hosts);
         Rig.Discovery discovery = rig.add(new Rig.Discovery(list));
-        proxy = rig.startProxy(discovery.dial(), Rig.settings(PROXIES, true), list, 192, 1024);
+        proxy = rig.startProxy(discovery.dial(), Rig.settings(PROXIES, true), list, 192, DESCRIPTORS);
+        for (int i = 0; i < HIT_CLIENTS; i++) {
+            int number = i;
+            Rig.thread(() -> hitClient(number));
+        }
         for (int i = 0; i < CLIENTS; i++) {
             int number = i;
             Rig.thread(() -> client(number));
@@ -55,12 +66,36 @@
         Rig.sleep(RUN_MS);
         ended = true;
         Rig.sleep(2000);
-        rig.say("served " + SERVED + " refused " + REFUSED + " failed " + FAILED + " unanswered " + UNANSWERED
+        rig.say("hits " + HITS + "; of the others served " + SERVED + " refused " + REFUSED + " failed " + FAILED + " unanswered " + UNANSWERED
                 + " second copies " + Origin.SECOND_COPIES + " served with another request's answer " + FOREIGN);
         boolean played = rig.proxyRuns() && SERVED.get() > 0 && (!Rig.trouble() || Origin.SECOND_COPIES.get() > 0);
         return !played ? 2 : FOREIGN.get() > 0 ? 1 : 0;
     }
 
+    /** Sends one read after the other, of keys that the cache nodes have. */
+    private static void hitClient(int number) throws IOException {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        try (Socket socket = new Socket()) {
+            socket.connect(proxy, 1000);
+            socket.setTcpNoDelay(true);
+            Rig.Lines lines = new Rig.Lines(socket.getInputStream());
+            String line = "";
+            for (int i = 0; !ended && line != null; i++) {
+                String key = HIT_BYTES + "x" + random.nextInt(3000);
+                String id = "h" + number + "n" + i;
+                socket.getOutputStream().write(
+                        Rig.ascii("mg " + key + " v O" + id + " Pc=seg-text,d=1000\r\n"));
+                line = lines.line();
+                rig.note("client's " + id + " is answered " + line);
+                if (line != null && line.startsWith("VA ")) {
+                    HITS.incrementAndGet();
+                    lines.bytes(HIT_BYTES + 2);
+                }
+                Rig.sleep(random.nextDouble(60, 160));
+            }
+        }
+    }
+
     /** A read, an unsafe write or a keyed write. */
     private static String command(String id, String key, int kind) {
         return switch (kind) {
@@ -77,7 +112,7 @@
         for (int i = 0; !ended; i++) {
             String id = "c" + number + "n" + i;
             ThreadLocalRandom random = ThreadLocalRandom.current();
-            int kind = random.nextInt(3) > 0 ? 0 : random.nextInt(5) < 3 ? 1 : 2;
+            int kind = random.nextInt(4) > 0 ? 0 : random.nextInt(5) < 3 ? 1 : 2;
             String key = "miss" + random.nextInt(1000);
             try {
                 if (socket == null) {
@@ -87,7 +122,9 @@
                     socket.setSoTimeout(1500);
                     lines = new Rig.Lines(socket.getInputStream());
                 }
-                socket.getOutputStream().write(Rig.ascii(command(id, key, kind)));
+                String command = command(id, key, kind);
+                rig.note("client sends " + command.lines().findFirst().orElseThrow());
+                socket.getOutputStream().write(Rig.ascii(command));
                 String line = lines.line();
                 if (line == null) {
                     throw new IOException("closed with no answer");
@@ -105,6 +142,7 @@
                     }
                 } else if (line.startsWith("SERVER_ERROR busy")) {
                     REFUSED.incrementAndGet();
+                    rig.note(id + " " + line);
                 } else {
                     FAILED.incrementAndGet();
                     rig.note(id + " " + line);
--- a/review/standins/src/SlowReaders.java
+++ b/review/standins/src/SlowReaders.java
@@ -33,6 +33,7 @@
 
     private static int play(Rig opened) throws IOException, InterruptedException {
         rig = opened;
+        Node.record = rig;
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             hosts.add(Rig.host("s-" + i, rig.add(new Node(20)).dial(), "node-fast"));
@@ -71,6 +72,7 @@
                         .append(number).append('n').append(i).append(" Pc=seg-image,d=").append(DEADLINE_MS)
                         .append("\r\n");
             }
+            rig.note("reader " + number + " sends " + COMMANDS + " commands");
             socket.getOutputStream().write(Rig.ascii(commands.toString()));
             byte[] buffer = new byte[8 << 10];
             long total = 0;
@@ -108,6 +110,7 @@
                     throw new IOException("closed with no answer");
                 }
                 SENT.incrementAndGet();
+                rig.note("usual client's " + id + ", sent at " + Math.round(sentMs) + ", is answered " + line);
                 if (line.startsWith("VA ")) {
                     byte[] value = lines.bytes(Node.length(key) + 2);
                     if (value == null) {
@@ -118,7 +121,6 @@
                     REFUSED.incrementAndGet();
                 } else {
                     FAILED.incrementAndGet();
-                    rig.note(id + " " + line);
                 }
             } catch (IOException e) {
                 boolean taken = Node.RUN.containsKey(id);
