Name the record in the scripts of the review's cases

Need: a reader of run.sh has to see where a case writes what was sent, run and answered.

Done: run.sh hands record.txt to the stand-ins; nothing in the play changes.

--- a/review/standins/src/Rig.java
+++ b/review/standins/src/Rig.java
@@ -26,19 +26,18 @@
     static final long START = System.nanoTime();
 
     final Path root;
-    final Path folder;
     final Path temporary;
     private final PrintWriter record;
     private final List<AutoCloseable> open = new ArrayList<>();
     private Process proxy;
 
-    /** @param caseFolder the folder of the case, which gets record.txt */
-    Rig(String caseFolder) throws IOException {
-        folder = Path.of(caseFolder).toAbsolutePath().normalize();
-        root = folder.getParent().getParent();
+    /** @param recordFile record.txt in the folder of the case */
+    Rig(String recordFile) throws IOException {
+        Path file = Path.of(recordFile).toAbsolutePath().normalize();
+        root = file.getParent().getParent().getParent();
         temporary = Files.createTempDirectory("review");
         Runtime.getRuntime().addShutdownHook(new Thread(this::end));
-        record = new PrintWriter(new BufferedWriter(Files.newBufferedWriter(folder.resolve("record.txt"))));
+        record = new PrintWriter(new BufferedWriter(Files.newBufferedWriter(file)));
     }
 
     /** Whether the disruption is played; the run without it must hold. */
@@ -164,9 +163,9 @@
     }
 
     /** Plays a case and exits: 0 if its rule held, 1 if it was broken, 2 if the case could not run. */
-    static void play(String caseFolder, Case played) {
+    static void play(String recordFile, Case played) {
         int exit = 2;
-        try (Rig rig = new Rig(caseFolder)) {
+        try (Rig rig = new Rig(recordFile)) {
             exit = played.play(rig);
         } catch (Exception e) {
             e.printStackTrace();
