Hold a long value back while other commands wait on its connection

Cause: PendingResponse wrote the first byte of a value of over 64 KiB as soon as it arrived. From then on only the end of the connection can tell the client that the value has broken off, and that end takes everything behind the value along: responses that are complete and wait for their turn, and requests that are out at other servers. Ruled out: a fault of the connection to the server (the lost requests were out on other connections, and the origin answered the writes), and the retry of broken attempts (none of the lost requests broke). The close itself is right; what is wrong is that there was something to lose by it.

Change: - A value is streamed only while no other command has been read on its connection; reading pauses until it is through. What the client sends in the meantime stays unread, and is sent on with the time that it has left. - Any other long value is held until it is whole. If it breaks off before, its read is answered as failed, and the connection goes on. - Held values have a budget of bytes for the event loop (half of the memory for writes' values, at least one value of maximum length), and only the first response of a connection collects its value. At the bound the source is paused. A value that is not whole within the time that its client waits, counted from when it became the first, is cancelled and answered as failed. - A body that the origin sent without a length is whole before it is passed on and can't break off any more; it is streamed as before. - close_owes_nothing also counts responses that are complete and wait behind a broken value. - The limit on bodies without a length counts bytes now, by the same type; its bound is the same number of longest values. Its two tests say the same in bytes. BufferedBody and held values share the queue of chunks. - A paused connection is no longer taken for a client that stopped writing.

--- a/src/main/java/cacheproxy/daemon/RoutedRequest.java
+++ b/src/main/java/cacheproxy/daemon/RoutedRequest.java
@@ -252,4 +252,11 @@
             current.clientDisconnected();
         }
     }
+
+    @Override
+    public void cancelValue() {
+        if (!concluded) {
+            current.cancelValue();
+        }
+    }
 }
--- a/src/main/java/cacheproxy/daemon/hooks/HookedRequest.java
+++ b/src/main/java/cacheproxy/daemon/hooks/HookedRequest.java
@@ -283,6 +283,13 @@
         config.pendingRequests--;
     }
 
+    @Override
+    public void cancelValue() {
+        if (routed != null) {
+            routed.cancelValue();
+        }
+    }
+
     @Override
     public void clientDisconnected() {
         clientGone = true;
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -132,7 +132,7 @@
     }
 
     private boolean isRequestIncomplete() {
-        return decoder.isReadingValue() || (actualReadableBytes() > 0 && !readControl.isPaused());
+        return !readControl.isPaused() && (decoder.isReadingValue() || actualReadableBytes() > 0);
     }
 
     /**
@@ -194,6 +194,9 @@
             readControl.bytesRead();
         }
         super.channelRead(context, message);
+        if (message == Unpooled.EMPTY_BUFFER) {
+            writeResponses(); // it is now known which commands wait behind a long value
+        }
     }
 
     @Override
@@ -223,7 +226,17 @@
     }
 
     private boolean mayTakeRequest() {
-        return responses.size() < MAX_PIPELINED && ctx.channel().isWritable();
+        return responses.size() < MAX_PIPELINED && ctx.channel().isWritable() && !responses.isValueAtRisk();
+    }
+
+    /** Stops reading further commands, until {@link #updateFlowControl} finds that they may be taken. */
+    void pauseReading() {
+        readControl.pause(ctx);
+    }
+
+    /** Returns whether commands have been read behind the first one that has no complete response yet. */
+    boolean hasCommandsBehindFirst() {
+        return responses.size() > 1 || (readControl.mayHoldCommands() && actualReadableBytes() > 0);
     }
 
     @Override
@@ -281,7 +294,7 @@
     /**
      * Pauses or resumes value sources and the reading of requests, depending on how fast the client reads responses.
      */
-    private void updateFlowControl() {
+    void updateFlowControl() {
         responses.updateFlowControl(ctx);
         if (mayTakeRequest()) {
             readControl.resume(ctx);
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -8,9 +8,7 @@
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.WriteBufferWaterMark;
 
 /**
  * The response to one command of a client connection: encodes it, and holds it until all earlier responses have been
@@ -22,8 +20,6 @@
      * ends.
      */
     private static final int MAX_VALUE_FRAME_BYTES = 24;
-    /** The maximum number of parts in one buffer; if there are more, they are copied together. */
-    private static final int MAX_COMPOSITE_PARTS = 64;
 
     private final ClientConnection connection;
     private final MetaProtocol protocol;
@@ -33,16 +29,14 @@
     private ClientRequest request;
 
     private RequestHandler.Handle handle;
+    /** How long the client waits for the response from when it sent the request, in milliseconds. */
+    private double patienceMs;
     /** The bytes that are ready to be written; null if there are none, or they have been written. */
     private ByteBuf readyBytes;
     /** Whether the whole response is known. */
     private boolean complete;
-    /** Whether a value that is streamed in parts has begun. */
-    private boolean valueBegun;
-    /** The source of the remaining parts of a streamed value. */
-    private ValueSource source;
-
-    private boolean streamOpen;
+    /** The long value that has begun; null if none has, or if it has broken off before its first byte was written. */
+    private LongValue longValue;
 
     /**
      * Creates the response to a command.
@@ -63,35 +57,43 @@
         RequestHandler.Handle submittedHandle = handler.submit(submitted, this);
         if (!complete) {
             handle = submittedHandle;
+            patienceMs = submitted.clientDueMs() - submitted.arrivedMs();
         }
     }
 
-    /** Returns whether no part of the response is known yet. */
+    /** Returns whether the response is not known yet: it is not complete, and no part of it has been written. */
     boolean isUnanswered() {
-        return !complete && !valueBegun;
+        return !complete && (longValue == null || !longValue.isShown());
     }
 
     boolean isComplete() {
         return complete;
     }
 
+    /** Returns whether the client is being sent a value that may still break off, which ends the connection. */
+    boolean isValueAtRisk() {
+        return longValue != null && longValue.isAtRisk();
+    }
+
     /** Writes the bytes that are ready, without flushing; returns whether there were any. */
     @SuppressWarnings("FutureReturnValueIgnored") // a failed write closes the channel, and the close is handled
     boolean writeReady(ChannelHandlerContext ctx) {
+        if (longValue != null) {
+            return longValue.writeReady(ctx);
+        }
         if (readyBytes == null) {
             return false;
         }
-        ctx.write(readyBytes);
+        ByteBuf bytes = readyBytes;
         readyBytes = null;
+        ctx.write(bytes);
         return true;
     }
 
-    /**
-     * Pauses the source of a streamed value unless this response is the next one and the client reads what is written.
-     */
-    void updateFlowControl(boolean isNext, ChannelHandlerContext ctx) {
-        if (source != null) {
-            source.setPaused(!isNext || !ctx.channel().isWritable());
+    /** Pauses or resumes the source of a long value; see {@link LongValue#updateFlowControl}. */
+    void updateFlowControl(boolean isFirst, ChannelHandlerContext ctx) {
+        if (longValue != null) {
+            longValue.updateFlowControl(isFirst, ctx);
         }
     }
 
@@ -116,9 +118,9 @@
             readyBytes.release();
             readyBytes = null;
         }
-        if (source != null) {
-            source.setPaused(false);
-            streamEnded();
+        if (longValue != null) {
+            longValue.resumeSource();
+            longValue.release();
         }
         if (handle != null) {
             handle.clientDisconnected();
@@ -131,7 +133,7 @@
     }
 
     private void complete(ByteBuf response) {
-        if (complete || valueBegun) {
+        if (complete || longValue != null) {
             connection
                     .loopContext()
                     .invariants()
@@ -185,61 +187,61 @@
     }
 
     @Override
-    public void beginValue(int lengthBytes, ValueSource valueSource) {
-        source = valueSource;
-        valueBegun = true;
-        int maxUnwrittenBytes = connection.loopContext().openStream();
-        streamOpen = true;
-        connection.setWriteBufferWaterMark(new WriteBufferWaterMark(maxUnwrittenBytes / 2, maxUnwrittenBytes));
-        valuePart(MetaCodec.ascii(connection.allocator(), "VA " + lengthBytes + echo + "\r\n"));
+    public void beginValue(int lengthBytes, ValueSource source) {
+        ByteBuf head = MetaCodec.ascii(connection.allocator(), "VA " + lengthBytes + echo + "\r\n");
+        longValue = new LongValue(connection, source, head, lengthBytes, patienceMs, this::cancelValue);
+        connection.writeResponses();
+    }
+
+    private void cancelValue() {
+        if (handle != null) {
+            longValue.resumeSource();
+            handle.cancelValue();
+        }
     }
 
     @Override
     public void valuePart(ByteBuf part) {
         if (connection.isFinished()) {
             part.release();
-        } else if (readyBytes == null) {
-            readyBytes = part;
         } else {
-            CompositeByteBuf parts = readyBytes instanceof CompositeByteBuf composite
-                    ? composite
-                    : connection
-                            .allocator()
-                            .compositeBuffer(MAX_COMPOSITE_PARTS)
-                            .addComponent(true, readyBytes);
-            readyBytes = parts.addComponent(true, part);
+            longValue.append(part);
         }
         connection.writeResponses();
     }
 
     @Override
     public void endValue() {
-        streamEnded();
-        if (!connection.isFinished()) {
-            valuePart(MetaCodec.ascii(connection.allocator(), "\r\n"));
+        if (connection.isFinished()) {
+            longValue.release();
+        } else {
+            longValue.end();
         }
         complete = true;
         handle = null;
         connection.writeResponses();
     }
 
-    /** Closes the connection, because nothing else shows the client that the value is incomplete. */
+    /**
+     * Responds that the request has failed. If a part of the value has been written, closes the connection instead,
+     * because nothing else shows the client that the value is incomplete.
+     */
     @Override
     public void abortValue() {
-        streamEnded();
-        connection.close(CloseCause.RESPONSE_ABORTED);
+        longValue.release();
+        if (connection.isFinished()) {
+            return;
+        }
+        if (longValue.isShown()) {
+            connection.close(CloseCause.RESPONSE_ABORTED);
+        } else {
+            longValue = null;
+            failed();
+        }
     }
 
     @Override
     public boolean hasClientLeft() {
         return connection.hasClientLeft();
     }
-
-    private void streamEnded() {
-        source = null;
-        if (streamOpen) {
-            streamOpen = false;
-            connection.loopContext().closeStream();
-        }
-    }
 }
--- a/src/main/java/cacheproxy/proxy/client/ReadControl.java
+++ b/src/main/java/cacheproxy/proxy/client/ReadControl.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelHandlerContext;
 
 /**
- * Pauses reading from a client connection while it has too many open requests or unwritten responses, and tracks the
- * earliest time at which the bytes that are read now may have arrived. A request's deadline counts from that time.
+ * Pauses reading from a client connection while it takes no requests, and tracks the earliest time at which the bytes
+ * that are read now may have arrived. A request's deadline counts from that time.
  */
 final class ReadControl {
     private final EventLoopContext loopContext;
     private boolean paused;
+    /** Whether bytes that were read before a pause have yet to be decoded, as the pause has just ended. */
+    private boolean resuming;
     /** The earliest time at which the bytes last read may have arrived. */
     private double unreadSinceMs;
     /**
@@ -52,6 +54,11 @@
         return paused;
     }
 
+    /** Returns whether bytes that have been read may hold complete commands, as they were not decoded in a pause. */
+    boolean mayHoldCommands() {
+        return paused || resuming;
+    }
+
     /** Stops reading from the socket. */
     void pause(ChannelHandlerContext ctx) {
         if (!paused) {
@@ -70,6 +77,10 @@
         resumeTurn = loopContext.turn();
         ctx.channel().config().setAutoRead(true);
         // The decoder may hold bytes that were read before the pause; an empty buffer makes it decode them.
-        ctx.executor().execute(() -> ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER));
+        resuming = true;
+        ctx.executor().execute(() -> {
+            resuming = false;
+            ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+        });
     }
 }
--- a/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
@@ -34,10 +34,19 @@
         return false;
     }
 
-    /** Reports a violation for each request that a close of the connection leaves unanswered. */
+    /** Returns whether the client is being sent a value that may still break off, which ends the connection. */
+    boolean isValueAtRisk() {
+        return !pending.isEmpty() && pending.peek().isValueAtRisk();
+    }
+
+    /**
+     * Reports a violation for each request that a close of the connection leaves unanswered. If the close only shows
+     * that the first response is incomplete, all others are owed, including those that are complete and wait for it.
+     */
     void checkAnswered(CloseCause cause) {
         for (PendingResponse response : pending) {
-            if (response.isUnanswered()) {
+            boolean waits = cause == CloseCause.RESPONSE_ABORTED && response != pending.peek();
+            if (waits || response.isUnanswered()) {
                 response.recordUnansweredClose(cause);
             }
         }
@@ -51,11 +60,14 @@
         boolean wrote = false;
         PendingResponse first;
         while (!closer.isFinished() && (first = pending.peek()) != null) {
+            boolean complete = first.isComplete();
+            if (complete) {
+                pending.poll();
+            }
             wrote |= first.writeReady(ctx);
-            if (!first.isComplete()) {
+            if (!complete) {
                 break;
             }
-            pending.poll();
         }
         return wrote;
     }
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestContext.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestContext.java
@@ -85,6 +85,11 @@
         lifecycle.clientDisconnected(this);
     }
 
+    @Override
+    public void cancelValue() {
+        lifecycle.cancelValue(this);
+    }
+
     /** Concludes the request as failed, unless its client has received something. */
     void fail() {
         lifecycle.fail(this);
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
@@ -94,6 +94,19 @@
         }
     }
 
+    /** Ends the attempt that streams a long value, as its client can't be sent the value in time. */
+    void cancelValue(RequestContext context) {
+        if (!context.isStreaming()) {
+            return;
+        }
+        for (RequestAttempt attempt : context.attempts()) {
+            if (attempt.isStreaming()) {
+                abandon(attempt);
+                return;
+            }
+        }
+    }
+
     /** Rejects every request that is safe to retry and fails the others, because the process is about to end. */
     void concludeAll() {
         for (RequestContext context : List.copyOf(requests.values())) {
--- a/src/main/java/cacheproxy/proxy/request/RequestHandler.java
+++ b/src/main/java/cacheproxy/proxy/request/RequestHandler.java
@@ -6,6 +6,12 @@
     interface Handle {
         /** Reports that the client has closed its connection, so that no response will be sent. */
         void clientDisconnected();
+
+        /**
+         * Ends the value that has begun, as it does not arrive in time. The responder is told that it is aborted,
+         * possibly from within this call; has no effect if no value is being received.
+         */
+        void cancelValue();
     }
 
     /**
--- a/src/main/java/cacheproxy/proxy/request/Responder.java
+++ b/src/main/java/cacheproxy/proxy/request/Responder.java
@@ -13,6 +13,9 @@
     interface ValueSource {
         /** Pauses further parts while the client does not read those that were sent, or resumes them. */
         void setPaused(boolean paused);
+
+        /** Returns whether the proxy has received all of the value, so that it can't break off any more. */
+        boolean isWhole();
     }
 
     /** Responds to a read with the whole value, whose buffer the callee releases. */
--- a/src/main/java/cacheproxy/proxy/upstream/BodyBufferClaim.java
+++ b/src/main/java/cacheproxy/proxy/upstream/BodyBufferClaim.java
@@ -1,14 +1,16 @@
 package cacheproxy.proxy.upstream;
 
+import cacheproxy.proxy.request.MetaCodec;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
- * A connection's claim to buffer one long body under the {@link BufferedBodyLimit}. Reading is suspended until the
- * claim is granted, so that the rest of the body stays in the kernel's buffers. The request's deadline keeps running.
+ * A connection's claim to buffer one long body under the {@link BufferBudget}; as its length is not known, the claim is
+ * for the longest one. Reading is suspended until the claim is granted, so that the rest of the body stays in the
+ * kernel's buffers. The request's deadline keeps running.
  */
 final class BodyBufferClaim {
-    private final BufferedBodyLimit limit;
+    private final BufferBudget limit;
     private final Consumer<Boolean> setReadable;
     private final BooleanSupplier complete;
     private boolean requested;
@@ -22,7 +24,7 @@
      * @param complete whether the body was complete with the read that requested the claim; reading is then not resumed
      *     when the claim is granted, as the next response is not due yet
      */
-    BodyBufferClaim(BufferedBodyLimit limit, Consumer<Boolean> setReadable, BooleanSupplier complete) {
+    BodyBufferClaim(BufferBudget limit, Consumer<Boolean> setReadable, BooleanSupplier complete) {
         this.limit = limit;
         this.setReadable = setReadable;
         this.complete = complete;
@@ -36,12 +38,12 @@
         requested = true;
         readingSuspended = true;
         setReadable.accept(false);
-        limit.acquire(this::onAcquired);
+        limit.acquire(MetaCodec.MAX_VALUE_BYTES, this::onAcquired);
     }
 
     private void onAcquired() {
         if (!requested || granted) { // requested for a body that has ended in the meantime
-            limit.release();
+            limit.release(MetaCodec.MAX_VALUE_BYTES);
             return;
         }
         granted = true;
@@ -56,7 +58,7 @@
         resumeReading(); // a body that was complete before the grant must not leave reading suspended
         if (granted) {
             granted = false;
-            limit.release();
+            limit.release(MetaCodec.MAX_VALUE_BYTES);
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/BufferedBody.java
+++ b/src/main/java/cacheproxy/proxy/upstream/BufferedBody.java
@@ -1,9 +1,9 @@
 package cacheproxy.proxy.upstream;
 
+import cacheproxy.proxy.net.ChunkedBuffer;
 import cacheproxy.proxy.request.MetaCodec;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import java.util.ArrayDeque;
 
 /**
  * The body of one response of the origin, buffered until it is complete. One buffer holds a short body; chunks of fixed
@@ -12,14 +12,11 @@
  */
 final class BufferedBody {
     private static final int INITIAL_BYTES_OF_UNKNOWN_LENGTH = 1024;
-    private static final int CHUNK_BYTES = 16 << 10;
 
     /** Null while no body is buffered, and after the body has been taken. */
     private ByteBuf first;
     /** Null while the body is short. */
-    private ArrayDeque<ByteBuf> chunks;
-
-    private int chunkBytes;
+    private ChunkedBuffer chunks;
 
     /** Begins an empty body. The announced length is negative if the length is unknown. */
     void begin(ByteBufAllocator allocator, long announcedLength) {
@@ -41,7 +38,7 @@
 
     /** The length so far. */
     int length() {
-        return first.readableBytes() + chunkBytes;
+        return first.readableBytes() + (chunks == null ? 0 : chunks.length());
     }
 
     /**
@@ -55,17 +52,9 @@
     /** Moves all of the part into the body, which makes it a long one. */
     void appendLong(ByteBufAllocator allocator, ByteBuf part) {
         if (chunks == null) {
-            chunks = new ArrayDeque<>();
-        }
-        chunkBytes += part.readableBytes();
-        while (part.isReadable()) {
-            ByteBuf last = chunks.peekLast();
-            if (last == null || !last.isWritable()) {
-                last = allocator.buffer(CHUNK_BYTES, CHUNK_BYTES);
-                chunks.add(last);
-            }
-            last.writeBytes(part, Math.min(part.readableBytes(), last.writableBytes()));
+            chunks = new ChunkedBuffer();
         }
+        chunks.append(allocator, part);
     }
 
     /** Returns a short body, to be released by the caller; null if none was buffered. */
@@ -77,13 +66,13 @@
 
     /** Makes all of a long body available to {@link #takeChunk}. */
     void beginTaking() {
-        chunks.addFirst(first);
+        chunks.prepend(first);
         first = null;
     }
 
     /** Returns the next part of a long body, to be released by the caller; null if all have been taken. */
     ByteBuf takeChunk() {
-        return chunks.poll();
+        return chunks.take();
     }
 
     /** Releases what has not been taken. */
@@ -93,9 +82,8 @@
             first = null;
         }
         if (chunks != null) {
-            chunks.forEach(ByteBuf::release);
+            chunks.release();
             chunks = null;
-            chunkBytes = 0;
         }
     }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -37,7 +37,8 @@
 
     private final ByteBudget valueBudget;
     private final StreamBudget streamBudget;
-    private final BufferedBodyLimit bufferedBodyLimit;
+    private final BufferBudget unknownLengthBudget;
+    private final BufferBudget heldValueBudget;
     private final ConnectionCloseLimiter closeLimiter = new ConnectionCloseLimiter();
     private final UpstreamBootstraps bootstraps;
     private final int maxServerConnections;
@@ -57,7 +58,8 @@
         flushBatcher = new FlushBatcher(loop, limits.batchFlushes());
         valueBudget = new ByteBudget(limits.maxValueBytes());
         streamBudget = new StreamBudget(limits.maxValueBytes());
-        bufferedBodyLimit = new BufferedBodyLimit(loop, limits.maxValueBytes());
+        unknownLengthBudget = new BufferBudget(loop, limits.unknownLengthBytes());
+        heldValueBudget = new BufferBudget(loop, limits.heldValueBytes());
         bootstraps = new UpstreamBootstraps(loop, serverChannels);
         maxServerConnections = limits.maxServerConnections();
         servers = new UpstreamRegistry(this);
@@ -191,9 +193,14 @@
         streamBudget.closeStream();
     }
 
-    /** The limit on bodies that are buffered whole. */
-    BufferedBodyLimit bufferedBodyLimit() {
-        return bufferedBodyLimit;
+    /** The budget for long bodies that are buffered because their length was not announced. */
+    BufferBudget unknownLengthBudget() {
+        return unknownLengthBudget;
+    }
+
+    /** The budget for long values that are held until they are whole, as other responses wait behind them. */
+    public BufferBudget heldValueBudget() {
+        return heldValueBudget;
     }
 
     // ---- connections to servers
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -55,7 +55,7 @@
         this.connection = connection;
         responses = connection.responses();
         claim = new BodyBufferClaim(
-                connection.loopContext().bufferedBodyLimit(), responses::setReadable, () -> forwarding);
+                connection.loopContext().unknownLengthBudget(), responses::setReadable, () -> forwarding);
         connection.setCodec(this);
     }
 
@@ -231,6 +231,11 @@
         }
     }
 
+    @Override
+    public boolean holdsWholeValue() {
+        return forwarding;
+    }
+
     @Override
     public void resume() {
         while (forwarding && !responses.isPaused()) {
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamCodec.java
@@ -12,6 +12,11 @@
     /** Called when a paused value may continue; the codec may hold parts of it. */
     default void resume() {}
 
+    /** Whether the codec holds all of the long value that it is passing on, so that it can't break off any more. */
+    default boolean holdsWholeValue() {
+        return false;
+    }
+
     /** Called when the connection is being closed: the codec releases its buffers and ignores further input. */
     default void discard() {}
 }
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -201,6 +201,11 @@
         responses.setPaused(pause);
     }
 
+    @Override
+    public boolean isWhole() {
+        return codec.holdsWholeValue();
+    }
+
     // ---- what the codec and the responses report
 
     /** Called when the channel becomes writable or unwritable. */
--- a/src/test/java/cacheproxy/proxy/client/ResponseQueueTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ResponseQueueTest.java
@@ -4,7 +4,6 @@
 
 import cacheproxy.proxy.net.PollClock;
 import cacheproxy.proxy.net.Transport;
-import cacheproxy.proxy.request.RequestHandler;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import cacheproxy.proxy.upstream.EventLoopLimits;
 import io.netty.buffer.ByteBuf;
@@ -27,47 +26,13 @@
             new PollClock(),
             Transport.BEST.socket(),
             new EventLoopLimits(1 << 20, 10, false));
-    private final ClientConnection connection = new ClientConnection(loopContext, new Owner(), 0);
+    private final ClientConnection connection = new ClientConnection(loopContext, new FakeConnectionOwner(), 0);
     private final EmbeddedChannel channel = new EmbeddedChannel(connection);
     private final ChannelHandlerContext context = channel.pipeline().context(connection);
     private final ResponseQueue queue = new ResponseQueue();
     private final ConnectionCloser closer = new ConnectionCloser(loopContext, queue);
     private final List<PendingResponse> responses = new ArrayList<>();
 
-    /** A listener without requests. */
-    private static final class Owner implements ConnectionOwner {
-        @Override
-        public RequestHandler handler() {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public MetaProtocol protocol() {
-            return MetaProtocol.platform();
-        }
-
-        @Override
-        public boolean closesWhenIdle(ClientConnection idle) {
-            return false;
-        }
-
-        @Override
-        public boolean acceptsClients() {
-            return true;
-        }
-
-        @Override
-        public double queuedSinceMs() {
-            return 0;
-        }
-
-        @Override
-        public void connectionIdle(ClientConnection idle) {}
-
-        @Override
-        public void connectionClosed(ClientConnection closed) {}
-    }
-
     @BeforeEach
     void addThreeResponses() {
         addResponses(3);
--- a/src/test/java/cacheproxy/proxy/upstream/BodyBufferClaimTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/BodyBufferClaimTest.java
@@ -17,7 +17,7 @@
 @Timeout(30)
 class BodyBufferClaimTest {
     private final EventLoop loop = new DefaultEventLoop();
-    private final BufferedBodyLimit limit = new BufferedBodyLimit(loop, 2 * MetaCodec.MAX_VALUE_BYTES);
+    private final BufferBudget limit = new BufferBudget(loop, 2 * MetaCodec.MAX_VALUE_BYTES);
     private final List<Boolean> readable = new ArrayList<>();
     private final BodyBufferClaim claim = new BodyBufferClaim(limit, readable::add, () -> false);
 
@@ -36,8 +36,8 @@
     /** Returns how many more bodies may be buffered at once, of two in total. */
     private int available() {
         AtomicInteger acquired = new AtomicInteger();
-        limit.acquire(acquired::incrementAndGet);
-        limit.acquire(acquired::incrementAndGet);
+        limit.acquire(MetaCodec.MAX_VALUE_BYTES, acquired::incrementAndGet);
+        limit.acquire(MetaCodec.MAX_VALUE_BYTES, acquired::incrementAndGet);
         return acquired.get();
     }
 
@@ -56,13 +56,13 @@
      */
     @Test
     void aClaimThatWaitsForTwoBodiesCountsOnce() {
-        limit.acquire(() -> {}); // bodies of other connections
-        limit.acquire(() -> {});
+        limit.acquire(MetaCodec.MAX_VALUE_BYTES, () -> {}); // bodies of other connections
+        limit.acquire(MetaCodec.MAX_VALUE_BYTES, () -> {});
         claim.request();
         claim.release();
         claim.request();
-        limit.release();
-        limit.release();
+        limit.release(MetaCodec.MAX_VALUE_BYTES);
+        limit.release(MetaCodec.MAX_VALUE_BYTES);
         runScheduled();
         assertThat(readable).endsWith(true);
         claim.release();
--- a/src/test/java/cacheproxy/proxy/upstream/BufferedBodyLimitTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/BufferBudgetTest.java
@@ -8,51 +8,51 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Tests which connection may buffer a long body, on an event loop that the test runs. */
-class BufferedBodyLimitTest {
+/** Tests which values may be buffered, on an event loop that the test runs. */
+class BufferBudgetTest {
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<String> granted = new ArrayList<>();
 
-    private BufferedBodyLimit limit(long maxValueBytes) {
-        return new BufferedBodyLimit(channel.eventLoop(), maxValueBytes);
+    private BufferBudget budget(long maxBytes) {
+        return new BufferBudget(channel.eventLoop(), maxBytes);
     }
 
-    private void acquire(BufferedBodyLimit limit, String body) {
-        limit.acquire(() -> granted.add(body));
+    private void acquire(BufferBudget budget, String body) {
+        budget.acquire(MetaCodec.MAX_VALUE_BYTES, () -> granted.add(body));
     }
 
     @Test
     void grantsAtOnceUpToTheBoundAndThenInOrder() {
-        BufferedBodyLimit limit = limit(2L * MetaCodec.MAX_VALUE_BYTES);
-        acquire(limit, "first");
-        acquire(limit, "second");
+        BufferBudget budget = budget(2L * MetaCodec.MAX_VALUE_BYTES);
+        acquire(budget, "first");
+        acquire(budget, "second");
         assertThat(granted).containsExactly("first", "second");
-        acquire(limit, "third");
-        acquire(limit, "fourth");
-        limit.release();
+        acquire(budget, "third");
+        acquire(budget, "fourth");
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
         assertThat(granted).as("not from within the release").hasSize(2);
         channel.runPendingTasks();
         assertThat(granted).containsExactly("first", "second", "third");
-        limit.release();
-        limit.release();
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
         channel.runPendingTasks();
         assertThat(granted).containsExactly("first", "second", "third", "fourth");
     }
 
     @Test
     void aReleasedSlotIsNotAcquiredTwice() {
-        BufferedBodyLimit limit = limit(0);
-        acquire(limit, "first");
-        acquire(limit, "second");
-        limit.release();
-        acquire(limit, "third");
+        BufferBudget budget = budget(MetaCodec.MAX_VALUE_BYTES);
+        acquire(budget, "first");
+        acquire(budget, "second");
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
+        acquire(budget, "third");
         channel.runPendingTasks();
         assertThat(granted).as("the slot belongs to the body that waited").containsExactly("first", "second");
-        limit.release();
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
         channel.runPendingTasks();
         assertThat(granted).containsExactly("first", "second", "third");
-        limit.release();
-        acquire(limit, "fourth");
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
+        acquire(budget, "fourth");
         assertThat(granted).containsExactly("first", "second", "third", "fourth");
     }
 }
