Keep the connection when the rest of a value completes several responses

What callers saw: a client that sends several commands at once, the first for a long value that the origin sends without a length, gets the value cut off, and the connection is closed without the answers behind it.

Cause: ResponseQueue.updateFlowControl walked the queue and let the first source continue within the walk. A body that has been buffered whole is passed on at once, up to its end; that removes the first response and the complete ones behind it from the queue, and the walk throws a ConcurrentModificationException. Netty hands it to the connection, which closes with everything that is not yet written. Evidence: the stack trace of the exception in ClientConnection.exceptionCaught, from channelWritabilityChanged.

Change: the sources behind the first are paused first, which removes nothing; the first one continues last.

--- a/src/main/java/cacheproxy/proxy/client/LongValue.java
+++ b/src/main/java/cacheproxy/proxy/client/LongValue.java
@@ -174,19 +174,26 @@
         ctx.write(chunk).addListener(written -> budget.release(releasedBytes));
     }
 
+    /** Pauses the source, as this is not the first response. */
+    void pause() {
+        if (!ended) {
+            source.setPaused(true);
+        }
+    }
+
     /**
-     * Pauses or resumes the source. A streamed value continues while the client reads what is written; a held value
-     * also needs memory.
+     * Pauses or resumes the source, as this is the first response. A streamed value continues while the client reads
+     * what is written; a held value also needs memory. The source may end the value from within this call.
      */
-    void updateFlowControl(boolean isFirst, ChannelHandlerContext ctx) {
+    void updateFlowControl(ChannelHandlerContext ctx) {
         if (ended) {
             return;
         }
-        boolean mayContinue = isFirst && ctx.channel().isWritable();
-        if (mayContinue && !shown && !memoryRequested) {
+        boolean clientReads = ctx.channel().isWritable();
+        if (clientReads && !shown && !memoryRequested) {
             beginCollecting();
         }
-        source.setPaused(!mayContinue || !(shown || memoryAcquired));
+        source.setPaused(!clientReads || !(shown || memoryAcquired));
     }
 
     // ---- memory and time of a held value
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -90,10 +90,17 @@
         return true;
     }
 
-    /** Pauses or resumes the source of a long value; see {@link LongValue#updateFlowControl}. */
-    void updateFlowControl(boolean isFirst, ChannelHandlerContext ctx) {
+    /** Pauses the source of a long value, as this is not the first response. */
+    void pauseValue() {
         if (longValue != null) {
-            longValue.updateFlowControl(isFirst, ctx);
+            longValue.pause();
+        }
+    }
+
+    /** Pauses or resumes the source of a long value, as this is the first response. */
+    void updateFlowControl(ChannelHandlerContext ctx) {
+        if (longValue != null) {
+            longValue.updateFlowControl(ctx);
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
@@ -73,11 +73,18 @@
     }
 
     /**
-     * Resumes the source of the first response while the client reads what is written, and pauses all other sources.
+     * Pauses the sources of all responses but the first, whose source continues while the client reads what is written.
+     * That may complete the first response and remove it and others, so it must come last.
      */
     void updateFlowControl(ChannelHandlerContext ctx) {
+        PendingResponse first = pending.peek();
         for (PendingResponse response : pending) {
-            response.updateFlowControl(response == pending.peek(), ctx);
+            if (response != first) {
+                response.pauseValue();
+            }
+        }
+        if (first != null) {
+            first.updateFlowControl(ctx);
         }
     }
 
--- a/src/test/java/cacheproxy/proxy/ValueStreamingTest.java
+++ b/src/test/java/cacheproxy/proxy/ValueStreamingTest.java
@@ -226,6 +226,45 @@
         }
     }
 
+    /** Guards against a connection that fails when the rest of a value completes several responses at once. */
+    @Test
+    void servesResponsesBehindValueOfUnknownLengthOnceTheClientReads() throws Exception {
+        int behind = 5;
+        CountDownLatch answered = new CountDownLatch(behind);
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (String line; (line = connection.readCommand()) != null; ) {
+                String id = ScriptedServer.requestId(line);
+                boolean missing = id.equals("long");
+                connection.send(missing ? "EN Olong h0\r\n" : "VA 5 O" + id + " h1\r\nhello\r\n");
+                if (!missing) {
+                    answered.countDown();
+                }
+            }
+        });
+        try (Fleet fleet = new Fleet()
+                        .node(node)
+                        .origin(endsByClosing(VALUE.length))
+                        .start();
+                Fleet.Client client = fleet.client()) {
+            client.read("long");
+            for (int i = 0; i < behind; i++) {
+                client.read(Integer.toString(i));
+            }
+            assertThat(answered.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(client.line()).isEqualTo("VA " + VALUE.length + " Olong");
+            Fleet.Client other = fleet.client();
+            for (int turn = 0; turn < 200; turn++) { // turns of the event loop, in which the short responses arrive
+                other.send("mn\r\n").line();
+            }
+            assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
+            assertThat(client.line()).isEmpty();
+            for (int i = 0; i < behind; i++) {
+                assertThat(client.line()).isEqualTo("VA 5 O" + i);
+                assertThat(client.line()).isEqualTo("hello");
+            }
+        }
+    }
+
     @Test
     void doesNotServeValueOfUnknownLengthWhenConnectionIsReset() throws Exception {
         for (int length : new int[] {1000, 200_000}) {
