Shut down a client's connection only after what was written has been sent

What callers saw: when a drain, a standby or an unreadable command ends the connection of a client that reads slowly, the client gets the end of stream in the middle of responses that were finished: receipts and values are lost. The same where a streamed value breaks off, with the responses before it.

Cause: ConnectionCloser.finish shut down the output at once, and a broken value closed the channel at once. Either discards what Netty holds because the operating system has not taken it yet. A close with unread commands also makes the operating system send a reset, which can overtake sent responses; since reading pauses during a streamed value, that had become the usual case.

Change: both ways shut down the output when all written bytes have been taken, and linger for the client's close as before. Until then nothing is read from the client, so that a command that crosses the end stays unread.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -119,8 +119,8 @@
     }
 
     /**
-     * Returns whether the proxy's output is shut down, so that nothing more is written, and the client has not closed
-     * its side.
+     * Returns whether nothing more is written, as the proxy's output is shut down or will be, and the client has not
+     * closed its side.
      */
     boolean isFinished() {
         return closer.isFinished();
@@ -181,8 +181,12 @@
         closer.finish(ctx);
     }
 
-    /** Closes the connection at once. */
-    void close(CloseCause cause) {
+    /** Ends the connection within the first response, whose rest will not arrive. */
+    void abortResponse() {
+        closer.abortResponse(ctx);
+    }
+
+    private void close(CloseCause cause) {
         closer.close(ctx, cause);
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -2,14 +2,16 @@
 
 import cacheproxy.eventlog.ProxyEvent;
 import cacheproxy.proxy.upstream.EventLoopContext;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a client connection in steps: it accepts no further requests ({@link #isClosing}), it shuts down the proxy's
- * output and lingers until the client closes its side ({@link #isFinished}), and it is closed.
+ * Closes a client connection in steps: it accepts no further requests ({@link #isClosing}); it writes nothing more
+ * ({@link #isFinished}), shuts down the proxy's output once the operating system has taken what was written, and
+ * lingers until the client closes its side; and it is closed.
  */
 final class ConnectionCloser {
     private static final long LINGER_MS = 300;
@@ -33,7 +35,7 @@
         return closing;
     }
 
-    /** Returns whether the proxy's output is shut down, so that nothing more is written. */
+    /** Returns whether nothing more is written, as the proxy's output is shut down or will be. */
     boolean isFinished() {
         return finished;
     }
@@ -44,18 +46,40 @@
     }
 
     /**
-     * Shuts down the proxy's output and waits for the client to close its side: a close with unread input would send a
-     * reset, which could overtake the last response.
+     * Shuts down the proxy's output after the last response, and waits for the client to close its side: a close with
+     * unread input would send a reset, which could overtake that response.
      */
-    @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
     void finish(ChannelHandlerContext ctx) {
+        finish(ctx, CloseCause.FINISHED);
+    }
+
+    /**
+     * Ends the connection within the first response, of which a part has been written, as nothing else shows the client
+     * that it is incomplete. The responses before it still reach the client.
+     */
+    void abortResponse(ChannelHandlerContext ctx) {
+        cause = CloseCause.RESPONSE_ABORTED.label();
+        finish(ctx, CloseCause.RESPONSE_ABORTED);
+    }
+
+    private void finish(ChannelHandlerContext ctx, CloseCause closeCause) {
         if (finished) {
             return;
         }
-        responses.checkAnswered(CloseCause.FINISHED);
+        responses.checkAnswered(closeCause);
         finished = true;
         closing = true;
-        ctx.flush();
+        // What the client sends until the output is shut down stays unread, so that it can send it again elsewhere.
+        ctx.channel().config().setAutoRead(false);
+        // Shutting down the output discards what the operating system has not taken yet, so it must come after that.
+        ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> shutDownOutput(ctx));
+    }
+
+    @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
+    private void shutDownOutput(ChannelHandlerContext ctx) {
+        if (!ctx.channel().isActive()) {
+            return;
+        }
         ctx.channel().config().setAutoRead(true);
         ((DuplexChannel) ctx.channel()).shutdownOutput();
         ctx.executor().schedule(() -> close(ctx, CloseCause.LINGERED), LINGER_MS, TimeUnit.MILLISECONDS);
@@ -65,7 +89,9 @@
     @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
     void close(ChannelHandlerContext ctx, CloseCause closeCause) {
         responses.checkAnswered(closeCause);
-        cause = closeCause.label();
+        if (cause == null) {
+            cause = closeCause.label();
+        }
         ctx.flush(); // otherwise a response that is written but not flushed would be lost
         ctx.close();
     }
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -240,7 +240,7 @@
             return;
         }
         if (longValue.isShown()) {
-            connection.close(CloseCause.RESPONSE_ABORTED);
+            connection.abortResponse();
         } else {
             longValue = null;
             failed();
--- a/src/test/java/cacheproxy/proxy/BrokenValueTest.java
+++ b/src/test/java/cacheproxy/proxy/BrokenValueTest.java
@@ -1,5 +1,6 @@
 package cacheproxy.proxy;
 
+import static cacheproxy.proxy.Fleet.readCommand;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.fakes.ScriptedServer;
@@ -20,6 +21,7 @@
 class BrokenValueTest {
     private static final byte[] VALUE = new byte[1_000_000];
     private static final String FAILED = MetaCodec.FAILED_LINE.trim();
+    private static final String WRITE = "ms 7f3b 5 Owrite Pc=fix,d=20000\r\nhello\r\n";
 
     static {
         new Random(11).nextBytes(VALUE);
@@ -82,10 +84,6 @@
         });
     }
 
-    private static Fleet.Client write(Fleet.Client client) throws IOException {
-        return client.send("ms 7f3b 5 Owrite Pc=fix,d=20000\r\nhello\r\n");
-    }
-
     private static void assertShortValue(Fleet.Client client, String id) throws IOException {
         assertThat(client.line()).isEqualTo("VA 5 O" + id);
         assertThat(client.line()).isEqualTo("hello");
@@ -106,7 +104,7 @@
                         .origin(writesAllowBreaks())
                         .start();
                 Fleet.Client client = fleet.client()) {
-            write(client.read("long")).read("1").read("2");
+            client.send(readCommand("long") + WRITE + readCommand("1") + readCommand("2"));
             assertThat(client.line()).startsWith("SERVER_ERROR");
             assertThat(client.line()).isEqualTo("HD Owrite cr1");
             assertShortValue(client, "1");
@@ -124,10 +122,11 @@
                         .origin(writesAllowBreaks())
                         .start();
                 Fleet.Client client = fleet.client()) {
+            StringBuilder commands = new StringBuilder();
             for (int i = 0; i < 4; i++) {
-                client.read(i == position ? "long" : Integer.toString(i));
+                commands.append(readCommand(i == position ? "long" : Integer.toString(i)));
             }
-            write(client);
+            client.send(commands + WRITE);
             for (int i = 0; i < 4; i++) {
                 if (i == position) {
                     assertThat(client.line()).isEqualTo(FAILED);
@@ -147,7 +146,11 @@
                         .origin(writesAllowBreaks())
                         .start();
                 Fleet.Client client = fleet.client()) {
-            write(client.read("whole1").read("long").read("whole2")).read("whole3");
+            client.send(readCommand("whole1")
+                    + readCommand("long")
+                    + readCommand("whole2")
+                    + WRITE
+                    + readCommand("whole3"));
             assertWholeValue(client, "whole1");
             assertThat(client.line()).isEqualTo(FAILED);
             assertWholeValue(client, "whole2");
@@ -175,7 +178,7 @@
         });
         try (Fleet fleet = new Fleet().node(node).origin(origin).start();
                 Fleet.Client client = fleet.client()) {
-            write(client.read("long"));
+            client.send(readCommand("long") + WRITE);
             assertThat(client.line()).startsWith("SERVER_ERROR");
             assertThat(client.line()).isEqualTo("HD Owrite cr1");
         }
@@ -193,12 +196,68 @@
         });
         try (Fleet fleet = new Fleet().node(node).origin(writesAllowBreaks()).start();
                 Fleet.Client client = fleet.client()) {
-            write(client.send("mg 7f3a v Olong Pc=text,d=300\r\n"));
+            client.send("mg 7f3a v Olong Pc=text,d=300\r\n" + WRITE);
             assertThat(client.line()).isEqualTo(FAILED);
             assertThat(client.line()).isEqualTo("HD Owrite cr1");
         }
     }
 
+    /** Guards against requests that are sent on while a value is streamed whose end they can't outlive. */
+    @Test
+    void sendsNoRequestOnWhileValueIsStreamed() throws Exception {
+        ScriptedServer origin = writesAllowBreaks();
+        try (Fleet fleet = new Fleet()
+                        .node(breakingNode(VALUE.length / 2))
+                        .origin(origin)
+                        .start();
+                Fleet.Client client = fleet.client();
+                Fleet.Client other = fleet.client()) {
+            client.read("long");
+            assertThat(client.line()).isEqualTo("VA " + VALUE.length + " Olong");
+            client.send(WRITE);
+            for (int turn = 0; turn < 500; turn++) { // turns of the event loop, in each of which it could read
+                assertThat(other.send("mn\r\n").line()).isEqualTo("MN");
+            }
+            mayBreak.countDown();
+            assertThat(client.bytes(VALUE.length).length).isLessThan(VALUE.length);
+            assertThat(origin.commands).isEmpty();
+        }
+    }
+
+    /** Guards against a broken value that takes responses along which were written before it. */
+    @Test
+    void sendsResponsesBeforeStreamedValueThatBreaksOff() throws Exception {
+        byte[] whole = new byte[MetaCodec.MAX_VALUE_BYTES]; // more than the operating system takes at once
+        CountDownLatch mayAnswer = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (String line; (line = connection.readCommand()) != null; ) {
+                mayAnswer.await();
+                String id = ScriptedServer.requestId(line);
+                if (id.equals("long")) {
+                    breakOff(connection, "VA " + VALUE.length + " Olong h1\r\n", VALUE.length / 2);
+                    return;
+                }
+                connection.send("VA " + whole.length + " O" + id + " h1\r\n");
+                connection.out.write(whole);
+                connection.send("\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client slow = fleet.slowClient()) {
+            slow.send(readCommand("1") + readCommand("long"));
+            fleet.awaitPendingRequests(2);
+            mayAnswer.countDown();
+            fleet.awaitPendingRequests(1); // the first one is written, and mostly waits for the client
+            mayBreak.countDown();
+            fleet.awaitPendingRequests(0);
+            assertThat(slow.line()).isEqualTo("VA " + whole.length + " O1");
+            assertThat(slow.bytes(whole.length)).isEqualTo(whole);
+            assertThat(slow.line()).isEmpty();
+            assertThat(slow.line()).isEqualTo("VA " + VALUE.length + " Olong");
+            assertThat(slow.bytes(VALUE.length).length).isLessThan(VALUE.length);
+        }
+    }
+
     /** Guards against a request that stays unread after the value that it waited for has been streamed. */
     @Test
     void answersRequestThatArrivesWhileValueIsStreamed() throws Exception {
--- a/src/test/java/cacheproxy/proxy/DrainTest.java
+++ b/src/test/java/cacheproxy/proxy/DrainTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.fakes.ScriptedServer;
+import cacheproxy.proxy.request.MetaCodec;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.BlockingQueue;
@@ -52,6 +53,46 @@
         }
     }
 
+    /** Guards against a drain that ends connections before slow clients have got the responses written to them. */
+    @Test
+    void sendsWrittenResponsesToSlowClientBeforeClosingItsConnection() throws Exception {
+        byte[] value = new byte[MetaCodec.MAX_VALUE_BYTES]; // more than the operating system takes at once
+        CountDownLatch resume = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (String line; (line = connection.readCommand()) != null; ) {
+                resume.await();
+                connection.send("VA " + value.length + " O" + ScriptedServer.requestId(line) + " h1\r\n");
+                connection.out.write(value);
+                connection.send("\r\n");
+            }
+        });
+        ScriptedServer origin = new ScriptedServer(connection -> {
+            connection.readRequest();
+            resume.await();
+            connection.sendHttp(200, "", "r1");
+        });
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start();
+                Fleet.Client slow = fleet.slowClient();
+                Fleet.Client idle = fleet.client()) {
+            assertThat(idle.send("mn\r\n").line()).isEqualTo("MN");
+            slow.send(Fleet.readCommand("1") + "ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            fleet.awaitPendingRequests(2);
+            resume.countDown();
+            fleet.awaitPendingRequests(0);
+            Thread drain = new Thread(fleet.proxy::drain);
+            drain.start();
+            assertThat(idle.ended()).isTrue();
+            idle.close();
+            assertThat(slow.line()).isEqualTo("VA " + value.length + " O1");
+            assertThat(slow.bytes(value.length)).isEqualTo(value);
+            assertThat(slow.line()).isEmpty();
+            assertThat(slow.line()).isEqualTo("HD O2 cr1");
+            assertThat(slow.ended()).isTrue();
+            slow.close();
+            drain.join();
+        }
+    }
+
     /** The platform kills a process 3.7 s after SIGTERM, even if a request's deadline is later. */
     @Test
     void concludesRequestsBeforePlatformKillsProcess() throws Exception {
--- a/src/test/java/cacheproxy/proxy/Fleet.java
+++ b/src/test/java/cacheproxy/proxy/Fleet.java
@@ -78,6 +78,8 @@
             "classes.2.late-share=0.2",
             "classes.2.stream=false");
 
+    private static final int SLOW_CLIENT_BUFFER_BYTES = 4 << 10;
+
     public final JsonObject config = new JsonObject();
     public final List<AutoCloseable> closeables = new ArrayList<>();
     public final JsonArray hosts = new JsonArray();
@@ -175,6 +177,11 @@
         return go;
     }
 
+    /** A read, as a line to send together with other commands. */
+    public static String readCommand(String id) {
+        return "mg 7f3a9c21e0b4d655 v O" + id + " Pc=text,d=20000\r\n";
+    }
+
     /** Waits until the proxy has this number of pending requests; the test's time limit interrupts the wait. */
     public void awaitPendingRequests(int expected) {
         for (int count; (count = proxy.pendingRequests()) != expected; ) {
@@ -185,7 +192,18 @@
     }
 
     public Client client() throws IOException {
-        Client client = new Client(proxy.address());
+        return client(new Socket());
+    }
+
+    /** A client whose system takes hardly any bytes that the client has not read, so that the proxy has to wait. */
+    public Client slowClient() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SLOW_CLIENT_BUFFER_BYTES);
+        return client(socket);
+    }
+
+    private Client client(Socket socket) throws IOException {
+        Client client = new Client(socket, proxy.address());
         closeables.add(client);
         return client;
     }
@@ -207,8 +225,9 @@
         final Socket socket;
         private final InputStream in;
 
-        Client(InetSocketAddress to) throws IOException {
-            socket = new Socket(InetAddress.getLoopbackAddress(), to.getPort());
+        Client(Socket socket, InetSocketAddress to) throws IOException {
+            this.socket = socket;
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), to.getPort()));
             socket.setSoTimeout(25_000);
             socket.setTcpNoDelay(true);
             in = new BufferedInputStream(socket.getInputStream());
@@ -225,7 +244,7 @@
         }
 
         public Client read(String id) throws IOException {
-            return send("mg 7f3a9c21e0b4d655 v O" + id + " Pc=text,d=20000\r\n");
+            return send(readCommand(id));
         }
 
         /** The next line without its line end; null at the end of the stream. */
--- a/src/test/java/cacheproxy/proxy/ValueStreamingTest.java
+++ b/src/test/java/cacheproxy/proxy/ValueStreamingTest.java
@@ -246,10 +246,11 @@
                         .origin(endsByClosing(VALUE.length))
                         .start();
                 Fleet.Client client = fleet.client()) {
-            client.read("long");
+            StringBuilder commands = new StringBuilder(Fleet.readCommand("long"));
             for (int i = 0; i < behind; i++) {
-                client.read(Integer.toString(i));
+                commands.append(Fleet.readCommand(Integer.toString(i)));
             }
+            client.send(commands.toString());
             assertThat(answered.await(20, TimeUnit.SECONDS)).isTrue();
             assertThat(client.line()).isEqualTo("VA " + VALUE.length + " Olong");
             Fleet.Client other = fleet.client();
