Answer what waits behind a held value before a shutdown ends

Cause: at the end of a drain every request without a response is refused or failed. A held value counts as begun, so it was left alone, and nothing behind it could be written.

Change: when no further requests are taken, long values of which nothing has been written are cancelled and answered as failed.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -176,6 +176,11 @@
         writeResponses();
     }
 
+    /** Cancels the long values of which nothing has been written, so that the responses behind them can be. */
+    void cancelHeldValues() {
+        responses.cancelHeldValues();
+    }
+
     /** Shuts down the proxy's output and waits for the client to close its side. */
     void finish() {
         closer.finish(ctx);
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -232,9 +232,15 @@
         }
     }
 
-    /** Accepts no further requests on any connection; each connection ends after its last response. */
+    /**
+     * Accepts no further requests on any connection; each connection ends after its last response. Long values that
+     * have begun to arrive and of which nothing has been sent are cancelled, as the responses behind them wait.
+     */
     public void stopTakingRequests() {
-        new ArrayList<>(connections).forEach(ClientConnection::stopTakingRequests);
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            connection.stopTakingRequests();
+            connection.cancelHeldValues();
+        }
     }
 
     /** Returns whether no connection is open. */
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -200,6 +200,13 @@
         connection.writeResponses();
     }
 
+    /** Cancels a long value of which nothing has been written. */
+    void cancelHeldValue() {
+        if (longValue != null && !longValue.isShown()) {
+            cancelValue();
+        }
+    }
+
     private void cancelValue() {
         if (handle != null) {
             longValue.resumeSource();
--- a/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
@@ -3,6 +3,7 @@
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.channel.ChannelHandlerContext;
 import java.util.ArrayDeque;
+import java.util.List;
 
 /**
  * The responses that a client connection has yet to send, in the order of the requests. Only the first one is written.
@@ -88,6 +89,13 @@
         }
     }
 
+    /** Cancels the long values of which nothing has been written. */
+    void cancelHeldValues() {
+        for (PendingResponse response : List.copyOf(pending)) { // a cancelled value may complete and remove responses
+            response.cancelHeldValue();
+        }
+    }
+
     /** Handles the close of the connection: releases all responses and notifies the handlers of their requests. */
     void close(EventLoopContext loopContext) {
         PendingResponse response;
--- a/src/test/java/cacheproxy/proxy/DrainTest.java
+++ b/src/test/java/cacheproxy/proxy/DrainTest.java
@@ -6,6 +6,7 @@
 import cacheproxy.proxy.request.MetaCodec;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -115,6 +116,40 @@
         }
     }
 
+    /** Guards against a shutdown that ends while responses wait behind a long value that is not whole. */
+    @Test
+    void answersRequestsBehindHeldValueBeforePlatformKillsProcess() throws Exception {
+        ScriptedServer slow = new ScriptedServer(connection -> {
+            String id = ScriptedServer.requestId(connection.readCommand());
+            connection.send("VA " + MetaCodec.MAX_VALUE_BYTES + " O" + id + " h1\r\n");
+            connection.socket.setSoTimeout(500);
+            for (boolean ended = false; !ended; ) {
+                connection.out.write(new byte[1000]);
+                try {
+                    ended = connection.in.read() < 0;
+                } catch (SocketTimeoutException e) {
+                    // the proxy still waits: it gets the next part
+                }
+            }
+        });
+        ScriptedServer origin = new ScriptedServer(connection -> {
+            connection.readRequest();
+            connection.sendHttp(200, "", "r1");
+        });
+        try (Fleet fleet = new Fleet().node(slow).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
+            client.send(Fleet.readCommand("1") + "ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            origin.awaitCommand();
+            Thread drain = new Thread(fleet.proxy::drain);
+            drain.start();
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(client.line()).isEqualTo("HD O2 cr1");
+            assertThat(client.ended()).isTrue();
+            client.close();
+            drain.join();
+        }
+    }
+
     /**
      * Connections close between two requests, but this client always has a request pending. Its last requests are
      * answered or rejected.
