--- a/src/test/java/cacheproxy/proxy/BrokenValueTest.java
+++ b/src/test/java/cacheproxy/proxy/BrokenValueTest.java
@@ -159,6 +159,25 @@
         }
     }
 
+    /** Guards against a value that does not end where its length says, which shows only after its last byte. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 1})
+    void answersRequestsBehindValueOfWrongLength(int difference) throws Exception {
+        ScriptedServer node = new ScriptedServer(connection -> {
+            String id = ScriptedServer.requestId(connection.readCommand());
+            connection.send("VA " + (VALUE.length + difference) + " O" + id + " h1\r\n");
+            connection.out.write(VALUE);
+            connection.send("\r\nnothing that was asked for\r\n");
+            connection.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).origin(writesAllowBreaks()).start();
+                Fleet.Client client = fleet.client()) {
+            client.send(readCommand("long") + WRITE);
+            assertThat(client.line()).isEqualTo(FAILED);
+            assertThat(client.line()).isEqualTo("HD Owrite cr1");
+        }
+    }
+
     /** Guards against a broken value of the origin, with and without a length, that takes other responses along. */
     @ParameterizedTest
     @CsvSource({"'Content-Length: 1000000\r\n', 400", "'Connection: close\r\n', 400", "'Connection: close\r\n', 200000"
