Close a client that reads nothing while a long value is held for it

A client that has commands behind a long value and never reads keeps its connection, and the connections of the servers that wait to send it values, for ever. Found by reading the ways a held value can end.

Cause: a stalled client is closed once its requests are answered. A held value counts as unanswered, and waits for the client to read what was written before; its time limit only begins then.

Change: where a stalled client has not read, values of which nothing has been written are cancelled first. Besides, a value that waits for memory withdraws its request when its client leaves: clients that come and go while slow readers keep the memory would have left entries behind, without a bound.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -147,6 +147,9 @@
 
     /** Closes a stalled connection, after the responses to its complete requests. */
     void closeStalled() {
+        if (hasUnwrittenBytes()) {
+            responses.cancelHeldValues(); // they wait for the client to read
+        }
         if (responses.hasUnanswered()) {
             stopTakingRequests();
         } else {
--- a/src/main/java/cacheproxy/proxy/client/LongValue.java
+++ b/src/main/java/cacheproxy/proxy/client/LongValue.java
@@ -30,6 +30,7 @@
     private final Runnable cancel;
 
     private final BufferBudget budget;
+    private final Runnable onMemoryAcquired = this::onMemoryAcquired;
     /** The head of the response, and what has arrived of the value; empty once the value has been shown. */
     private final ChunkedBuffer held = new ChunkedBuffer();
     /** A part of a streamed value that is ready to be written; null if there is none. */
@@ -201,7 +202,7 @@
     private void beginCollecting() {
         memoryRequested = true;
         timeout = connection.loopContext().after(patienceMs, cancel);
-        budget.acquire(lengthBytes, this::onMemoryAcquired);
+        budget.acquire(lengthBytes, onMemoryAcquired);
     }
 
     private void onMemoryAcquired() {
@@ -215,6 +216,9 @@
     }
 
     private void releaseMemory() {
+        if (memoryRequested && !memoryAcquired) {
+            budget.withdraw(onMemoryAcquired);
+        }
         int unusedBytes = reservedBytes;
         reservedBytes = 0;
         budget.release(unusedBytes);
--- a/src/main/java/cacheproxy/proxy/upstream/BufferBudget.java
+++ b/src/main/java/cacheproxy/proxy/upstream/BufferBudget.java
@@ -40,9 +40,20 @@
         }
     }
 
+    /** Withdraws a request for bytes that has not been granted yet; has no effect on any other. */
+    public void withdraw(Runnable onAcquired) {
+        if (waiting.removeIf(request -> request.onAcquired == onAcquired)) {
+            grantWaiting();
+        }
+    }
+
     /** Releases acquired bytes, all at once or a part of them, as they are no longer buffered. */
     public void release(int bytes) {
         reservedBytes -= bytes;
+        grantWaiting();
+    }
+
+    private void grantWaiting() {
         for (Request next; (next = waiting.peek()) != null && reservedBytes + next.bytes <= maxBytes; ) {
             waiting.remove();
             reservedBytes += next.bytes;
--- a/src/test/java/cacheproxy/proxy/BrokenValueTest.java
+++ b/src/test/java/cacheproxy/proxy/BrokenValueTest.java
@@ -277,6 +277,25 @@
         }
     }
 
+    /** Guards against a client that reads nothing and so keeps its connection and a server's for ever. */
+    @Test
+    void closesClientThatReadsNothingBeforeHeldValue() throws Exception {
+        byte[] whole = new byte[MetaCodec.MAX_VALUE_BYTES]; // more than the operating system takes at once
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (String line; (line = connection.readCommand()) != null; ) {
+                connection.send("VA " + whole.length + " O" + ScriptedServer.requestId(line) + " h1\r\n");
+                connection.out.write(whole);
+                connection.send("\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client silent = fleet.slowClient()) {
+            silent.send(readCommand("1") + readCommand("2") + readCommand("3"));
+            fleet.awaitPendingRequests(2); // the first one is written, and mostly waits for the client
+            fleet.awaitPendingRequests(0);
+        }
+    }
+
     /** Guards against a request that stays unread after the value that it waited for has been streamed. */
     @Test
     void answersRequestThatArrivesWhileValueIsStreamed() throws Exception {
--- a/src/test/java/cacheproxy/proxy/upstream/BufferBudgetTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/BufferBudgetTest.java
@@ -55,4 +55,23 @@
         acquire(budget, "fourth");
         assertThat(granted).containsExactly("first", "second", "third", "fourth");
     }
+
+    /** Guards against requests of clients that have left, which would pile up while others keep the memory. */
+    @Test
+    void aWithdrawnRequestIsForgottenAndLetsTheNextOnesPass() {
+        BufferBudget budget = budget(MetaCodec.MAX_VALUE_BYTES);
+        budget.acquire(MetaCodec.MAX_VALUE_BYTES - 1, () -> granted.add("first"));
+        Runnable tooLong = () -> granted.add("too long");
+        budget.acquire(2, tooLong);
+        budget.acquire(1, () -> granted.add("short"));
+        budget.withdraw(tooLong);
+        channel.runPendingTasks();
+        assertThat(granted).containsExactly("first", "short");
+        assertThat(budget.reservedBytes()).isEqualTo(MetaCodec.MAX_VALUE_BYTES);
+        budget.withdraw(tooLong);
+        budget.release(MetaCodec.MAX_VALUE_BYTES);
+        channel.runPendingTasks();
+        assertThat(granted).hasSize(2);
+        assertThat(budget.reservedBytes()).isZero();
+    }
 }
