--- a/src/test/java/cacheproxy/proxy/Fleet.java
+++ b/src/test/java/cacheproxy/proxy/Fleet.java
@@ -261,6 +261,11 @@
             return in.read() < 0;
         }
 
+        /** Closes this side of the connection only. */
+        public void closeOutput() throws IOException {
+            socket.shutdownOutput();
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
