Split what a client connection is doing from how it handles commands

Change: ConnectionStatus answers whether a connection is idle, stalled or the one to make room; lines are moved, not changed. The head of a long value is kept as it is in place of in a chunk of 16 KiB, which a value that waits at its server took besides the chunk of its first part.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -1,6 +1,5 @@
 package cacheproxy.proxy.client;
 
-import cacheproxy.limits.ConnectionEviction;
 import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.request.ClientRequest;
 import cacheproxy.proxy.request.MetaCodec;
@@ -9,7 +8,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.List;
@@ -34,6 +32,7 @@
     private final ConnectionCloser closer;
     private final ConnectionActivity activity = new ConnectionActivity();
     private final RequestSubmitter submitter;
+    private final ConnectionStatus status;
     private final Runnable flush = this::flush;
     private ChannelHandlerContext ctx;
     private boolean flushScheduled;
@@ -51,6 +50,7 @@
         readControl = new ReadControl(loopContext);
         closer = new ConnectionCloser(loopContext, responses);
         submitter = new RequestSubmitter(this, owner);
+        status = new ConnectionStatus(this, responses, decoder, readControl, closer, activity);
     }
 
     /** The position of this connection in the order in which connections are closed, from 0 to under 1. */
@@ -87,35 +87,9 @@
 
     // ---- state
 
-    /** Returns whether no request is open or partly received. */
-    boolean isIdle() {
-        return responses.isEmpty() && !decoder.isReadingValue() && actualReadableBytes() == 0;
-    }
-
-    /** Returns whether the client has sent a complete command, or has had the time to send one. */
-    boolean hasHadTimeToSendCommand(double nowMs) {
-        return activity.hasHadTimeToSendCommand(nowMs);
-    }
-
-    /**
-     * Returns the eviction rank: the connection with the highest rank is evicted first, one with a negative rank never.
-     */
-    double evictionRank(double nowMs) {
-        return closer.isFinished()
-                ? -1
-                : ConnectionEviction.rank(
-                        isIdle(),
-                        activity.hasSentCommand(),
-                        !responses.isEmpty() || hasUnwrittenBytes(),
-                        activity.inactiveMs(nowMs));
-    }
-
-    /**
-     * Returns whether the client has stopped in the middle of a request, has stopped reading responses, or has never
-     * sent a complete request.
-     */
-    boolean isStalled(double nowMs) {
-        return activity.isStalled(nowMs, closer.isFinished() || hasUnwrittenBytes(), isRequestIncomplete(), isIdle());
+    /** What the listener and the registry of connections ask before they close it. */
+    ConnectionStatus status() {
+        return status;
     }
 
     /**
@@ -126,15 +100,6 @@
         return closer.isFinished();
     }
 
-    private boolean hasUnwrittenBytes() {
-        ChannelOutboundBuffer unwritten = ctx.channel().unsafe().outboundBuffer();
-        return unwritten != null && unwritten.totalPendingWriteBytes() > 0;
-    }
-
-    private boolean isRequestIncomplete() {
-        return !readControl.isPaused() && (decoder.isReadingValue() || actualReadableBytes() > 0);
-    }
-
     /**
      * Returns whether the operating system has seen the client close the connection, even if that event has not been
      * handled yet.
@@ -147,7 +112,7 @@
 
     /** Closes a stalled connection, after the responses to its complete requests. */
     void closeStalled() {
-        if (hasUnwrittenBytes()) {
+        if (status.hasUnwrittenBytes()) {
             responses.cancelHeldValues(); // they wait for the client to read
         }
         if (responses.hasUnanswered()) {
@@ -249,6 +214,11 @@
         readControl.pause(ctx);
     }
 
+    /** The number of bytes that have been read and not decoded. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
     /** Returns whether commands have been read behind the first one that has no complete response yet. */
     boolean hasCommandsBehindFirst() {
         return responses.size() > 1 || (readControl.mayHoldCommands() && actualReadableBytes() > 0);
@@ -285,7 +255,7 @@
             flushWritten();
         }
         updateFlowControl();
-        if (responses.isEmpty() && (closer.isClosing() || (owner.closesWhenIdle(this) && isIdle()))) {
+        if (responses.isEmpty() && (closer.isClosing() || (owner.closesWhenIdle(this) && status.isIdle()))) {
             finish();
         } else if (wrote && responses.isEmpty()) {
             owner.connectionIdle(this);
--- a/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
@@ -59,7 +59,7 @@
         int lingering = 0;
         for (ClientConnection connection : connections) {
             lingering += connection.isFinished() ? 1 : 0;
-            double rank = connection == excluded ? -1 : connection.evictionRank(nowMs);
+            double rank = connection == excluded ? -1 : connection.status().evictionRank(nowMs);
             if (rank >= highestRank) {
                 candidate = connection;
                 highestRank = rank;
@@ -83,7 +83,7 @@
     public void closeStalled() {
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : List.copyOf(connections)) {
-            if (connection.isStalled(nowMs)) {
+            if (connection.status().isStalled(nowMs)) {
                 connection.closeStalled();
             }
         }
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -225,8 +225,8 @@
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (closesWhenIdle(connection)
-                    && connection.isIdle()
-                    && (draining || connection.hasHadTimeToSendCommand(nowMs))) {
+                    && connection.status().isIdle()
+                    && (draining || connection.status().hasHadTimeToSendCommand(nowMs))) {
                 connection.finish();
             }
         }
--- a/src/main/java/cacheproxy/proxy/client/LongValue.java
+++ b/src/main/java/cacheproxy/proxy/client/LongValue.java
@@ -52,7 +52,7 @@
     /**
      * Creates a value of which nothing has arrived.
      *
-     * @param head the first line of the response, which the callee releases
+     * @param head the first line of the response, which belongs to this object from now on
      */
     LongValue(
             ClientConnection connection,
@@ -67,8 +67,7 @@
         this.patienceMs = patienceMs;
         this.cancel = cancel;
         budget = connection.loopContext().heldValueBudget();
-        held.append(connection.allocator(), head);
-        head.release();
+        held.prepend(head);
     }
 
     /** Returns whether the first byte has been written. */
--- a/src/test/java/cacheproxy/proxy/client/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/client/LongValueTest.java
@@ -67,7 +67,7 @@
         }
 
         boolean isStalledAfter(double ms) {
-            return connection.isStalled(loopContext.nowMs() + ms);
+            return connection.status().isStalled(loopContext.nowMs() + ms);
         }
 
         String received() {
