Bound in one account what is held in memory for clients that read slowly

Cause: finished responses that wait for those before them, and responses that were written and not read, were in no account. Some 17 connections with 31 responses of 64 kB fill the 32 MB of direct memory. From then on each allocation sleeps on the event loop for half a second in the JDK and throws. Stacks of the loop during a failing run: 11 of 110 samples in java.nio.Bits.reserveMemory, below PoolArena.newChunk, none in code of ours that waits; so it is no lock, no collector and no long task. The sizes of the account, told every half second on a scratch copy, show the holder: queued responses take all that they may have, everything else together under 1 MB.

Change: MemoryAccount counts, per event loop, responses, queued responses, streamed and held values, bodies of unknown length, values of writes and undecoded input, each with a guaranteed part that no other purpose can take. A request whose response would wait behind others is submitted only with memory for that response; until then it is not sent, and commands behind it stay unread. A response that is sent next to a client that has read everything before has a part of its own. A short value is announced to its response before it is buffered; without memory its read is rejected and it is discarded. Fleet asserts at the end of each test that the account is back at 0.

Why it works: what can pile up is now reserved before it is asked for, so the memory that a due response needs can't be taken by responses that wait.

--- a/src/main/java/cacheproxy/daemon/ResponseObserver.java
+++ b/src/main/java/cacheproxy/daemon/ResponseObserver.java
@@ -16,6 +16,11 @@
         this.observer = observer;
     }
 
+    @Override
+    public boolean announceValue(int length) {
+        return client.announceValue(length);
+    }
+
     @Override
     public void value(ByteBuf value) {
         observer.accept(Answer.SERVED);
--- a/src/main/java/cacheproxy/daemon/RoutedRequest.java
+++ b/src/main/java/cacheproxy/daemon/RoutedRequest.java
@@ -198,6 +198,11 @@
         poolRejected(false, true, 0);
     }
 
+    @Override
+    public boolean announceValue(int length) {
+        return client.announceValue(length);
+    }
+
     @Override
     public void value(ByteBuf value) {
         concluded();
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -1,5 +1,6 @@
 package cacheproxy.proxy.client;
 
+import cacheproxy.proxy.memory.MemoryPurpose;
 import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.request.ClientRequest;
 import cacheproxy.proxy.request.MetaCodec;
@@ -32,10 +33,13 @@
     private final ConnectionCloser closer;
     private final ConnectionActivity activity = new ConnectionActivity();
     private final RequestSubmitter submitter;
+    private final ClientMemory memory;
     private final ConnectionStatus status;
     private final Runnable flush = this::flush;
     private ChannelHandlerContext ctx;
     private boolean flushScheduled;
+    /** The bytes that have been read and not decoded, as far as the account has been told. */
+    private int accountedInputBytes;
 
     /**
      * Creates a connection that is not registered with a channel yet.
@@ -50,6 +54,7 @@
         readControl = new ReadControl(loopContext);
         closer = new ConnectionCloser(loopContext, responses);
         submitter = new RequestSubmitter(this, owner);
+        memory = new ClientMemory(loopContext.memory(), loopContext.recentValueBytes(), submitter::resume);
         status = new ConnectionStatus(this, responses, decoder, readControl, closer, activity);
     }
 
@@ -68,6 +73,11 @@
         return ctx;
     }
 
+    /** The memory that the responses of this connection take. */
+    ClientMemory memory() {
+        return memory;
+    }
+
     /** The allocator of the channel's buffers. */
     ByteBufAllocator allocator() {
         return ctx.alloc();
@@ -144,6 +154,11 @@
         writeResponses();
     }
 
+    /** Rejects the requests that wait for memory, so that nothing of them is sent to a server. */
+    void rejectWaitingRequests() {
+        submitter.rejectWaiting();
+    }
+
     /** Cancels the long values of which nothing has been written, so that the responses behind them can be. */
     void cancelHeldValues() {
         responses.cancelHeldValues();
@@ -174,6 +189,17 @@
         if (message == Unpooled.EMPTY_BUFFER) {
             writeResponses(); // it is now known which commands wait behind a long value
         }
+        accountInput(undecodedBytes());
+    }
+
+    private void accountInput(int bytes) {
+        int change = bytes - accountedInputBytes;
+        accountedInputBytes = bytes;
+        if (change > 0) {
+            loopContext.memory().charge(MemoryPurpose.INPUT, change);
+        } else {
+            loopContext.memory().release(MemoryPurpose.INPUT, -change);
+        }
     }
 
     @Override
@@ -224,6 +250,19 @@
         return responses.size() > 1 || (readControl.mayHoldCommands() && actualReadableBytes() > 0);
     }
 
+    /**
+     * Returns whether the request of this response may be submitted: the response is the first one, or there is memory
+     * for it while it waits behind others, to a client that reads.
+     */
+    boolean mayForward(PendingResponse response) {
+        return responses.isFirst(response) || (ctx.channel().isWritable() && response.claimExpectedMemory());
+    }
+
+    /** Returns whether this response is sent next, to a client that has read everything before it. */
+    boolean isDue(PendingResponse response) {
+        return responses.isFirst(response) && !status.hasUnwrittenBytes();
+    }
+
     @Override
     public void request(ClientRequest request, MetaProtocol protocol, String echo) {
         request.setArrivedMs(readControl.unreadSinceMs());
@@ -281,6 +320,7 @@
      */
     void updateFlowControl() {
         responses.updateFlowControl(ctx);
+        submitter.resume();
         if (mayTakeRequest()) {
             readControl.resume(ctx);
         }
@@ -301,6 +341,7 @@
         decoder.close();
         submitter.clear();
         responses.close(loopContext);
+        accountInput(0);
         owner.connectionClosed(this);
     }
 
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -234,11 +234,13 @@
 
     /**
      * Accepts no further requests on any connection; each connection ends after its last response. Long values that
-     * have begun to arrive and of which nothing has been sent are cancelled, as the responses behind them wait.
+     * have begun to arrive and of which nothing has been sent are cancelled, as the responses behind them wait;
+     * requests that wait for memory are rejected.
      */
     public void stopTakingRequests() {
         for (ClientConnection connection : new ArrayList<>(connections)) {
             connection.stopTakingRequests();
+            connection.rejectWaitingRequests();
             connection.cancelHeldValues();
         }
     }
--- a/src/main/java/cacheproxy/proxy/client/LongValue.java
+++ b/src/main/java/cacheproxy/proxy/client/LongValue.java
@@ -1,5 +1,7 @@
 package cacheproxy.proxy.client;
 
+import cacheproxy.proxy.memory.MemoryAccount;
+import cacheproxy.proxy.memory.MemoryPurpose;
 import cacheproxy.proxy.net.ChunkedBuffer;
 import cacheproxy.proxy.net.TimerWheel;
 import cacheproxy.proxy.request.MetaCodec;
@@ -42,6 +44,10 @@
 
     private boolean streamOpen;
 
+    private final MemoryAccount account;
+    /** Bytes of {@link #held} that are counted as streamed, as they are not covered by the budget. */
+    private int uncoveredBytes;
+
     private boolean memoryRequested;
     private boolean memoryAcquired;
     /** Acquired bytes of the budget that no write in progress will release. */
@@ -67,6 +73,7 @@
         this.patienceMs = patienceMs;
         this.cancel = cancel;
         budget = connection.loopContext().heldValueBudget();
+        account = connection.loopContext().memory();
         held.prepend(head);
     }
 
@@ -87,6 +94,10 @@
         if (shown) {
             readyPart = part;
         } else {
+            if (!memoryAcquired) {
+                uncoveredBytes += part.readableBytes();
+                account.charge(MemoryPurpose.STREAMED_VALUE, part.readableBytes());
+            }
             held.append(connection.allocator(), part);
             part.release();
         }
@@ -138,7 +149,9 @@
         }
         ByteBuf part = readyPart;
         readyPart = null;
-        ctx.write(part);
+        int partBytes = part.readableBytes();
+        account.charge(MemoryPurpose.STREAMED_VALUE, partBytes);
+        ctx.write(part).addListener(sent -> account.release(MemoryPurpose.STREAMED_VALUE, partBytes));
         return true;
     }
 
@@ -169,9 +182,14 @@
     }
 
     private void writeHeld(ChannelHandlerContext ctx, ByteBuf chunk) {
-        int releasedBytes = Math.min(reservedBytes, chunk.readableBytes());
-        reservedBytes -= releasedBytes;
-        ctx.write(chunk).addListener(written -> budget.release(releasedBytes));
+        int coveredBytes = Math.min(reservedBytes, chunk.readableBytes());
+        reservedBytes -= coveredBytes;
+        int streamedBytes = chunk.readableBytes() - coveredBytes;
+        account.charge(MemoryPurpose.STREAMED_VALUE, streamedBytes);
+        ctx.write(chunk).addListener(sent -> {
+            budget.release(coveredBytes);
+            account.release(MemoryPurpose.STREAMED_VALUE, streamedBytes);
+        });
     }
 
     /** Pauses the source, as this is not the first response. */
@@ -211,6 +229,7 @@
         }
         memoryAcquired = true;
         reservedBytes = lengthBytes;
+        releaseUncovered(); // the budget covers the whole value
         connection.updateFlowControl();
     }
 
@@ -221,6 +240,13 @@
         int unusedBytes = reservedBytes;
         reservedBytes = 0;
         budget.release(unusedBytes);
+        releaseUncovered();
+    }
+
+    private void releaseUncovered() {
+        int bytes = uncoveredBytes;
+        uncoveredBytes = 0;
+        account.release(MemoryPurpose.STREAMED_VALUE, bytes);
     }
 
     private void cancelTimeout() {
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -25,6 +25,8 @@
     private final MetaProtocol protocol;
     /** The flags that the response repeats, with a space before each. */
     private final String echo;
+
+    private final ResponseClaim claim;
     /** The request to submit; null once it has been submitted, or if there is none. */
     private ClientRequest request;
 
@@ -48,6 +50,22 @@
         this.protocol = protocol;
         this.echo = echo;
         this.request = request;
+        claim = new ResponseClaim(connection.memory());
+    }
+
+    /**
+     * Claims the memory that the response will probably take while it waits behind others; returns false if there is
+     * not enough.
+     */
+    boolean claimExpectedMemory() {
+        return request.isWrite() || claim.expectQueued(); // the response to a write is a line
+    }
+
+    /** Responds that the request has been rejected, instead of submitting it. */
+    void reject() {
+        request.release(connection.loopContext());
+        request = null;
+        busy(0);
     }
 
     /** Hands the request to the handler, which may respond before it returns. */
@@ -79,14 +97,18 @@
     @SuppressWarnings("FutureReturnValueIgnored") // a failed write closes the channel, and the close is handled
     boolean writeReady(ChannelHandlerContext ctx) {
         if (longValue != null) {
-            return longValue.writeReady(ctx);
+            boolean wrote = longValue.writeReady(ctx);
+            if (wrote) {
+                claim.release(); // what is written is counted by the long value
+            }
+            return wrote;
         }
         if (readyBytes == null) {
             return false;
         }
         ByteBuf bytes = readyBytes;
         readyBytes = null;
-        ctx.write(bytes);
+        ctx.write(bytes).addListener(sent -> claim.release());
         return true;
     }
 
@@ -129,6 +151,7 @@
             longValue.resumeSource();
             longValue.release();
         }
+        claim.release();
         if (handle != null) {
             handle.clientDisconnected();
         }
@@ -148,16 +171,28 @@
             response.release();
             return;
         }
+        claim.hold(response.readableBytes());
         readyBytes = response;
         complete = true;
         handle = null;
         connection.writeResponses();
     }
 
+    @Override
+    public boolean announceValue(int lengthBytes) {
+        connection.memory().valueAnnounced(lengthBytes);
+        return claim.reserve(valueResponseBytes(lengthBytes), connection.isDue(this));
+    }
+
+    /** The most that the response with a value of this length takes, in bytes. */
+    private int valueResponseBytes(int lengthBytes) {
+        return MAX_VALUE_FRAME_BYTES + echo.length() + lengthBytes;
+    }
+
     @Override
     public void value(ByteBuf value) {
         int length = value.readableBytes();
-        ByteBuf response = connection.allocator().buffer(MAX_VALUE_FRAME_BYTES + echo.length() + length);
+        ByteBuf response = connection.allocator().buffer(valueResponseBytes(length));
         ByteBufUtil.writeAscii(response, "VA ");
         MetaCodec.writeDecimal(response, length);
         ByteBufUtil.writeAscii(response, echo);
@@ -195,6 +230,7 @@
 
     @Override
     public void beginValue(int lengthBytes, ValueSource source) {
+        connection.memory().valueAnnounced(lengthBytes);
         ByteBuf head = MetaCodec.ascii(connection.allocator(), "VA " + lengthBytes + echo + "\r\n");
         longValue = new LongValue(connection, source, head, lengthBytes, patienceMs, this::cancelValue);
         connection.writeResponses();
--- a/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
@@ -20,6 +20,11 @@
         return pending.isEmpty();
     }
 
+    /** Returns whether this response is the one that is written next. */
+    boolean isFirst(PendingResponse response) {
+        return pending.peek() == response;
+    }
+
     /** The number of responses that are not fully written. */
     int size() {
         return pending.size();
--- a/src/main/java/cacheproxy/proxy/dispatch/AttemptResultHandler.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/AttemptResultHandler.java
@@ -19,6 +19,23 @@
         this.requests = requests;
     }
 
+    /**
+     * Claims the memory for a value that is beginning to arrive. If there is not enough, the request is concluded.
+     *
+     * @return false if the client has already received something or has disconnected, or if there is no memory
+     */
+    boolean shortValueBegun(RequestAttempt attempt, int length) {
+        RequestContext context = attempt.context();
+        if (attempt.hasEnded() || !context.isPending()) {
+            return false;
+        }
+        if (context.responder().announceValue(length)) {
+            return true;
+        }
+        requests.concludeWithoutMemory(context);
+        return false;
+    }
+
     /**
      * Starts a long value for the client. The other attempts of the request are cancelled.
      *
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestAttempt.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestAttempt.java
@@ -118,6 +118,11 @@
         owner.begun(this);
     }
 
+    @Override
+    public boolean onShortValueBegin(int length) {
+        return owner.results().shortValueBegun(this, length);
+    }
+
     @Override
     public boolean onValueBegin(int length) {
         return owner.results().valueBegun(this, length);
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
@@ -109,14 +109,27 @@
 
     /** Rejects every request that is safe to retry and fails the others, because the process is about to end. */
     void concludeAll() {
-        for (RequestContext context : List.copyOf(requests.values())) {
-            boolean safeToRetry = context.serviceClass(pool.settings()).idempotency() == Idempotency.IDEMPOTENT
-                    || !context.mayHaveRun();
-            if (safeToRetry) {
-                reject(context, 0);
-            } else {
-                fail(context);
-            }
+        List.copyOf(requests.values()).forEach(this::concludeUnserved);
+    }
+
+    /**
+     * Concludes a request whose value is beginning to arrive and can't be kept. Its attempts continue, and what they
+     * receive is discarded.
+     */
+    void concludeWithoutMemory(RequestContext context) {
+        concludeUnserved(context);
+        pool.policy().clientGone(context); // nobody waits for it any more
+        context.attempts().forEach(this::abandon);
+    }
+
+    /** Rejects the request if it is safe to retry, and fails it otherwise, as it can't be served. */
+    void concludeUnserved(RequestContext context) {
+        boolean safeToRetry =
+                context.serviceClass(pool.settings()).idempotency() == Idempotency.IDEMPOTENT || !context.mayHaveRun();
+        if (safeToRetry) {
+            reject(context, 0);
+        } else {
+            fail(context);
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -184,6 +184,18 @@
                 .getNow();
     }
 
+    /** The bytes that are held in memory for clients; see {@link cacheproxy.proxy.memory.MemoryAccount}. */
+    public long heldBytes() {
+        return loop.submit(() -> loopContext.memory().usedBytes())
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    /** Describes the memory that is held for clients, a line for each purpose. */
+    public String memorySummary() {
+        return loop.submit(loopContext.memory()::summary).syncUninterruptibly().getNow();
+    }
+
     /** Writes a line to the log on standard error. */
     void log(String line) {
         loopContext.log(line);
--- a/src/main/java/cacheproxy/proxy/request/Responder.java
+++ b/src/main/java/cacheproxy/proxy/request/Responder.java
@@ -18,6 +18,12 @@
         boolean isWhole();
     }
 
+    /**
+     * Announces a value of this length, for {@link #value} once it has arrived, and claims the memory for it. Returns
+     * false if there is not enough; the caller then discards the value, and responds in another way.
+     */
+    boolean announceValue(int lengthBytes);
+
     /** Responds to a read with the whole value, whose buffer the callee releases. */
     void value(ByteBuf value);
 
--- a/src/main/java/cacheproxy/proxy/upstream/Attempt.java
+++ b/src/main/java/cacheproxy/proxy/upstream/Attempt.java
@@ -58,6 +58,17 @@
     /** Called when the first byte is about to be written to the {@linkplain #connection connection}. */
     public abstract void onBegin();
 
+    /**
+     * Called when a value begins that is passed to {@link #onEnd} once it is whole.
+     *
+     * @param length the length of the value, in bytes; the most that it can be if it is not known
+     * @return false if no client waits for the value, or if there is no memory for it, so that the connection discards
+     *     it
+     */
+    public boolean onShortValueBegin(int length) {
+        return true;
+    }
+
     /**
      * Called when a long value begins.
      *
--- a/src/main/java/cacheproxy/proxy/upstream/BufferBudget.java
+++ b/src/main/java/cacheproxy/proxy/upstream/BufferBudget.java
@@ -1,25 +1,27 @@
 package cacheproxy.proxy.upstream;
 
-import io.netty.channel.EventLoop;
+import cacheproxy.proxy.memory.MemoryAccount;
+import cacheproxy.proxy.memory.MemoryPurpose;
 import java.util.ArrayDeque;
 
 /**
- * Limits how many bytes of long values are buffered whole at once. Values beyond the limit wait in order of arrival;
- * each connection has at most one that waits. Used on its event loop only.
+ * Limits how many bytes of long values are buffered whole at once, by the {@link MemoryAccount}. Values beyond the
+ * limit wait in order of arrival; each connection has at most one that waits. Used on its event loop only.
  */
 public final class BufferBudget {
-    private final EventLoop loop;
-    private final long maxBytes;
-    private long reservedBytes;
+    private final MemoryAccount account;
+    private final MemoryPurpose purpose;
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
+    /** Whether the account calls {@link #grantWaiting} when memory may be available. */
+    private boolean awaiting;
 
     /** A value that waits for its bytes. */
     private record Request(int bytes, Runnable onAcquired) {}
 
-    /** @param maxBytes the limit, in bytes; no value may be longer */
-    BufferBudget(EventLoop loop, long maxBytes) {
-        this.loop = loop;
-        this.maxBytes = maxBytes;
+    /** @param purpose what the values are buffered for; its most memory must be enough for the longest of them */
+    BufferBudget(MemoryAccount account, MemoryPurpose purpose) {
+        this.account = account;
+        this.purpose = purpose;
     }
 
     /**
@@ -29,40 +31,45 @@
      * @throws IllegalArgumentException if the bytes exceed the whole budget, so that they could never be acquired
      */
     public void acquire(int bytes, Runnable onAcquired) {
-        if (bytes > maxBytes) {
-            throw new IllegalArgumentException(bytes + " bytes exceed the budget of " + maxBytes);
+        if (bytes > account.maxBytes(purpose)) {
+            throw new IllegalArgumentException(
+                    bytes + " bytes exceed the budget of " + account.maxBytes(purpose) + " for " + purpose);
         }
-        if (waiting.isEmpty() && reservedBytes + bytes <= maxBytes) {
-            reservedBytes += bytes;
+        if (waiting.isEmpty() && account.reserve(purpose, bytes)) {
             onAcquired.run();
-        } else {
-            waiting.add(new Request(bytes, onAcquired));
+            return;
+        }
+        waiting.add(new Request(bytes, onAcquired));
+        if (!awaiting) {
+            awaiting = true;
+            account.await(purpose, this::grantWaiting);
         }
     }
 
     /** Withdraws a request for bytes that has not been granted yet; has no effect on any other. */
     public void withdraw(Runnable onAcquired) {
         if (waiting.removeIf(request -> request.onAcquired == onAcquired)) {
-            grantWaiting();
+            account.scheduleWake();
         }
     }
 
     /** Releases acquired bytes, all at once or a part of them, as they are no longer buffered. */
     public void release(int bytes) {
-        reservedBytes -= bytes;
-        grantWaiting();
+        account.release(purpose, bytes);
     }
 
-    private void grantWaiting() {
-        for (Request next; (next = waiting.peek()) != null && reservedBytes + next.bytes <= maxBytes; ) {
+    /** Returns whether no request waits any more. */
+    private boolean grantWaiting() {
+        for (Request next; (next = waiting.peek()) != null && account.reserve(purpose, next.bytes); ) {
             waiting.remove();
-            reservedBytes += next.bytes;
-            loop.execute(next.onAcquired); // not from within the event that released the bytes
+            next.onAcquired.run();
         }
+        awaiting = !waiting.isEmpty();
+        return !awaiting;
     }
 
     /** The bytes that are acquired and not released. */
     public long reservedBytes() {
-        return reservedBytes;
+        return account.usedBytes(purpose);
     }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
@@ -35,6 +35,16 @@
     private static final char LOAD_FLAG = 'L';
     private static final char RECEIPT_FLAG = 'c';
 
+    /** What is done with the value that is being read. */
+    private enum Delivery {
+        /** It is passed on when it is whole. */
+        WHOLE,
+        /** It is passed on as it arrives. */
+        STREAMED,
+        /** It is discarded as it arrives, as no client waits for it or there is no memory for it. */
+        DISCARDED
+    }
+
     private static final int CRLF_BYTES = 2;
     /** The value of {@link #remainingBytes} between values. */
     private static final int NO_VALUE = -1;
@@ -45,10 +55,7 @@
     private int remainingBytes = NO_VALUE;
 
     private int valueBytes;
-    /** Whether the value is passed on, or discarded, as it arrives. */
-    private boolean streamed;
-
-    private boolean dropped;
+    private Delivery delivery;
     /** Read from the flags of the current response, like {@link #loadReport}. */
     private int cacheStatus;
 
@@ -199,15 +206,19 @@
         valueBytes = MetaCodec.parseLength(length);
         readFlags(attempt, line, VALUE_PREFIX.length() + length.length() + 1);
         remainingBytes = valueBytes + CRLF_BYTES;
-        streamed = valueBytes > MetaCodec.MAX_BUFFERED_VALUE_BYTES;
-        if (streamed) {
-            dropped = !responses.onLongValueBegin(valueBytes);
+        delivery = beginValue();
+    }
+
+    private Delivery beginValue() {
+        if (valueBytes > MetaCodec.MAX_BUFFERED_VALUE_BYTES) {
+            return responses.onLongValueBegin(valueBytes) ? Delivery.STREAMED : Delivery.DISCARDED;
         }
+        return responses.onShortValueBegin(valueBytes) ? Delivery.WHOLE : Delivery.DISCARDED;
     }
 
     private void decodeValue(ByteBuf input) throws MetaCodec.SyntaxException {
-        if (streamed) {
-            decodeLongValue(input);
+        if (delivery != Delivery.WHOLE) {
+            decodeParts(input);
         } else if (input.readableBytes() < remainingBytes) {
             responses.onPartialResponse();
         } else {
@@ -220,14 +231,14 @@
     }
 
     /**
-     * Passes on the available bytes of the value. The value is complete only after the line end that follows it has
-     * been checked.
+     * Passes on or discards the available bytes of the value. The value is complete only after the line end that
+     * follows it has been checked.
      */
-    private void decodeLongValue(ByteBuf input) throws MetaCodec.SyntaxException {
+    private void decodeParts(ByteBuf input) throws MetaCodec.SyntaxException {
         int partBytes = Math.min(remainingBytes - CRLF_BYTES, input.readableBytes());
         if (partBytes > 0) {
             remainingBytes -= partBytes;
-            if (dropped) {
+            if (delivery == Delivery.DISCARDED) {
                 input.skipBytes(partBytes);
             } else {
                 responses.onLongValuePart(input.readRetainedSlice(partBytes));
@@ -238,6 +249,8 @@
             input.skipBytes(CRLF_BYTES);
             remainingBytes = NO_VALUE;
             responses.onResponse(AttemptOutcome.OK, cacheStatus, loadReport);
+        } else if (valueBytes <= MetaCodec.MAX_BUFFERED_VALUE_BYTES) {
+            responses.onPartialResponse();
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -2,12 +2,16 @@
 
 import cacheproxy.eventlog.EventLog;
 import cacheproxy.invariant.InvariantMonitor;
+import cacheproxy.proxy.memory.MemoryAccount;
+import cacheproxy.proxy.memory.MemoryPurpose;
+import cacheproxy.proxy.memory.RecentMaximum;
 import cacheproxy.proxy.net.EventLoopClock;
 import cacheproxy.proxy.net.FlushBatcher;
 import cacheproxy.proxy.net.PollClock;
 import cacheproxy.proxy.net.StandardErrorLog;
 import cacheproxy.proxy.net.TimerWheel;
 import cacheproxy.proxy.net.TimerWheel.Timer;
+import cacheproxy.proxy.request.MetaCodec;
 import cacheproxy.proxy.request.RequestAccounting;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -35,7 +39,8 @@
     /** The client-assigned ids of requests that have no response yet. */
     private final Set<String> openRequestIds = new HashSet<>();
 
-    private final ByteBudget valueBudget;
+    private final MemoryAccount memory;
+    private final RecentMaximum recentValueBytes = new RecentMaximum(MetaCodec.MAX_BUFFERED_VALUE_BYTES);
     private final StreamBudget streamBudget;
     private final BufferBudget unknownLengthBudget;
     private final BufferBudget heldValueBudget;
@@ -56,10 +61,10 @@
         clock = new EventLoopClock(polls);
         timers = new TimerWheel(loop, polls);
         flushBatcher = new FlushBatcher(loop, limits.batchFlushes());
-        valueBudget = new ByteBudget(limits.maxValueBytes());
+        memory = new MemoryAccount(loop, limits.memory());
         streamBudget = new StreamBudget(limits.maxValueBytes());
-        unknownLengthBudget = new BufferBudget(loop, limits.unknownLengthBytes());
-        heldValueBudget = new BufferBudget(loop, limits.heldValueBytes());
+        unknownLengthBudget = new BufferBudget(memory, MemoryPurpose.UNKNOWN_LENGTH_BODY);
+        heldValueBudget = new BufferBudget(memory, MemoryPurpose.HELD_VALUE);
         bootstraps = new UpstreamBootstraps(loop, serverChannels);
         maxServerConnections = limits.maxServerConnections();
         servers = new UpstreamRegistry(this);
@@ -170,17 +175,27 @@
 
     // ---- memory
 
+    /** The account of all memory that is held for clients. */
+    public MemoryAccount memory() {
+        return memory;
+    }
+
+    /** The lengths of the values that were received last, up to the longest that is buffered whole. */
+    public RecentMaximum recentValueBytes() {
+        return recentValueBytes;
+    }
+
     /**
      * Reserves memory for the value of a write, which must be given back once; returns false if there is not enough.
      */
     public boolean reserve(int bytes) {
-        return valueBudget.reserve(bytes);
+        return memory.reserve(MemoryPurpose.WRITE_VALUE, bytes);
     }
 
     /** Gives back reserved memory. */
     @Override
     public void releaseReservedBytes(int bytes) {
-        valueBudget.release(bytes);
+        memory.release(MemoryPurpose.WRITE_VALUE, bytes);
     }
 
     /** Records that a streamed response begins. Returns how many of its bytes may wait for its client. */
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopLimits.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopLimits.java
@@ -1,5 +1,6 @@
 package cacheproxy.proxy.upstream;
 
+import cacheproxy.proxy.memory.MemoryLimits;
 import cacheproxy.proxy.request.MetaCodec;
 
 /**
@@ -13,6 +14,14 @@
 public record EventLoopLimits(long maxValueBytes, int maxServerConnections, boolean batchFlushes) {
     /** Values that are held for clients get this fraction of the memory for the values of writes, in addition. */
     private static final int HELD_VALUES_DIVISOR = 2;
+    /** Commands that wait for their responses get this fraction of the heap. */
+    private static final int COMMAND_HEAP_DIVISOR = 5;
+
+    /** The limits of all memory that is held for clients. */
+    MemoryLimits memory() {
+        long commandBytes = Runtime.getRuntime().maxMemory() / COMMAND_HEAP_DIVISOR;
+        return MemoryLimits.of(maxValueBytes, heldValueBytes(), unknownLengthBytes(), commandBytes);
+    }
 
     /**
      * The memory for long bodies whose length was not announced, in bytes: as many of maximum length as fit into the
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -126,13 +126,20 @@
         }
         streamed = isValueOf(attempt) && length > MetaCodec.MAX_BUFFERED_VALUE_BYTES;
         if (!streamed) {
-            body.begin(ctx.alloc(), length);
-            responses.onPartialResponse();
+            beginBody(ctx, attempt, length);
         } else if (!responses.onLongValueBegin((int) length)) {
             streamed = false; // no client waits for the value; without a buffer it is discarded
         }
     }
 
+    private void beginBody(ChannelHandlerContext ctx, Attempt attempt, long length) {
+        int maxBytes = length < 0 ? MetaCodec.MAX_BUFFERED_VALUE_BYTES : (int) length;
+        if (!isValueOf(attempt) || responses.onShortValueBegin(maxBytes)) {
+            body.begin(ctx.alloc(), length);
+            responses.onPartialResponse();
+        }
+    }
+
     private static boolean hasEmptyHeader(HttpResponse head) {
         return head.headers().entries().stream()
                 .anyMatch(header -> header.getValue().isEmpty());
--- a/src/main/java/cacheproxy/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ResponseReceiver.java
@@ -104,6 +104,11 @@
         progress.partialReceived();
     }
 
+    /** Called when a value begins that is passed on when it is whole. Returns false if it must be discarded. */
+    boolean onShortValueBegin(int length) {
+        return attempts.first().onShortValueBegin(length);
+    }
+
     /** Called when a long value begins. Returns false if no client waits for it, so that it must be discarded. */
     boolean onLongValueBegin(int length) {
         receivingLongValue = true;
--- a/src/test/java/cacheproxy/ServeProcess.java
+++ b/src/test/java/cacheproxy/ServeProcess.java
@@ -23,6 +23,7 @@
     private final JsonObject config;
     private final JsonArray hosts = new JsonArray();
     private final List<ScriptedServer> servers = new ArrayList<>();
+    private final List<String> javaOptions = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
     private final int port;
     private Process process;
 
@@ -44,6 +45,15 @@
             return System.nanoTime();
         }
 
+        /** Sets how long {@link #line} and {@link #bytes} wait for each byte. */
+        void setTimeoutMs(int timeoutMs) throws IOException {
+            socket.setSoTimeout(timeoutMs);
+        }
+
+        byte[] bytes(int count) throws IOException {
+            return in.readNBytes(count);
+        }
+
         String line() throws IOException {
             return ScriptedServer.readLine(in);
         }
@@ -87,18 +97,22 @@
         return this;
     }
 
+    /** Adds an option of the Java virtual machine. */
+    ServeProcess javaOption(String option) {
+        javaOptions.add(option);
+        return this;
+    }
+
     /** Starts the process and waits until it accepts clients. */
     ServeProcess start() throws IOException {
         config.getAsJsonObject("known").add("hosts", hosts);
         Path file = folder.resolve("config.json");
         Files.writeString(file, config.toString());
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-jar",
-                "target/cache-proxy.jar",
-                "serve");
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(javaOptions);
+        command.addAll(List.of("-jar", "target/cache-proxy.jar", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("TMPDIR", folder.toString());
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.redirectError(folder.resolve("stderr").toFile());
--- a/src/test/java/cacheproxy/proxy/Fleet.java
+++ b/src/test/java/cacheproxy/proxy/Fleet.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A proxy on loopback, with the servers that a test configures and clients of the proxy. */
 public final class Fleet implements AutoCloseable {
@@ -78,6 +79,9 @@
             "classes.2.late-share=0.2",
             "classes.2.stream=false");
 
+    /** Until when the memory for clients that are gone must have been released. */
+    private static final int MEMORY_RELEASE_SECONDS = 10;
+
     private static final int SLOW_CLIENT_BUFFER_BYTES = 4 << 10;
 
     public final JsonObject config = new JsonObject();
@@ -191,6 +195,15 @@
         }
     }
 
+    /** Waits until nothing is held in memory for clients, which are gone. */
+    private void awaitNoHeldMemory() {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(MEMORY_RELEASE_SECONDS);
+        while (proxy.heldBytes() > 0 && System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+        assertThat(proxy.heldBytes()).as(proxy.memorySummary()).isZero();
+    }
+
     public Client client() throws IOException {
         return client(new Socket());
     }
@@ -212,6 +225,10 @@
     public void close() throws Exception {
         if (proxy != null) {
             String invariants = proxy.invariantSummary();
+            for (AutoCloseable closeable : closeables) {
+                closeable.close();
+            }
+            awaitNoHeldMemory();
             proxy.close();
             assertThat(invariants).as("invariants").startsWith("violations=0 ");
         }
--- a/src/test/java/cacheproxy/proxy/client/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/client/LongValueTest.java
@@ -142,6 +142,7 @@
         }
         loop.runPendingTasks();
         assertThat(reservedBytes()).isZero();
+        assertThat(loopContext.memory().usedBytes()).isZero();
     }
 
     @Test
--- a/src/test/java/cacheproxy/proxy/upstream/BodyBufferClaimTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/BodyBufferClaimTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.proxy.memory.MemoryAccount;
+import cacheproxy.proxy.memory.MemoryLimits;
+import cacheproxy.proxy.memory.MemoryPurpose;
 import cacheproxy.proxy.request.MetaCodec;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
@@ -17,7 +20,9 @@
 @Timeout(30)
 class BodyBufferClaimTest {
     private final EventLoop loop = new DefaultEventLoop();
-    private final BufferBudget limit = new BufferBudget(loop, 2 * MetaCodec.MAX_VALUE_BYTES);
+    private final MemoryAccount account = new MemoryAccount(
+            loop, MemoryLimits.ofOnly(MemoryPurpose.UNKNOWN_LENGTH_BODY, 2 * MetaCodec.MAX_VALUE_BYTES));
+    private final BufferBudget limit = new BufferBudget(account, MemoryPurpose.UNKNOWN_LENGTH_BODY);
     private final List<Boolean> readable = new ArrayList<>();
     private final BodyBufferClaim claim = new BodyBufferClaim(limit, readable::add, () -> false);
 
--- a/src/test/java/cacheproxy/proxy/upstream/BufferBudgetTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/BufferBudgetTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.proxy.memory.MemoryAccount;
+import cacheproxy.proxy.memory.MemoryLimits;
+import cacheproxy.proxy.memory.MemoryPurpose;
 import cacheproxy.proxy.request.MetaCodec;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
@@ -14,7 +17,9 @@
     private final List<String> granted = new ArrayList<>();
 
     private BufferBudget budget(long maxBytes) {
-        return new BufferBudget(channel.eventLoop(), maxBytes);
+        MemoryPurpose purpose = MemoryPurpose.HELD_VALUE;
+        return new BufferBudget(
+                new MemoryAccount(channel.eventLoop(), MemoryLimits.ofOnly(purpose, maxBytes)), purpose);
     }
 
     private void acquire(BufferBudget budget, String body) {
