Let an error end neither other timers nor other requests, and no process stand without its loop

Cause: TimerWheel.runSlot, PolicyEvents and RequestSubmitter expected exceptions, no Error, and TimerWheel not even those; PendingResponse.value allocated after the request had been concluded, so nothing else would answer it.

Change: FaultMonitor counts faults and logs each with its place. What a timer or an event throws ends that timer or event alone; a value that can't be allocated is answered as failed.

Measured: the new test of TimerWheelTest fails with the catch taken out (the timers of the same slot never run); the other new tests were not tried without their change.

--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import cacheproxy.policy.ServiceClass;
 import cacheproxy.proxy.client.ClientRegistry;
 import cacheproxy.proxy.client.Listener;
+import cacheproxy.proxy.net.EventLoopWatch;
 import cacheproxy.proxy.net.PollClock;
 import cacheproxy.proxy.net.Transport;
 import cacheproxy.proxy.process.GracefulShutdown;
@@ -43,6 +44,7 @@
     private final PollClock polls = new PollClock();
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, polls.newIoHandlerFactory(Transport.BEST));
+    private final EventLoopWatch loopWatch = EventLoopWatch.haltWhenEnded(group);
     private final EventLoop loop = group.next();
     private final EventLoopContext core;
     private final ClientRegistry clients;
@@ -309,6 +311,7 @@
                 })
                 .syncUninterruptibly();
         subsystems.end();
+        loopWatch.expectEnd();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -99,7 +99,12 @@
     /** Closes the connection after an I/O error or a fault of the proxy. */
     @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
     void closeAfter(Throwable error, ChannelHandlerContext ctx) {
-        cause = error instanceof IOException ? RESET : error.getClass().getSimpleName();
+        if (error instanceof IOException) {
+            cause = RESET;
+        } else {
+            cause = error.getClass().getSimpleName();
+            loopContext.faults().record(error);
+        }
         ctx.close();
     }
 
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -191,6 +191,20 @@
 
     @Override
     public void value(ByteBuf value) {
+        ByteBuf response;
+        try {
+            response = encodeValue(value);
+        } catch (OutOfMemoryError e) { // nothing else would answer the request
+            connection.loopContext().faults().record(e);
+            failed();
+            return;
+        } finally {
+            value.release();
+        }
+        complete(response);
+    }
+
+    private ByteBuf encodeValue(ByteBuf value) {
         int length = value.readableBytes();
         ByteBuf response = connection.allocator().buffer(valueResponseBytes(length));
         ByteBufUtil.writeAscii(response, "VA ");
@@ -199,8 +213,7 @@
         response.writeShort(MetaCodec.CRLF)
                 .writeBytes(value, value.readerIndex(), length)
                 .writeShort(MetaCodec.CRLF);
-        value.release();
-        complete(response);
+        return response;
     }
 
     @Override
--- a/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
@@ -86,7 +86,7 @@
     private void submit(PendingResponse response, ChannelHandlerContext context) {
         try {
             response.submit(owner.handler());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             connection.exceptionCaught(context, e);
         }
     }
--- a/src/main/java/cacheproxy/proxy/dispatch/PolicyEvents.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/PolicyEvents.java
@@ -15,8 +15,8 @@
 
 /**
  * Reports events to a pool's routing policy, as its only caller. The policy is never called from within one of its own
- * actions: an event that such an action causes is queued, and queued events are reported in order. If the policy throws
- * an exception on an event, the exception is logged and the next event is reported. Used on the event loop only.
+ * actions: an event that such an action causes is queued, and queued events are reported in order. If an event throws
+ * an exception or an error, it is recorded and the next event is reported. Used on the event loop only.
  */
 final class PolicyEvents {
     private final EventLoopContext loopContext;
@@ -63,28 +63,25 @@
     private void runLogged(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
-            logException(e);
+        } catch (RuntimeException | Error e) {
+            loopContext.faults().record(e);
         }
     }
 
-    /** Fails the request if the policy throws an exception on it, so that other requests are not affected. */
+    /**
+     * Fails the request if the policy throws an exception or an error on it, so that other requests are not affected.
+     */
     private void runFor(RequestContext request, Runnable event) {
         run(() -> {
             try {
                 event.run();
-            } catch (RuntimeException e) {
-                logException(e);
+            } catch (RuntimeException | Error e) {
+                loopContext.faults().record(e);
                 request.fail();
             }
         });
     }
 
-    private void logException(RuntimeException exception) {
-        StackTraceElement[] trace = exception.getStackTrace();
-        loopContext.log("fault: " + exception + (trace.length > 0 ? " at " + trace[0] : ""));
-    }
-
     /** Reports that a request has arrived. */
     void requestReceived(RequestContext context, double nowMs) {
         RoutingRequest request = context.toRoutingRequest();
--- a/src/main/java/cacheproxy/proxy/net/TimerWheel.java
+++ b/src/main/java/cacheproxy/proxy/net/TimerWheel.java
@@ -46,6 +46,7 @@
 
     private final EventLoop loop;
     private final PollClock polls;
+    private final FaultMonitor faults;
     private final long startNanos = System.nanoTime();
     /**
      * The timers of each slot, in the order in which they were scheduled; a slot's index is its number modulo SLOTS.
@@ -64,10 +65,12 @@
      * Creates an empty wheel.
      *
      * @param polls notified when timers begin to run
+     * @param faults records what a timer throws; the other timers run nevertheless
      */
-    public TimerWheel(EventLoop loop, PollClock polls) {
+    public TimerWheel(EventLoop loop, PollClock polls, FaultMonitor faults) {
         this.loop = loop;
         this.polls = polls;
+        this.faults = faults;
         for (int i = 0; i < SLOTS; i++) {
             slots.add(new ArrayList<>(0));
         }
@@ -83,7 +86,7 @@
         long nowNanos = nanosSinceStart();
         long slot = Math.max(lastRunSlot + 1, (nowNanos + (long) (Math.max(0, ms) * NANOS_PER_MS)) / SLOT_NANOS + 1);
         if (slot - lastRunSlot >= SLOTS) {
-            loop.schedule(timer::run, (long) (ms * NANOS_PER_MS), TimeUnit.NANOSECONDS);
+            loop.schedule(() -> run(timer), (long) (ms * NANOS_PER_MS), TimeUnit.NANOSECONDS);
             return timer;
         }
         int index = index(slot);
@@ -131,11 +134,19 @@
         int index = index(slot);
         List<Timer> due = slots.set(index, spare);
         occupied.clear(index);
-        due.forEach(Timer::run);
+        due.forEach(this::run);
         due.clear();
         spare = due;
     }
 
+    private void run(Timer timer) {
+        try {
+            timer.run();
+        } catch (RuntimeException | Error e) {
+            faults.record(e);
+        }
+    }
+
     /** The first slot that has timers, after the last slot that has run. */
     private long nextOccupiedSlot() {
         int from = index(lastRunSlot + 1);
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -13,6 +13,7 @@
 import cacheproxy.proxy.discovery.PeerSocket;
 import cacheproxy.proxy.dispatch.Dispatcher;
 import cacheproxy.proxy.dispatch.SinglePoolHandler;
+import cacheproxy.proxy.net.EventLoopWatch;
 import cacheproxy.proxy.net.PollClock;
 import cacheproxy.proxy.net.Transport;
 import cacheproxy.proxy.upstream.EventLoopContext;
@@ -40,6 +41,7 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, polls.newIoHandlerFactory(Transport.BEST));
     private final EventLoop loop = group.next();
+    private final EventLoopWatch loopWatch = EventLoopWatch.haltWhenEnded(group);
     private final PlatformConfig config;
     private final EventLoopContext loopContext;
     private final Dispatcher dispatcher;
@@ -264,6 +266,7 @@
     /** Ends the event loop at once, for tests. */
     public void close() {
         closeOperatorActions();
+        loopWatch.expectEnd();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -6,6 +6,7 @@
 import cacheproxy.proxy.memory.MemoryPurpose;
 import cacheproxy.proxy.memory.RecentMaximum;
 import cacheproxy.proxy.net.EventLoopClock;
+import cacheproxy.proxy.net.FaultMonitor;
 import cacheproxy.proxy.net.FlushBatcher;
 import cacheproxy.proxy.net.PollClock;
 import cacheproxy.proxy.net.StandardErrorLog;
@@ -29,6 +30,7 @@
     private final EventLog events = EventLog.onStandardError(this::nowMs);
 
     private final StandardErrorLog errors = new StandardErrorLog();
+    private final FaultMonitor faults = new FaultMonitor(errors::write);
     private final InvariantMonitor invariants = new InvariantMonitor(new InvariantEventLog(events, errors));
 
     private final UpstreamRegistry servers;
@@ -59,7 +61,7 @@
             EventLoop loop, PollClock polls, Class<? extends Channel> serverChannels, EventLoopLimits limits) {
         this.loop = loop;
         clock = new EventLoopClock(polls);
-        timers = new TimerWheel(loop, polls);
+        timers = new TimerWheel(loop, polls, faults);
         flushBatcher = new FlushBatcher(loop, limits.batchFlushes());
         memory = new MemoryAccount(loop, limits.memory());
         streamBudget = new StreamBudget(limits.maxValueBytes());
@@ -150,6 +152,11 @@
         return invariants;
     }
 
+    /** Counts and logs exceptions and errors that were not expected. */
+    public FaultMonitor faults() {
+        return faults;
+    }
+
     /** Writes a line to standard error, unless too many have been written. */
     public void log(String line) {
         errors.write(line);
--- a/src/test/java/cacheproxy/proxy/client/ResponseMemoryTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ResponseMemoryTest.java
@@ -16,8 +16,10 @@
 import cacheproxy.proxy.request.Responder;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import cacheproxy.proxy.upstream.EventLoopLimits;
+import io.netty.buffer.AbstractByteBufAllocator;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -90,6 +92,27 @@
         }
     }
 
+    /** An allocator that has memory for lines only. */
+    private static final class ExhaustedAllocator extends AbstractByteBufAllocator {
+        @Override
+        protected ByteBuf newHeapBuffer(int initialCapacity, int maxCapacity) {
+            if (initialCapacity >= LENGTH) {
+                throw new OutOfMemoryError("Cannot reserve 262144 bytes of direct buffer memory");
+            }
+            return UnpooledByteBufAllocator.DEFAULT.heapBuffer(initialCapacity, maxCapacity);
+        }
+
+        @Override
+        protected ByteBuf newDirectBuffer(int initialCapacity, int maxCapacity) {
+            return newHeapBuffer(initialCapacity, maxCapacity);
+        }
+
+        @Override
+        public boolean isDirectBufferPooled() {
+            return false;
+        }
+    }
+
     private RequestHandler.Handle submit(ClientRequest request, Responder responder) {
         assertThat(validator.resolve(request)).isNull();
         responders.put(request.id(), responder);
@@ -213,6 +236,17 @@
         memory.release(MemoryPurpose.RESPONSE, free);
     }
 
+    /** Guards against requests whose value has arrived and that get no answer, as the memory for it can't be had. */
+    @Test
+    void aValueThatCannotBeAllocatedIsAnsweredAsFailed() {
+        Client client = new Client("a").send(2);
+        client.channel.config().setAllocator(new ExhaustedAllocator());
+        answer("a0");
+        responders.get("a1").failed();
+        assertThat(client.linesReceived()).isEqualTo(2);
+        assertThat(loopContext.faults().count()).isEqualTo(1);
+    }
+
     /** Guards against commands that have been read and get no answer, as the proxy ends while they wait. */
     @Test
     void requestsThatWaitAreRejectedWhenTheProxyEnds() {
--- a/src/test/java/cacheproxy/proxy/net/TimerWheelTest.java
+++ b/src/test/java/cacheproxy/proxy/net/TimerWheelTest.java
@@ -22,7 +22,7 @@
         List<String> errors = new ArrayList<>();
         List<Integer> order = new ArrayList<>();
         loop.submit(() -> {
-                    TimerWheel timers = new TimerWheel(loop, new PollClock());
+                    TimerWheel timers = new TimerWheel(loop, new PollClock(), new FaultMonitor(errors::add));
                     Random random = new Random(5);
                     for (int i = 0; i < count; i++) {
                         // some timers are beyond the four seconds that the wheel covers
@@ -48,4 +48,26 @@
         assertThat(order).containsExactly(1, 2);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
     }
+
+    /** Guards against timers that are dropped because one before them has thrown an error. */
+    @Test
+    void aTimerThatThrowsEndsNoOther() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+        EventLoop loop = group.next();
+        FaultMonitor faults = new FaultMonitor(line -> {});
+        CountDownLatch others = new CountDownLatch(3);
+        loop.submit(() -> {
+                    TimerWheel timers = new TimerWheel(loop, new PollClock(), faults);
+                    for (int i = 0; i < 3; i++) {
+                        timers.after(1, () -> {
+                            throw new StackOverflowError();
+                        });
+                        timers.after(1, others::countDown);
+                    }
+                })
+                .sync();
+        assertThat(others.await(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(loop.submit(faults::count).get()).isEqualTo(3);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
 }
