Tell at the control address what is held in memory for clients

Need: whether memory is short, for whom and since when could be seen by nothing but a heap dump. Change: GET /memory, at serve and at the daemon, tells the account by purpose: used, peak, bound, refusals, who waits; and the number of faults. The lists of calls name it.

--- a/src/main/java/cacheproxy/control/DiagnosticEndpoints.java
+++ b/src/main/java/cacheproxy/control/DiagnosticEndpoints.java
@@ -5,23 +5,26 @@
 import java.util.function.Supplier;
 
 /**
- * The diagnostic endpoints: {@code GET /invariants}, {@code POST /events/on}, {@code POST /events/off} and {@code POST
- * /reload}. Paths match exactly; query strings are ignored.
+ * The diagnostic endpoints: {@code GET /invariants}, {@code GET /memory}, {@code POST /events/on}, {@code POST
+ * /events/off} and {@code POST /reload}. Paths match exactly; query strings are ignored.
  *
  * @param invariants returns the counts of prevented actions and of violations, in one line
+ * @param memory returns the memory that is held for clients, in a line for each purpose
  * @param events enables or disables the event log
  * @param reload starts a reload of the configuration on another thread, as SIGHUP does; returns false if there is no
  *     configuration file
  */
-public record DiagnosticEndpoints(Supplier<String> invariants, Consumer<Boolean> events, BooleanSupplier reload)
+public record DiagnosticEndpoints(
+        Supplier<String> invariants, Supplier<String> memory, Consumer<Boolean> events, BooleanSupplier reload)
         implements ControlRequestHandler {
     /** The supported requests, for responses that list them. */
-    public static final String REQUEST_LIST = "GET /invariants, POST /events/on, POST /events/off and POST /reload";
+    public static final String REQUEST_LIST =
+            "GET /invariants, GET /memory, POST /events/on, POST /events/off and POST /reload";
 
     /** Returns the HTTP method that a path requires; null if it is not a diagnostic endpoint. */
     public static String requiredMethod(String path) {
         return switch (path) {
-            case "/invariants" -> "GET";
+            case "/invariants", "/memory" -> "GET";
             case "/events/on", "/events/off", "/reload" -> "POST";
             default -> null;
         };
@@ -39,6 +42,7 @@
         }
         return switch (path) {
             case "/invariants" -> new ControlResponse(200, invariants.get());
+            case "/memory" -> new ControlResponse(200, memory.get());
             case "/reload" ->
                 reload.getAsBoolean()
                         ? new ControlResponse(202, "reading the configuration")
--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -90,7 +90,11 @@
                 this::learnedState,
                 () -> Optional.ofNullable(seedFrom),
                 subsystems::controlHandlers,
-                new DiagnosticEndpoints(core.invariants()::summary, core.events()::setEnabled, this::requestReload));
+                new DiagnosticEndpoints(
+                        core.invariants()::summary,
+                        core::memorySummary,
+                        core.events()::setEnabled,
+                        this::requestReload));
     }
 
     /** Starts a daemon. If an address can't be bound, the exception names it. */
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -66,7 +66,10 @@
                         this::enterStandby,
                         this::leaveStandby,
                         new DiagnosticEndpoints(
-                                loopContext.invariants()::summary, loopContext.events()::setEnabled, reload)));
+                                loopContext.invariants()::summary,
+                                loopContext::memorySummary,
+                                loopContext.events()::setEnabled,
+                                reload)));
     }
 
     /**
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -195,7 +195,7 @@
 
     /** Describes the memory that is held for clients, a line for each purpose. */
     public String memorySummary() {
-        return loop.submit(loopContext.memory()::summary).syncUninterruptibly().getNow();
+        return loop.submit(loopContext::memorySummary).syncUninterruptibly().getNow();
     }
 
     /** Writes a line to the log on standard error. */
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -187,6 +187,11 @@
         return memory;
     }
 
+    /** Describes the memory that is held for clients, a line for each purpose, and the number of faults. */
+    public String memorySummary() {
+        return memory.summary() + "\nfaults=" + faults.count();
+    }
+
     /** The lengths of the values that were received last, up to the longest that is buffered whole. */
     public RecentMaximum recentValueBytes() {
         return recentValueBytes;
--- a/src/test/java/cacheproxy/control/ControlEndpointsGoldenTextTest.java
+++ b/src/test/java/cacheproxy/control/ControlEndpointsGoldenTextTest.java
@@ -14,7 +14,7 @@
             () -> acceptsClients.get() ? "active" : "standby",
             () -> true,
             () -> false,
-            new DiagnosticEndpoints(() -> "violations=0 stopped=0", enabled -> {}, reloadable::get));
+            new DiagnosticEndpoints(() -> "violations=0 stopped=0", () -> "used=0", enabled -> {}, reloadable::get));
 
     private String exchange(String method, String path) {
         ControlResponse response = endpoints.handle(method, path);
@@ -45,9 +45,10 @@
         assertThat(exchange("GET", "/standby")).isEqualTo("405 use POST /standby [POST]");
         assertThat(exchange("GET", "/active")).isEqualTo("405 use POST /active [POST]");
         assertThat(exchange("POST", "/invariants")).isEqualTo("405 use GET /invariants [GET]");
+        assertThat(exchange("POST", "/memory")).isEqualTo("405 use GET /memory [GET]");
         assertThat(exchange("GET", "/reload")).isEqualTo("405 use POST /reload [POST]");
         assertThat(exchange("GET", "/other"))
                 .isEqualTo("404 the calls are GET /status, POST /standby, POST /active, GET /invariants,"
-                        + " POST /events/on, POST /events/off and POST /reload");
+                        + " GET /memory, POST /events/on, POST /events/off and POST /reload");
     }
 }
--- a/src/test/java/cacheproxy/control/ControlServerTest.java
+++ b/src/test/java/cacheproxy/control/ControlServerTest.java
@@ -47,7 +47,10 @@
                             return true;
                         },
                         new DiagnosticEndpoints(
-                                () -> "violations=0 stopped=0", events::set, () -> reloads.incrementAndGet() == 1)));
+                                () -> "violations=0 stopped=0",
+                                () -> "used=0 peak=9",
+                                events::set,
+                                () -> reloads.incrementAndGet() == 1)));
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
     }
 
@@ -56,6 +59,9 @@
         assertThat(exchange("GET /invariants HTTP/1.1\r\nHost: x\r\n\r\n"))
                 .contains(" 200 ")
                 .contains("violations=0 stopped=0");
+        assertThat(exchange("GET /memory HTTP/1.1\r\nHost: x\r\n\r\n"))
+                .contains(" 200 ")
+                .contains("used=0 peak=9");
         assertThat(exchange("POST /events/on HTTP/1.1\r\nHost: x\r\n\r\n")).contains(" 200 ");
         assertThat(events).isTrue();
         assertThat(exchange("POST /events/off HTTP/1.1\r\nHost: x\r\n\r\n")).contains(" 200 ");
--- a/src/test/java/cacheproxy/daemon/ControlAnswersGoldenTextTest.java
+++ b/src/test/java/cacheproxy/daemon/ControlAnswersGoldenTextTest.java
@@ -126,7 +126,7 @@
                     .isEqualTo(plain(
                             "404 Not Found",
                             "the calls are GET /status, GET /invariants,"
-                                    + " POST /events/on, POST /events/off and POST /reload"));
+                                    + " GET /memory, POST /events/on, POST /events/off and POST /reload"));
         }
     }
 
@@ -152,7 +152,7 @@
                     .isEqualTo("{\"me\":\"p1\",\"peers\":[{\"name\":\"p1\"}],\"watches\":{},\"lists\":{}}\n");
             assertThat(body(daemon, "GET /other"))
                     .isEqualTo("the calls are GET /status, GET /duties, GET /limits, GET /fleet,"
-                            + " GET /invariants, POST /events/on, POST /events/off and POST /reload\n");
+                            + " GET /invariants, GET /memory, POST /events/on, POST /events/off and POST /reload\n");
         }
     }
 
