Leave commands unread while those of all clients have taken their part of the heap

Cause: 32 commands a connection are read whatever their length, and each line is kept some four times until its response is written: 130 MB with 340 clients, of a heap of 40 MB.

Change: a command is counted in the account of clients' memory, by its line and what a request takes besides, until its response is written or its client has left; all together a fifth of the heap. Beyond it only the first command of a connection is decoded; what is behind stays in the socket. A command of a client that has left is no longer counted, though its attempts may go on until its deadline.

The new test of ResponseMemoryTest does not compile before, as there is no such account.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -34,6 +34,7 @@
     private final ConnectionActivity activity = new ConnectionActivity();
     private final RequestSubmitter submitter;
     private final ClientMemory memory;
+    private final CommandMemory commandMemory;
     private final ConnectionStatus status;
     private final Runnable flush = this::flush;
     private ChannelHandlerContext ctx;
@@ -55,6 +56,7 @@
         closer = new ConnectionCloser(loopContext, responses);
         submitter = new RequestSubmitter(this, owner);
         memory = new ClientMemory(loopContext.memory(), loopContext.recentValueBytes(), submitter::resume);
+        commandMemory = new CommandMemory(loopContext.memory(), this::updateFlowControl);
         status = new ConnectionStatus(this, responses, decoder, readControl, closer, activity);
     }
 
@@ -78,6 +80,11 @@
         return memory;
     }
 
+    /** The memory that the commands of this connection take. */
+    CommandMemory commandMemory() {
+        return commandMemory;
+    }
+
     /** The allocator of the channel's buffers. */
     ByteBufAllocator allocator() {
         return ctx.alloc();
@@ -210,7 +217,12 @@
             return;
         }
         if (!mayTakeRequest()) {
-            readControl.pause(ctx);
+            pauseReading();
+            return;
+        }
+        if (!hasCommandMemory()) {
+            commandMemory.awaitMemory();
+            pauseReading();
             return;
         }
         try {
@@ -235,6 +247,10 @@
                 && !responses.isValueAtRisk();
     }
 
+    private boolean hasCommandMemory() {
+        return responses.isEmpty() || commandMemory.isAvailable();
+    }
+
     /** Stops reading further commands, until {@link #updateFlowControl} finds that they may be taken. */
     void pauseReading() {
         readControl.pause(ctx);
@@ -321,7 +337,7 @@
     void updateFlowControl() {
         responses.updateFlowControl(ctx);
         submitter.resume();
-        if (mayTakeRequest()) {
+        if (mayTakeRequest() && hasCommandMemory()) {
             readControl.resume(ctx);
         }
     }
@@ -340,6 +356,7 @@
         super.channelInactive(context);
         decoder.close();
         submitter.clear();
+        commandMemory.close();
         responses.close(loopContext);
         accountInput(0);
         owner.connectionClosed(this);
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -27,6 +27,8 @@
     private final String echo;
 
     private final ResponseClaim claim;
+    /** The memory of the command, to be released once. */
+    private int commandBytes;
     /** The request to submit; null once it has been submitted, or if there is none. */
     private ClientRequest request;
 
@@ -51,6 +53,7 @@
         this.echo = echo;
         this.request = request;
         claim = new ResponseClaim(connection.memory());
+        commandBytes = connection.commandMemory().charge(request);
     }
 
     /**
@@ -93,6 +96,12 @@
         return longValue != null && longValue.isAtRisk();
     }
 
+    /** Called when the last byte of the response is about to be written, or when the client has disconnected. */
+    void releaseCommand() {
+        connection.commandMemory().release(commandBytes);
+        commandBytes = 0;
+    }
+
     /** Writes the bytes that are ready, without flushing; returns whether there were any. */
     @SuppressWarnings("FutureReturnValueIgnored") // a failed write closes the channel, and the close is handled
     boolean writeReady(ChannelHandlerContext ctx) {
@@ -152,6 +161,7 @@
             longValue.release();
         }
         claim.release();
+        releaseCommand();
         if (handle != null) {
             handle.clientDisconnected();
         }
--- a/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ResponseQueue.java
@@ -69,6 +69,7 @@
             boolean complete = first.isComplete();
             if (complete) {
                 pending.poll();
+                first.releaseCommand();
             }
             wrote |= first.writeReady(ctx);
             if (!complete) {
--- a/src/main/java/cacheproxy/proxy/memory/MemoryAccount.java
+++ b/src/main/java/cacheproxy/proxy/memory/MemoryAccount.java
@@ -57,6 +57,11 @@
         return true;
     }
 
+    /** Returns whether the purpose could have these bytes now. */
+    public boolean isAvailable(MemoryPurpose purpose, long bytes) {
+        return usages.get(purpose).allows(bytes, totalBytes - committedBytes);
+    }
+
     /** Counts bytes that are held in any case, even beyond the limits. */
     public void charge(MemoryPurpose purpose, long bytes) {
         add(usages.get(purpose), bytes);
--- a/src/main/java/cacheproxy/proxy/request/ClientRequest.java
+++ b/src/main/java/cacheproxy/proxy/request/ClientRequest.java
@@ -123,6 +123,11 @@
         return attributes;
     }
 
+    /** The length of the line for cache servers, without the deadline's digits. */
+    public int lineLength() {
+        return linePrefix.length() + lineSuffix.length();
+    }
+
     /** The line for cache servers up to the value of the deadline. */
     public String linePrefix() {
         return linePrefix;
--- a/src/test/java/cacheproxy/proxy/client/ResponseMemoryTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ResponseMemoryTest.java
@@ -225,6 +225,26 @@
         }
     }
 
+    /** Guards against long command lines of many clients, which together exhaust the heap. */
+    @Test
+    void furtherCommandsStayUnreadWhileThereIsNoMemoryForThem() {
+        long taken = memory.maxBytes(MemoryPurpose.COMMAND) - 1000;
+        assertThat(memory.reserve(MemoryPurpose.COMMAND, taken)).isTrue();
+        Client first = new Client("a").send(3);
+        Client second = new Client("b").send(3);
+        assertThat(first.submitted()).isEqualTo(1);
+        assertThat(second.submitted()).isEqualTo(1);
+        assertThat(first.channel.config().isAutoRead()).isFalse();
+        answer("a0");
+        runTasks();
+        assertThat(first.submitted()).as("one at a time").isEqualTo(2);
+        memory.release(MemoryPurpose.COMMAND, taken);
+        runTasks();
+        assertThat(first.submitted()).isEqualTo(3);
+        assertThat(second.submitted()).isEqualTo(3);
+        assertThat(first.channel.config().isAutoRead()).isTrue();
+    }
+
     @Test
     void aValueIsNotAnnouncedWithoutMemory() {
         Client client = new Client("a").send(1);
