Let a client that reads nothing not keep others from the memory they wait for

Found by reading again, before it was landed: a connection whose client did not read waited in the account's queue although memory was not what it lacked, and those behind it in the queue were not called. Such a connection now waits for its client alone. A connection that had paused for its own responses and then lacked memory for a command went on only once all of these were written; it now waits for the account, too. Measured: the new test of ResponseMemoryTest fails with the condition taken out again.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -274,6 +274,11 @@
         return responses.isFirst(response) || (ctx.channel().isWritable() && response.claimExpectedMemory());
     }
 
+    /** Returns whether nothing but the memory of all connections limits the responses that wait behind the first. */
+    boolean mayQueueResponses() {
+        return ctx.channel().isWritable() && !memory.isQueueFull();
+    }
+
     /** Returns whether this response is sent next, to a client that has read everything before it. */
     boolean isDue(PendingResponse response) {
         return responses.isFirst(response) && !status.hasUnwrittenBytes();
@@ -337,8 +342,13 @@
     void updateFlowControl() {
         responses.updateFlowControl(ctx);
         submitter.resume();
-        if (mayTakeRequest() && hasCommandMemory()) {
+        if (!mayTakeRequest()) {
+            return;
+        }
+        if (hasCommandMemory()) {
             readControl.resume(ctx);
+        } else if (readControl.isPaused()) {
+            commandMemory.awaitMemory();
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
@@ -55,15 +55,15 @@
 
     private void submitRequests() {
         scheduled = false;
-        if (!submitAllowed() && !awaitsMemory && !connection.memory().isQueueFull()) {
+        if (!submitAllowed() && !awaitsMemory && connection.mayQueueResponses()) {
             awaitsMemory = true;
             account.await(MemoryPurpose.QUEUED_RESPONSE, onMemoryAvailable);
         }
     }
 
-    /** Returns whether the connection no longer waits for the account; it may still wait for its own responses. */
+    /** Returns whether the connection no longer waits for the account; it may still wait for its own client. */
     private boolean onMemoryAvailable() {
-        awaitsMemory = !submitAllowed() && !connection.memory().isQueueFull();
+        awaitsMemory = !submitAllowed() && connection.mayQueueResponses();
         return !awaitsMemory;
     }
 
--- a/src/test/java/cacheproxy/proxy/client/ResponseMemoryTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ResponseMemoryTest.java
@@ -196,6 +196,22 @@
         assertThat(third.submitted()).isEqualTo(3);
     }
 
+    /** Guards against clients that read nothing and keep others from the memory that they wait for themselves. */
+    @Test
+    void aClientThatReadsNothingDoesNotWaitBeforeOthers() {
+        Client first = new Client("a").send(PIPELINED);
+        Client second = new Client("b").send(3);
+        second.channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        Client third = new Client("c").send(3);
+        first.channel.close().syncUninterruptibly();
+        runTasks();
+        assertThat(second.submitted()).isEqualTo(1);
+        assertThat(third.submitted()).isEqualTo(3);
+        second.channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        runTasks();
+        assertThat(second.submitted()).isEqualTo(3);
+    }
+
     /** Guards against clients that have left and still wait for memory, before others. */
     @Test
     void aClientThatLeavesNoLongerWaits() {
