Take what a connection admits, and the encoding of values, out of two grown classes

RequestAdmission now decides which commands are decoded and which requests are submitted, and knows the connection's memory; ValueResponse encodes responses that carry a value. No behaviour is meant to change.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -1,6 +1,5 @@
 package cacheproxy.proxy.client;
 
-import cacheproxy.proxy.memory.MemoryPurpose;
 import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.request.ClientRequest;
 import cacheproxy.proxy.request.MetaCodec;
@@ -18,12 +17,6 @@
  * responses in the order of the requests.
  */
 final class ClientConnection extends ByteToMessageDecoder implements RequestDecoder.Output {
-    /**
-     * Maximum number of open requests of one connection; bounds the memory used for a client that sends requests but
-     * reads no responses.
-     */
-    private static final int MAX_PIPELINED = 32;
-
     private final EventLoopContext loopContext;
     private final ConnectionOwner owner;
     private final double closingPosition;
@@ -33,14 +26,11 @@
     private final ConnectionCloser closer;
     private final ConnectionActivity activity = new ConnectionActivity();
     private final RequestSubmitter submitter;
-    private final ClientMemory memory;
-    private final CommandMemory commandMemory;
+    private final RequestAdmission admission;
     private final ConnectionStatus status;
     private final Runnable flush = this::flush;
     private ChannelHandlerContext ctx;
     private boolean flushScheduled;
-    /** The bytes that have been read and not decoded, as far as the account has been told. */
-    private int accountedInputBytes;
 
     /**
      * Creates a connection that is not registered with a channel yet.
@@ -55,8 +45,7 @@
         readControl = new ReadControl(loopContext);
         closer = new ConnectionCloser(loopContext, responses);
         submitter = new RequestSubmitter(this, owner);
-        memory = new ClientMemory(loopContext.memory(), loopContext.recentValueBytes(), submitter::resume);
-        commandMemory = new CommandMemory(loopContext.memory(), this::updateFlowControl);
+        admission = new RequestAdmission(this, responses, readControl, closer, submitter::resume);
         status = new ConnectionStatus(this, responses, decoder, readControl, closer, activity);
     }
 
@@ -75,14 +64,9 @@
         return ctx;
     }
 
-    /** The memory that the responses of this connection take. */
-    ClientMemory memory() {
-        return memory;
-    }
-
-    /** The memory that the commands of this connection take. */
-    CommandMemory commandMemory() {
-        return commandMemory;
+    /** Decides which commands and requests this connection may take on. */
+    RequestAdmission admission() {
+        return admission;
     }
 
     /** The allocator of the channel's buffers. */
@@ -196,17 +180,7 @@
         if (message == Unpooled.EMPTY_BUFFER) {
             writeResponses(); // it is now known which commands wait behind a long value
         }
-        accountInput(undecodedBytes());
-    }
-
-    private void accountInput(int bytes) {
-        int change = bytes - accountedInputBytes;
-        accountedInputBytes = bytes;
-        if (change > 0) {
-            loopContext.memory().charge(MemoryPurpose.INPUT, change);
-        } else {
-            loopContext.memory().release(MemoryPurpose.INPUT, -change);
-        }
+        admission.accountInput(undecodedBytes());
     }
 
     @Override
@@ -216,13 +190,7 @@
             input.skipBytes(input.readableBytes());
             return;
         }
-        if (!mayTakeRequest()) {
-            pauseReading();
-            return;
-        }
-        if (!hasCommandMemory()) {
-            commandMemory.awaitMemory();
-            pauseReading();
+        if (!admission.admitCommand()) {
             return;
         }
         try {
@@ -240,17 +208,6 @@
         context.fireChannelReadComplete();
     }
 
-    private boolean mayTakeRequest() {
-        return !closer.isFinished()
-                && responses.size() < MAX_PIPELINED
-                && ctx.channel().isWritable()
-                && !responses.isValueAtRisk();
-    }
-
-    private boolean hasCommandMemory() {
-        return responses.isEmpty() || commandMemory.isAvailable();
-    }
-
     /** Stops reading further commands, until {@link #updateFlowControl} finds that they may be taken. */
     void pauseReading() {
         readControl.pause(ctx);
@@ -266,24 +223,6 @@
         return responses.size() > 1 || (readControl.mayHoldCommands() && actualReadableBytes() > 0);
     }
 
-    /**
-     * Returns whether the request of this response may be submitted: the response is the first one, or there is memory
-     * for it while it waits behind others, to a client that reads.
-     */
-    boolean mayForward(PendingResponse response) {
-        return responses.isFirst(response) || (ctx.channel().isWritable() && response.claimExpectedMemory());
-    }
-
-    /** Returns whether nothing but the memory of all connections limits the responses that wait behind the first. */
-    boolean mayQueueResponses() {
-        return ctx.channel().isWritable() && !memory.isQueueFull();
-    }
-
-    /** Returns whether this response is sent next, to a client that has read everything before it. */
-    boolean isDue(PendingResponse response) {
-        return responses.isFirst(response) && !status.hasUnwrittenBytes();
-    }
-
     @Override
     public void request(ClientRequest request, MetaProtocol protocol, String echo) {
         request.setArrivedMs(readControl.unreadSinceMs());
@@ -342,14 +281,7 @@
     void updateFlowControl() {
         responses.updateFlowControl(ctx);
         submitter.resume();
-        if (!mayTakeRequest()) {
-            return;
-        }
-        if (hasCommandMemory()) {
-            readControl.resume(ctx);
-        } else if (readControl.isPaused()) {
-            commandMemory.awaitMemory();
-        }
+        admission.resumeReading();
     }
 
     // ---- events of the channel
@@ -366,9 +298,8 @@
         super.channelInactive(context);
         decoder.close();
         submitter.clear();
-        commandMemory.close();
         responses.close(loopContext);
-        accountInput(0);
+        admission.close();
         owner.connectionClosed(this);
     }
 
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -7,7 +7,6 @@
 import cacheproxy.proxy.request.Responder;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 
 /**
@@ -15,12 +14,6 @@
  * written.
  */
 final class PendingResponse implements Responder {
-    /**
-     * The maximum length of a value's response without the value and the echo: {@code VA}, the length and two line
-     * ends.
-     */
-    private static final int MAX_VALUE_FRAME_BYTES = 24;
-
     private final ClientConnection connection;
     private final MetaProtocol protocol;
     /** The flags that the response repeats, with a space before each. */
@@ -52,8 +45,8 @@
         this.protocol = protocol;
         this.echo = echo;
         this.request = request;
-        claim = new ResponseClaim(connection.memory());
-        commandBytes = connection.commandMemory().charge(request);
+        claim = new ResponseClaim(connection.admission().memory());
+        commandBytes = connection.admission().commandMemory().charge(request);
     }
 
     /**
@@ -98,7 +91,7 @@
 
     /** Called when the last byte of the response is about to be written, or when the client has disconnected. */
     void releaseCommand() {
-        connection.commandMemory().release(commandBytes);
+        connection.admission().commandMemory().release(commandBytes);
         commandBytes = 0;
     }
 
@@ -190,20 +183,17 @@
 
     @Override
     public boolean announceValue(int lengthBytes) {
-        connection.memory().valueAnnounced(lengthBytes);
-        return claim.reserve(valueResponseBytes(lengthBytes), connection.isDue(this));
-    }
-
-    /** The most that the response with a value of this length takes, in bytes. */
-    private int valueResponseBytes(int lengthBytes) {
-        return MAX_VALUE_FRAME_BYTES + echo.length() + lengthBytes;
+        connection.admission().memory().valueAnnounced(lengthBytes);
+        return claim.reserve(
+                ValueResponse.maxBytes(echo, lengthBytes),
+                connection.admission().isDue(this));
     }
 
     @Override
     public void value(ByteBuf value) {
         ByteBuf response;
         try {
-            response = encodeValue(value);
+            response = ValueResponse.whole(connection.allocator(), echo, value);
         } catch (OutOfMemoryError e) { // nothing else would answer the request
             connection.loopContext().faults().record(e);
             failed();
@@ -214,18 +204,6 @@
         complete(response);
     }
 
-    private ByteBuf encodeValue(ByteBuf value) {
-        int length = value.readableBytes();
-        ByteBuf response = connection.allocator().buffer(valueResponseBytes(length));
-        ByteBufUtil.writeAscii(response, "VA ");
-        MetaCodec.writeDecimal(response, length);
-        ByteBufUtil.writeAscii(response, echo);
-        response.writeShort(MetaCodec.CRLF)
-                .writeBytes(value, value.readerIndex(), length)
-                .writeShort(MetaCodec.CRLF);
-        return response;
-    }
-
     @Override
     public void stored(String receipt) {
         respond(protocol.storedLine(echo, receipt));
@@ -253,8 +231,8 @@
 
     @Override
     public void beginValue(int lengthBytes, ValueSource source) {
-        connection.memory().valueAnnounced(lengthBytes);
-        ByteBuf head = MetaCodec.ascii(connection.allocator(), "VA " + lengthBytes + echo + "\r\n");
+        connection.admission().memory().valueAnnounced(lengthBytes);
+        ByteBuf head = ValueResponse.head(connection.allocator(), echo, lengthBytes);
         longValue = new LongValue(connection, source, head, lengthBytes, patienceMs, this::cancelValue);
         connection.writeResponses();
     }
--- a/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
@@ -55,7 +55,7 @@
 
     private void submitRequests() {
         scheduled = false;
-        if (!submitAllowed() && !awaitsMemory && connection.mayQueueResponses()) {
+        if (!submitAllowed() && !awaitsMemory && connection.admission().mayQueueResponses()) {
             awaitsMemory = true;
             account.await(MemoryPurpose.QUEUED_RESPONSE, onMemoryAvailable);
         }
@@ -63,7 +63,7 @@
 
     /** Returns whether the connection no longer waits for the account; it may still wait for its own client. */
     private boolean onMemoryAvailable() {
-        awaitsMemory = !submitAllowed() && connection.mayQueueResponses();
+        awaitsMemory = !submitAllowed() && connection.admission().mayQueueResponses();
         return !awaitsMemory;
     }
 
@@ -74,7 +74,7 @@
         // here.
         PendingResponse response;
         while (context.channel().isActive() && (response = unsubmitted.peek()) != null) {
-            if (!connection.mayForward(response)) {
+            if (!connection.admission().mayForward(response)) {
                 return false;
             }
             unsubmitted.remove();
