--- a/src/main/java/cacheproxy/proxy/memory/PurposeUsage.java
+++ b/src/main/java/cacheproxy/proxy/memory/PurposeUsage.java
@@ -46,10 +46,12 @@
         return waiters;
     }
 
+    /** The bytes that are used. */
     long usedBytes() {
         return usedBytes;
     }
 
+    /** The most that may be used, in bytes. */
     long maxBytes() {
         return limit.maxBytes();
     }
