--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -186,6 +186,11 @@
                 .getNow();
     }
 
+    /** The state that the event loop's users share; to be used on the event loop only. */
+    EventLoopContext loopContext() {
+        return loopContext;
+    }
+
     /** The bytes that are held in memory for clients; see {@link cacheproxy.proxy.memory.MemoryAccount}. */
     public long heldBytes() {
         return loop.submit(() -> loopContext.memory().usedBytes())
