End the process at once when train, serve or run can't start

Callers saw: on arm64 the build stood until its time was out, as `train` had failed and two event loops kept the process alive; `run` stayed up without its listener if another process took the address while the endpoint lists were awaited. Cause: checked exceptions that Netty throws undeclared, and errors, passed by the handlers of a failed start (train caught three types, run and Daemon.start RuntimeException alone), and the shutdown hook then waited for a start that would never end. In `run` the report of the failed bind itself threw, as a channel that was never bound has no address, so the start waited for ever. Change: each of the three ends on any exception or error with its status (1, 1 and 2) and releases the shutdown; a listener of the first configuration that can't accept clients is a failed start; a reserved address is known after its release. For train and serve on an Error there is no test.

--- a/src/main/java/cacheproxy/cli/RunCommand.java
+++ b/src/main/java/cacheproxy/cli/RunCommand.java
@@ -53,9 +53,13 @@
             signals.startFailed();
             e.errors().forEach(err::println);
             return ExitCode.UNUSABLE;
-        } catch (RuntimeException e) {
+        } catch (Exception e) {
             signals.startFailed();
             throw e;
+        } catch (Error e) {
+            signals.startFailed();
+            err.println("can't start: " + e);
+            return ExitCode.UNUSABLE;
         }
         daemon.onReloadRequest(signals::requestReload);
         signals.started(() -> reload(daemon, err), daemon::drain);
--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -126,12 +126,12 @@
     private Daemon start(DaemonConfig file) throws ConfigException, InterruptedException {
         try {
             load(file);
-        } catch (ConfigException | RuntimeException e) {
+            listeners.awaitAccepting();
+        } catch (Exception | Error e) { // Netty also throws checked exceptions that it does not declare
             close();
             throw e;
         }
         seedFrom = null;
-        listeners.awaitAccepting();
         loop.submit(this::startPeriodicTasks).sync();
         return this;
     }
--- a/src/main/java/cacheproxy/daemon/ListenerSet.java
+++ b/src/main/java/cacheproxy/daemon/ListenerSet.java
@@ -41,6 +41,8 @@
 
     private final List<Listener> draining = new ArrayList<>();
     private final CountDownLatch accepting = new CountDownLatch(1);
+    /** Why listeners of the first configuration can't accept clients; complete once {@link #accepting} is open. */
+    private final List<String> startFailures = new ArrayList<>();
 
     /**
      * Creates a set without listeners.
@@ -131,7 +133,7 @@
         for (Listener listener : listeners) {
             listener.listen().addListener(bound -> {
                 if (!bound.isSuccess()) { // another process has bound the address since it was reserved
-                    core.log("listener at " + Addresses.text(listener.address()) + " can't accept clients: "
+                    bindFailed("listener at " + Addresses.text(listener.address()) + " can't accept clients: "
                             + bound.cause().getMessage());
                 }
                 if (--pending[0] == 0) {
@@ -144,9 +146,24 @@
         }
     }
 
-    /** Waits until the listeners of the first configuration accept clients. Must not be called on the event loop. */
-    void awaitAccepting() throws InterruptedException {
+    private void bindFailed(String reason) {
+        if (accepting.getCount() > 0) {
+            startFailures.add(reason);
+        } else {
+            core.log(reason);
+        }
+    }
+
+    /**
+     * Waits until the listeners of the first configuration accept clients. Must not be called on the event loop.
+     *
+     * @throws ConfigException with a line for each listener that can't
+     */
+    void awaitAccepting() throws ConfigException, InterruptedException {
         accepting.await();
+        if (!startFailures.isEmpty()) {
+            throw ConfigException.of(startFailures);
+        }
     }
 
     /** Returns the listeners' addresses by name, in the order of the configuration file. */
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -117,7 +117,8 @@
 
     /** The address that this listener listens on or has reserved. */
     public InetSocketAddress address() {
-        return channel == null ? reserved.address() : (InetSocketAddress) channel.localAddress();
+        SocketAddress bound = channel == null ? null : channel.localAddress();
+        return bound == null ? reserved.address() : (InetSocketAddress) bound;
     }
 
     /** The listening socket's file descriptor; -1 if this kind of channel has none. */
--- a/src/main/java/cacheproxy/proxy/client/ReservedAddress.java
+++ b/src/main/java/cacheproxy/proxy/client/ReservedAddress.java
@@ -11,9 +11,11 @@
  */
 public final class ReservedAddress implements AutoCloseable {
     private final Socket socket;
+    private final InetSocketAddress address;
 
     private ReservedAddress(Socket socket) {
         this.socket = socket;
+        address = (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
     /**
@@ -36,7 +38,7 @@
 
     /** The bound address, with the port that the operating system chose for port 0. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) socket.getLocalSocketAddress();
+        return address;
     }
 
     /** Releases the address. */
--- a/src/main/java/cacheproxy/proxy/process/PlatformCommands.java
+++ b/src/main/java/cacheproxy/proxy/process/PlatformCommands.java
@@ -14,6 +14,8 @@
     /** The environment variable that names the configuration file. */
     private static final String CONFIG_VARIABLE = "BALANCER_CONFIG";
 
+    private static final int START_FAILED_STATUS = 1;
+
     private static final List<String> OPERATOR_REQUESTS = List.of("GET /status", "POST /standby", "POST /active");
 
     private PlatformCommands() {}
@@ -33,7 +35,11 @@
         } catch (Exception e) {
             signals.startFailed();
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
-            System.exit(1);
+            System.exit(START_FAILED_STATUS);
+        } catch (Error e) {
+            signals.startFailed();
+            System.err.println("can't start: " + e);
+            System.exit(START_FAILED_STATUS);
         }
     }
 
@@ -75,23 +81,28 @@
      * @return the exit status
      */
     public static int train() {
+        ServiceSignals signals = installSignalsOrExit();
         NettyDefaults.apply();
+        PlatformConfig config = readConfigOrExit();
         try {
-            ServiceSignals signals = ServiceSignals.install(System.err::println);
-            PlatformConfig config = readConfigOrExit().forTraining();
-            Proxy first = Proxy.startWarm(config, signals::mayAcceptConnections);
-            signals.started(() -> {}, () -> {});
-            Proxy next = Proxy.start(config);
-            for (String request : OPERATOR_REQUESTS) {
-                sendToControl(config, next, request);
-            }
-            first.drain();
-            next.drain();
+            train(config.forTraining(), signals);
             return 0;
-        } catch (InterruptedException | IOException | ReflectiveOperationException e) {
+        } catch (Exception | Error e) { // an event loop that has started would keep the process alive
+            signals.startFailed();
             System.err.println("can't train the class archive: " + e);
-            return 1;
+            return START_FAILED_STATUS;
+        }
+    }
+
+    private static void train(PlatformConfig config, ServiceSignals signals) throws IOException, InterruptedException {
+        Proxy first = Proxy.startWarm(config, signals::mayAcceptConnections);
+        signals.started(() -> {}, () -> {});
+        Proxy next = Proxy.start(config);
+        for (String request : OPERATOR_REQUESTS) {
+            sendToControl(config, next, request);
         }
+        first.drain();
+        next.drain();
     }
 
     private static void sendToControl(PlatformConfig config, Proxy proxy, String request) throws IOException {
--- a/src/test/java/cacheproxy/DaemonJarIT.java
+++ b/src/test/java/cacheproxy/DaemonJarIT.java
@@ -3,17 +3,20 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.fakes.ScriptedServer;
 import cacheproxy.snapshot.state.StateSnapshot;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -95,10 +98,7 @@
     @Test
     void runServesReloadsOnSighupAndDrainsOnSigterm() throws Exception {
         Path file = folder.resolve("coralbay.toml");
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         String text = Files.readString(Path.of("deploy/coralbay.toml"))
                 .replace("127.0.0.1:11211", "127.0.0.1:" + port)
                 .replace("127.0.0.1:11212", "127.0.0.1:0");
@@ -133,6 +133,47 @@
         }
     }
 
+    /**
+     * Guards against a process that stays up without its listener, as the start failed after addresses were reserved.
+     */
+    @Test
+    void runEndsAtOnceIfItsListenerIsTakenDuringTheStart() throws Exception {
+        CountDownLatch polled = new CountDownLatch(1);
+        Path file = folder.resolve("coralbay.toml");
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        try (ServerSocket other = new ServerSocket();
+                ScriptedServer discovery = new ScriptedServer(connection -> {
+                    polled.countDown();
+                    connection.awaitEnd();
+                })) {
+            Files.writeString(
+                    file,
+                    Files.readString(Path.of("deploy/coralbay.toml"))
+                                    .replace("127.0.0.1:11211", "127.0.0.1:" + address.getPort())
+                                    .replace("127.0.0.1:11212", "127.0.0.1:0")
+                            + "[[pool]]\nname = \"listed\"\n[pool.discovery]\naddress = \"" + discovery.dial()
+                            + "\"\nzones = [\"east\"]\nkinds = [\"node\"]\n");
+            Process process = start("-jar", "target/cache-proxy.jar", "run", file.toString());
+            try {
+                polled.await(); // the listeners' addresses are reserved, and listened on once there is a list
+                other.setReuseAddress(true);
+                other.bind(address);
+                assertThat(process.waitFor(30, TimeUnit.SECONDS)).isTrue();
+                assertThat(process.exitValue()).isEqualTo(2);
+                assertThat(new String(process.getErrorStream().readAllBytes(), UTF_8))
+                        .contains("listener at 127.0.0.1:" + address.getPort() + " can't accept clients");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     /**
      * Guards against a damaged snapshot file after the daemon is killed under load while it writes: the daemon starts
      * each time and finds a complete snapshot.
--- a/src/test/java/cacheproxy/proxy/client/ReservedAddressTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ReservedAddressTest.java
@@ -52,7 +52,9 @@
     @Test
     void closingTwiceIsHarmless() throws Exception {
         ReservedAddress reserved = ReservedAddress.bind(ANY_PORT);
+        InetSocketAddress address = reserved.address();
         reserved.close();
         reserved.close();
+        assertThat(reserved.address()).isEqualTo(address);
     }
 }
