Let processes share a listening address with the JDK's channels too

Callers saw: with the JDK's channels (no native library) a next version could not start beside the one that runs: "control /127.0.0.1:0: Address already in use". Cause: not the control address, which the JDK's channels do bind while it is reserved (5 of 5 by a probe): SO_REUSEPORT was set on epoll's channels alone, so the second listener at the clients' address failed, and its error was reported as the control address's. Change: the option is set on both kinds of channel; only a failure of the control address names it.

--- a/src/main/java/cacheproxy/proxy/client/ListenerBootstrap.java
+++ b/src/main/java/cacheproxy/proxy/client/ListenerBootstrap.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.EpollServerSocketChannel;
-import io.netty.channel.unix.UnixChannelOption;
 import java.net.SocketAddress;
 import java.util.function.Consumer;
 
@@ -49,8 +48,8 @@
                 .channel(Transport.BEST.server())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true);
-        if (shared && Transport.BEST.server() == EpollServerSocketChannel.class) {
-            bootstrap.option(UnixChannelOption.SO_REUSEPORT, true);
+        if (shared) {
+            bootstrap.option(Transport.BEST.reusePort(), true);
         }
         return bootstrap.bind(address);
     }
--- a/src/main/java/cacheproxy/proxy/net/Transport.java
+++ b/src/main/java/cacheproxy/proxy/net/Transport.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SelectStrategyFactory;
@@ -14,13 +15,16 @@
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.channel.unix.DomainSocketAddress;
+import io.netty.channel.unix.UnixChannelOption;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
@@ -78,6 +82,13 @@
         return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
     }
 
+    /** The option that lets several sockets listen at the same address. */
+    public ChannelOption<Boolean> reusePort() {
+        return server == EpollServerSocketChannel.class
+                ? UnixChannelOption.SO_REUSEPORT
+                : NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+    }
+
     /** The address of a Unix domain socket in the form that {@link #localServer} and {@link #localSocket} take. */
     public SocketAddress localAddress(Path path) {
         return socket == EpollSocketChannel.class
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -14,6 +14,7 @@
 import cacheproxy.proxy.net.Transport;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.epoll.Epoll;
 import java.io.IOException;
@@ -89,15 +90,28 @@
             throws InterruptedException {
         OperatorActions actions = new OperatorActions(loopContext, lifecycle, listener, reload);
         InetSocketAddress control = config.control();
-        try (ReservedAddress reserved = ReservedAddress.bind(control)) {
+        try (ReservedAddress reserved = reserveControl(control)) {
             actions.listen(config);
-            actions.controlServer.bind(reserved.address()).sync();
-        } catch (IOException e) {
-            throw new IllegalStateException("control " + control + ": " + e.getMessage(), e);
+            ChannelFuture bound = actions.controlServer.bind(reserved.address()).await();
+            if (!bound.isSuccess()) {
+                throw controlFailure(control, bound.cause());
+            }
         }
         return actions;
     }
 
+    private static ReservedAddress reserveControl(InetSocketAddress control) {
+        try {
+            return ReservedAddress.bind(control);
+        } catch (IOException e) {
+            throw controlFailure(control, e);
+        }
+    }
+
+    private static IllegalStateException controlFailure(InetSocketAddress control, Throwable cause) {
+        return new IllegalStateException("control " + control + ": " + cause.getMessage(), cause);
+    }
+
     private void listen(PlatformConfig config) throws InterruptedException {
         Path path = handoverPath(config);
         Optional<InheritedSocket> inherited =
--- a/src/test/java/cacheproxy/JarIT.java
+++ b/src/test/java/cacheproxy/JarIT.java
@@ -29,11 +29,14 @@
     private Path folder;
 
     private Process start(String command, String config, String... flags) throws IOException {
-        List<String> words = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar",
-                "target/cache-proxy.jar",
-                command));
+        return start(List.of(), command, config, flags);
+    }
+
+    private Process start(List<String> javaOptions, String command, String config, String... flags) throws IOException {
+        List<String> words = new ArrayList<>();
+        words.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        words.addAll(javaOptions);
+        words.addAll(List.of("-jar", "target/cache-proxy.jar", command));
         words.addAll(List.of(flags));
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().put("TMPDIR", folder.toString());
@@ -104,6 +107,21 @@
         }
     }
 
+    /** Guards against a build that never ends where the native library can't be loaded. */
+    @Test
+    void trainsWithTheChannelsOfTheJdk() throws Exception {
+        Process process =
+                start(List.of("-Dio.netty.transport.noNative=true"), "train", "src/test/resources/config.json");
+        try {
+            assertThat(process.waitFor(60, TimeUnit.SECONDS)).isTrue();
+            assertThat(process.exitValue())
+                    .as(new String(process.getErrorStream().readAllBytes(), UTF_8))
+                    .isZero();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void sighupMovesDiscoveryAndABrokenFileChangesNothing() throws Exception {
         try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
