Run no write again under the id of one whose client has left

Cause: the id was free as soon as the client's close was noticed, while the attempt went on or had run.

--- a/src/main/java/cacheproxy/daemon/RoutedRequest.java
+++ b/src/main/java/cacheproxy/daemon/RoutedRequest.java
@@ -253,7 +253,11 @@
     @Override
     public void clientDisconnected() {
         if (!concluded) {
+            boolean mayRunYet = request.isWrite() && (mayHaveRun || current.mayHaveRun());
             concluded();
+            if (mayRunYet) {
+                core.retireId(request.id());
+            }
             current.clientDisconnected();
         }
     }
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
@@ -71,7 +71,10 @@
         if (context.isConcluded()) {
             return;
         }
-        conclude(context);
+        context.conclude();
+        if (context.holdsRequestId()) {
+            releaseIdOfLeftClient(context);
+        }
         pool.log().requestAbandoned(context);
         pool.policy().clientGone(context);
         for (RequestAttempt attempt : context.attempts()) {
@@ -80,6 +83,15 @@
         releaseIfDone(context);
     }
 
+    private void releaseIdOfLeftClient(RequestContext context) {
+        String id = context.request().id();
+        if (context.request().isWrite() && context.mayHaveRun()) {
+            loopContext.retireId(id);
+        } else {
+            loopContext.closeId(id);
+        }
+    }
+
     private void abandon(RequestAttempt attempt) {
         if (attempt.hasEnded() || attempt.connection() == null) {
             return;
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -16,11 +16,10 @@
 import cacheproxy.proxy.net.TurnScheduler;
 import cacheproxy.proxy.request.MetaCodec;
 import cacheproxy.proxy.request.RequestAccounting;
+import cacheproxy.proxy.request.RequestIds;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.util.HashSet;
-import java.util.Set;
 
 /**
  * The state that all pools and listeners of one event loop share: its clock and timers, its logs, the servers with
@@ -42,8 +41,7 @@
     private final FlushBatcher flushBatcher;
     private final TurnScheduler turns;
     private final LoadStatistics load;
-    /** The client-assigned ids of requests that have no response yet. */
-    private final Set<String> openRequestIds = new HashSet<>();
+    private final RequestIds requestIds = new RequestIds();
 
     private final MemoryAccount memory;
     private final RecentMaximum recentValueBytes = new RecentMaximum(MetaCodec.MAX_BUFFERED_VALUE_BYTES);
@@ -185,15 +183,20 @@
 
     // ---- open requests
 
-    /** Records that a request is open; returns false if another request with the same id is open. */
+    /** Records that a request is open; returns false if another request with the same id is open or may have run. */
     @Override
     public boolean openId(String id) {
-        return openRequestIds.add(id);
+        return requestIds.open(id);
     }
 
     /** Records that the request with this id has its response, so that the id can be used again. */
     public void closeId(String id) {
-        openRequestIds.remove(id);
+        requestIds.close(id);
+    }
+
+    /** Records that the request may take effect although its client has left; its id can't be used again. */
+    public void retireId(String id) {
+        requestIds.retire(id);
     }
 
     // ---- memory
--- a/src/test/java/cacheproxy/proxy/ClientDisconnectTest.java
+++ b/src/test/java/cacheproxy/proxy/ClientDisconnectTest.java
@@ -144,6 +144,47 @@
         }
     }
 
+    /** Guards against requests that go on, or are sent, after a client has closed with much that was not read. */
+    @Test
+    void noticesDisconnectionBehindMuchUnreadInput() throws Exception {
+        ScriptedServer node = new ScriptedServer(ScriptedServer.Connection::awaitEnd);
+        try (Fleet fleet = new Fleet().node(node).start()) {
+            Fleet.Client client = fleet.client();
+            StringBuilder many = new StringBuilder();
+            for (int i = 0; i < 600; i++) {
+                many.append(Fleet.readCommand("unread" + i));
+            }
+            client.send(many.toString());
+            fleet.awaitPendingRequests(32);
+            client.close();
+            fleet.awaitPendingRequests(0);
+        }
+    }
+
+    /** Guards against a write that runs twice because its id comes again after its client has left. */
+    @Test
+    void rejectsIdOfWriteWhoseClientHasLeft() throws Exception {
+        ScriptedServer origin = new ScriptedServer(connection -> {
+            while (connection.readRequest() != null) {
+                // runs the write and responds nothing
+            }
+        });
+        String write = "ms 7f3a 5 Otwice Pc=fix,d=20000\r\nhello\r\n";
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client again = fleet.client()) {
+            Fleet.Client leaving = fleet.client();
+            leaving.send(write);
+            origin.awaitCommand();
+            leaving.close();
+            while (fleet.proxy.clientCount() > 1) {
+                Thread.onSpinWait(); // until the proxy has noticed that the client has left
+            }
+            assertThat(again.send(write).line()).isEqualTo("CLIENT_ERROR id is in use");
+            again.send(write.replace("twice", "once"));
+            assertThat(ScriptedServer.requestId(origin.awaitCommand())).isEqualTo("once");
+        }
+    }
+
     /** Reading pauses at 32 pending requests; requests that the client has sent beyond those never begin. */
     @Test
     void noticesDisconnectionOfClientWhoseInputIsPaused() throws Exception {
