Tell at the control address how busy the loop is and which clients cause it

GET /load, in `serve` and the daemon: a histogram of the time between polls of the loop, turns cut short, commands and invalid ones, reads paused by reason, and the eight connections that have sent the most, with their address. The lists of calls in error answers name it; their golden tests follow.

--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -93,6 +93,7 @@
                 new DiagnosticEndpoints(
                         core.invariants()::summary,
                         core::memorySummary,
+                        () -> core.load().summary() + clients.summary(),
                         core.events()::setEnabled,
                         this::requestReload));
     }
--- a/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.proxy.upstream.EventLoopContext;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,6 +12,8 @@
  * evicted; if none can be evicted, accepting pauses.
  */
 public final class ClientRegistry {
+    private static final int MAX_LISTED_CONNECTIONS = 8;
+
     private final EventLoopContext loopContext;
     private final int maxConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
@@ -95,6 +98,19 @@
         evictIfTooManyConnections();
     }
 
+    /** Describes the connections whose clients have sent the most commands, a line for each, after a line end. */
+    public String summary() {
+        StringBuilder text = new StringBuilder("\nconnections=" + connections.size());
+        connections.stream()
+                .sorted(Comparator.comparingLong((ClientConnection connection) ->
+                                connection.counts().commands())
+                        .reversed())
+                .limit(MAX_LISTED_CONNECTIONS)
+                .forEach(connection ->
+                        text.append('\n').append(connection.status().summary()));
+        return text.toString();
+    }
+
     /**
      * Evicts a connection if there are too many. Otherwise, connections in the accept queue would wait until an idle
      * client disconnects.
--- a/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
@@ -61,6 +61,14 @@
         return activity.isStalled(nowMs, closer.isFinished() || hasUnwrittenBytes(), isRequestIncomplete(), isIdle());
     }
 
+    /** Describes the connection for operators: the client's address, its commands, and what it waits for. */
+    String summary() {
+        return "client " + connection.context().channel().remoteAddress() + " commands="
+                + connection.counts().commands() + " invalid="
+                + connection.counts().invalid() + " open=" + responses.size() + " undecoded="
+                + connection.undecodedBytes() + " read_paused=" + readControl.isPaused();
+    }
+
     /** Returns whether bytes that were written wait for the client to read. */
     boolean hasUnwrittenBytes() {
         ChannelOutboundBuffer unwritten =
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -9,6 +9,7 @@
 import cacheproxy.handover.InheritedSocket;
 import cacheproxy.lifecycle.Lifecycle;
 import cacheproxy.lifecycle.LifecycleState;
+import cacheproxy.proxy.client.ClientRegistry;
 import cacheproxy.proxy.client.Listener;
 import cacheproxy.proxy.client.ReservedAddress;
 import cacheproxy.proxy.net.Transport;
@@ -53,7 +54,11 @@
     private Future<?> standbyPoll;
 
     private OperatorActions(
-            EventLoopContext loopContext, Lifecycle lifecycle, Listener listener, BooleanSupplier reload) {
+            EventLoopContext loopContext,
+            Lifecycle lifecycle,
+            ClientRegistry clients,
+            Listener listener,
+            BooleanSupplier reload) {
         loop = loopContext.loop();
         this.loopContext = loopContext;
         this.lifecycle = lifecycle;
@@ -69,6 +74,7 @@
                         new DiagnosticEndpoints(
                                 loopContext.invariants()::summary,
                                 loopContext::memorySummary,
+                                () -> loopContext.load().summary() + clients.summary(),
                                 loopContext.events()::setEnabled,
                                 reload)));
     }
@@ -84,11 +90,12 @@
     static OperatorActions start(
             EventLoopContext loopContext,
             Lifecycle lifecycle,
+            ClientRegistry clients,
             Listener listener,
             PlatformConfig config,
             BooleanSupplier reload)
             throws InterruptedException {
-        OperatorActions actions = new OperatorActions(loopContext, lifecycle, listener, reload);
+        OperatorActions actions = new OperatorActions(loopContext, lifecycle, clients, listener, reload);
         InetSocketAddress control = config.control();
         try (ReservedAddress reserved = reserveControl(control)) {
             actions.listen(config);
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -80,7 +80,8 @@
             listener.bind(config.listen()).sync();
             operatorActions = null;
         } else {
-            operatorActions = OperatorActions.start(loopContext, lifecycle, listener, config, this::requestReload);
+            operatorActions =
+                    OperatorActions.start(loopContext, lifecycle, clients, listener, config, this::requestReload);
         }
     }
 
--- a/src/test/java/cacheproxy/control/ControlEndpointsGoldenTextTest.java
+++ b/src/test/java/cacheproxy/control/ControlEndpointsGoldenTextTest.java
@@ -14,7 +14,8 @@
             () -> acceptsClients.get() ? "active" : "standby",
             () -> true,
             () -> false,
-            new DiagnosticEndpoints(() -> "violations=0 stopped=0", () -> "used=0", enabled -> {}, reloadable::get));
+            new DiagnosticEndpoints(
+                    () -> "violations=0 stopped=0", () -> "used=0", () -> "loop_busy", enabled -> {}, reloadable::get));
 
     private String exchange(String method, String path) {
         ControlResponse response = endpoints.handle(method, path);
@@ -46,9 +47,11 @@
         assertThat(exchange("GET", "/active")).isEqualTo("405 use POST /active [POST]");
         assertThat(exchange("POST", "/invariants")).isEqualTo("405 use GET /invariants [GET]");
         assertThat(exchange("POST", "/memory")).isEqualTo("405 use GET /memory [GET]");
+        assertThat(exchange("GET", "/load")).isEqualTo("200 loop_busy");
+        assertThat(exchange("POST", "/load")).isEqualTo("405 use GET /load [GET]");
         assertThat(exchange("GET", "/reload")).isEqualTo("405 use POST /reload [POST]");
         assertThat(exchange("GET", "/other"))
                 .isEqualTo("404 the calls are GET /status, POST /standby, POST /active, GET /invariants,"
-                        + " GET /memory, POST /events/on, POST /events/off and POST /reload");
+                        + " GET /memory, GET /load, POST /events/on, POST /events/off and POST /reload");
     }
 }
--- a/src/test/java/cacheproxy/control/ControlServerTest.java
+++ b/src/test/java/cacheproxy/control/ControlServerTest.java
@@ -49,6 +49,7 @@
                         new DiagnosticEndpoints(
                                 () -> "violations=0 stopped=0",
                                 () -> "used=0 peak=9",
+                                () -> "loop_busy",
                                 events::set,
                                 () -> reloads.incrementAndGet() == 1)));
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
--- a/src/test/java/cacheproxy/daemon/ControlAnswersGoldenTextTest.java
+++ b/src/test/java/cacheproxy/daemon/ControlAnswersGoldenTextTest.java
@@ -126,7 +126,7 @@
                     .isEqualTo(plain(
                             "404 Not Found",
                             "the calls are GET /status, GET /invariants,"
-                                    + " GET /memory, POST /events/on, POST /events/off and POST /reload"));
+                                    + " GET /memory, GET /load, POST /events/on, POST /events/off and POST /reload"));
         }
     }
 
@@ -151,8 +151,9 @@
             assertThat(body(daemon, "GET /fleet"))
                     .isEqualTo("{\"me\":\"p1\",\"peers\":[{\"name\":\"p1\"}],\"watches\":{},\"lists\":{}}\n");
             assertThat(body(daemon, "GET /other"))
-                    .isEqualTo("the calls are GET /status, GET /duties, GET /limits, GET /fleet,"
-                            + " GET /invariants, GET /memory, POST /events/on, POST /events/off and POST /reload\n");
+                    .isEqualTo(
+                            "the calls are GET /status, GET /duties, GET /limits, GET /fleet,"
+                                    + " GET /invariants, GET /memory, GET /load, POST /events/on, POST /events/off and POST /reload\n");
         }
     }
 
