Let floods and crowds overlap with the other faults of the soak test

Need: the soak had no client that gets in the way of others. Two of fourteen kinds of fault are now a flood of one of ten kinds from 1 to 24 connections for 0.5 to 2.5 s, read or unread, and a crowd of 200 idle connections; both overlap with pauses, kills, shutdowns and reloads of the same process. The other kinds keep their weight among themselves; a seed draws another order of faults than before.

--- a/src/test/java/cacheproxy/soak/SoakRound.java
+++ b/src/test/java/cacheproxy/soak/SoakRound.java
@@ -223,7 +223,7 @@
     private void injectFault() throws Exception {
         faultCount++;
         SoakServer server = servers.get(random.nextInt(servers.size()));
-        switch (random.nextInt(12)) {
+        switch (random.nextInt(14)) {
             case 0, 1, 2 -> injectOnProxy(proxyFaults::pause);
             case 3 -> injectOnProxy(proxyFaults::kill);
             case 4 -> injectOnProxy(proxyFaults::terminate);
@@ -232,6 +232,8 @@
             case 8 -> server.resetAll();
             case 9 -> addServer((double) System.currentTimeMillis());
             case 10 -> drain();
+            case 11 -> injectByClients(ClientFaults::flood);
+            case 12 -> injectByClients(ClientFaults::crowd);
             default -> injectOnProxy(proxyFaults::pause);
         }
     }
@@ -241,6 +243,19 @@
         void inject(SoakProxy proxy, Random random) throws Exception;
     }
 
+    /** Injects a fault that may overlap with any other. */
+    private void injectByClients(ProxyFault clientFault) {
+        SoakProxy proxy = proxies.get(random.nextInt(proxies.size()));
+        Random faultRandom = new Random(random.nextLong());
+        workers.execute(() -> {
+            try {
+                clientFault.inject(proxy, faultRandom);
+            } catch (Exception e) {
+                history.errors.add("clients of n" + proxy.number + ": " + e);
+            }
+        });
+    }
+
     private void injectOnProxy(ProxyFault proxyFault) {
         SoakProxy proxy = proxies.get(random.nextInt(proxies.size()));
         long seed = random.nextLong();
