--- a/src/main/java/cacheproxy/fakes/FloodClient.java
+++ b/src/main/java/cacheproxy/fakes/FloodClient.java
@@ -162,9 +162,13 @@
 
     /** Closes all connections. */
     @Override
-    public void close() throws InterruptedException {
+    public void close() {
         closed = true;
         selector.wakeup();
-        thread.join();
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/test/java/cacheproxy/proxy/net/TurnSchedulerTest.java
+++ b/src/test/java/cacheproxy/proxy/net/TurnSchedulerTest.java
@@ -35,6 +35,7 @@
     }
 
     /** Guards against work that queues itself again and keeps the loop from its sockets and timers. */
+    @SuppressWarnings("FutureReturnValueIgnored") // what the timer completes is awaited
     @Test
     void theLoopPollsAndRunsTimersBesideEndlessWork() throws Exception {
         CompletableFuture<Long> polled = new CompletableFuture<>();
