Count a wait in the accept queue that many short turns of the loop have built up

Cause: the wait of a new connection was estimated from pauses of the loop, for 100 ms after one. A flood of connects fills the queue although no turn is long, and drains it more slowly than that. Change: at a connection's first read the operating system tells for how long the bytes have been there (TCP_INFO); where it does not, the estimate stands as before. Tests: SocketStateTest; DeadlinePropagationIT.aRequestThatWaitedBehindAFloodOfConnections... passes before as well (60 connections): the queue of one process and one node drains too fast.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -214,7 +214,7 @@
         activity.active(loopContext.nowMs());
         boolean bytesRead = message != Unpooled.EMPTY_BUFFER;
         if (bytesRead) {
-            readControl.bytesRead();
+            readControl.bytesRead(context.channel());
             turns.readBegins();
         }
         super.channelRead(context, message);
--- a/src/main/java/cacheproxy/proxy/client/ReadControl.java
+++ b/src/main/java/cacheproxy/proxy/client/ReadControl.java
@@ -1,7 +1,9 @@
 package cacheproxy.proxy.client;
 
 import cacheproxy.proxy.net.ReadPause;
+import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.upstream.EventLoopContext;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 
 /**
@@ -11,6 +13,7 @@
 final class ReadControl {
     private final EventLoopContext loopContext;
     private boolean paused;
+    private boolean firstRead = true;
     /** The earliest time at which the bytes last read may have arrived. */
     private double unreadSinceMs;
     /**
@@ -35,9 +38,13 @@
         unreadSinceMs = queuedSinceMs;
     }
 
-    /** Records that bytes have been read from the socket. */
-    void bytesRead() {
+    /** Records that bytes have been read from the socket of this channel. */
+    void bytesRead(Channel channel) {
         unreadSinceMs = loopContext.unreadSinceMs();
+        if (firstRead) { // the connection may have been in the accept queue for many turns of the loop
+            firstRead = false;
+            unreadSinceMs = Math.min(unreadSinceMs, loopContext.nowMs() - SocketState.lastReceivedAgoMs(channel));
+        }
         if (loopContext.isTurnOrNext(resumeTurn)) {
             unreadSinceMs = Math.min(unreadSinceMs, unreadSincePauseMs);
         }
--- a/src/main/java/cacheproxy/proxy/net/SocketState.java
+++ b/src/main/java/cacheproxy/proxy/net/SocketState.java
@@ -12,6 +12,9 @@
 
     private static final int TCP_CLOSE_WAIT = 8;
 
+    /** A longer time since the last bytes came is taken for a system that does not record it. */
+    private static final long MAX_UNREAD_MS = 10_000;
+
     private SocketState() {}
 
     /**
@@ -21,15 +24,30 @@
         if (!channel.isActive()) {
             return true;
         }
+        EpollTcpInfo info = tcpInfo(channel);
+        return info != null && (info.state() == TCP_CLOSE || info.state() == TCP_CLOSE_WAIT);
+    }
+
+    /**
+     * Returns for how long, in milliseconds, the bytes that the peer sent last have been in the operating system; 0 if
+     * it does not report that.
+     */
+    public static double lastReceivedAgoMs(Channel channel) {
+        EpollTcpInfo info = tcpInfo(channel);
+        return info == null || info.lastDataRecv() > MAX_UNREAD_MS ? 0 : info.lastDataRecv();
+    }
+
+    /** Returns null if the operating system does not report the state of the connection. */
+    private static EpollTcpInfo tcpInfo(Channel channel) {
         if (!(channel instanceof EpollSocketChannel socket)) {
-            return false;
+            return null;
         }
         try {
             EpollTcpInfo info = new EpollTcpInfo();
             socket.tcpInfo(info);
-            return info.state() == TCP_CLOSE || info.state() == TCP_CLOSE_WAIT;
+            return info;
         } catch (ChannelException e) {
-            return false;
+            return null;
         }
     }
 }
--- a/src/test/java/cacheproxy/DeadlinePropagationIT.java
+++ b/src/test/java/cacheproxy/DeadlinePropagationIT.java
@@ -2,8 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.fakes.FloodClient;
+import cacheproxy.fakes.FloodKind;
 import cacheproxy.fakes.ScriptedServer;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -24,6 +28,8 @@
     private static final double SLACK_MS = 150;
     private static final int WAIT_MS = 3000;
     private static final long DELAY_MS = 600;
+    private static final int FLOODING_CONNECTIONS = 300;
+    private static final int NEW_CONNECTIONS = 60;
     private static final Pattern DEADLINE = Pattern.compile("[P,: ]d=([0-9.]+)");
 
     @TempDir
@@ -132,6 +138,27 @@
         return all;
     }
 
+    /** Guards against a wait in the accept queue that builds up although each turn of the event loop is short. */
+    @Test
+    void aRequestThatWaitedBehindAFloodOfConnectionsCarriesTheTimeLeft() throws Exception {
+        try (ServeProcess proxy = new ServeProcess(folder)) {
+            BlockingQueue<ReceivedDeadline> received = receivedDeadline(proxy);
+            proxy.start();
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), proxy.port());
+            try (FloodClient flood = FloodClient.start(address, FloodKind.RECONNECTS, FLOODING_CONNECTIONS, true, 1)) {
+                flood.awaitSent();
+                for (int i = 0; i < NEW_CONNECTIONS; i++) {
+                    try (ServeProcess.Client client = proxy.client()) {
+                        long sent = client.send(read("flooded" + i));
+                        assertThat(client.line()).isEqualTo("VA 5 Oflooded" + i);
+                        assertWithinTimeLeft(received.take(), sent);
+                        received.clear(); // a hedged request that came later
+                    }
+                }
+            }
+        }
+    }
+
     @Test
     void aRequestThatWaitedUnreadOnAnOpenConnectionCarriesTheTimeLeft() throws Exception {
         try (ServeProcess proxy = new ServeProcess(folder)) {
