Let some events and slices run in each turn however long they take

Need: a process with a fraction of a core is stopped within its turns, so that a bound in time alone would cut each turn after one event, pause the other connections and poll again. Change: 4 events at once, 8 slices of new work and 2 of a backlog run in each turn, and 4 requests of a slice are submitted, whatever the clock says.

--- a/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestSubmitter.java
@@ -17,6 +17,9 @@
  * event loop only.
  */
 final class RequestSubmitter implements TurnScheduler.Work {
+    /** Requests of a slice that are submitted however long that takes. */
+    private static final int MIN_REQUESTS_PER_SLICE = 4;
+
     /** Why no further request is submitted now. */
     private enum Progress {
         /** None is left. */
@@ -90,7 +93,7 @@
     }
 
     private void submitInSlice() {
-        Progress progress = submitAllowed(System.nanoTime() + TurnScheduler.SLICE_NANOS);
+        Progress progress = submitAllowed(MIN_REQUESTS_PER_SLICE, System.nanoTime() + TurnScheduler.SLICE_NANOS);
         if (progress == Progress.BLOCKED
                 && !awaitsMemory
                 && connection.admission().mayQueueResponses()) {
@@ -102,7 +105,7 @@
 
     /** Returns whether the connection no longer waits for the account; it may still wait for its own client. */
     private boolean onMemoryAvailable() {
-        Progress progress = submitAllowed(System.nanoTime()); // one at the most, as many may wait
+        Progress progress = submitAllowed(1, System.nanoTime()); // as many may wait, each submits one
         awaitsMemory = progress == Progress.BLOCKED && connection.admission().mayQueueResponses();
         if (progress == Progress.OUT_OF_TIME) {
             schedule();
@@ -110,15 +113,15 @@
         return !awaitsMemory;
     }
 
-    /** Submits requests, but no second one after this time, until one has to wait. */
-    private Progress submitAllowed(long endNanos) {
-        boolean submitted = false;
+    /** Submits requests until one has to wait, or the least number has been submitted and the time is over. */
+    private Progress submitAllowed(int minRequests, long endNanos) {
+        int submitted = 0;
         ChannelHandlerContext context = connection.context();
         // If the channel is no longer active, channelInactive is called later and releases the requests that are left
         // here.
         PendingResponse response;
         while (context.channel().isActive() && (response = unsubmitted.peek()) != null) {
-            if (submitted && System.nanoTime() - endNanos > 0) {
+            if (submitted >= minRequests && System.nanoTime() - endNanos > 0) {
                 return Progress.OUT_OF_TIME;
             }
             if (!connection.admission().mayForward(response)) { // claims memory, to be used by the submission
@@ -126,7 +129,7 @@
             }
             unsubmitted.remove();
             submit(response, context);
-            submitted = true;
+            submitted++;
         }
         return Progress.DONE;
     }
--- a/src/main/java/cacheproxy/proxy/net/TurnScheduler.java
+++ b/src/main/java/cacheproxy/proxy/net/TurnScheduler.java
@@ -7,7 +7,8 @@
 /**
  * Shares each turn of an event loop between many users. Work is queued and runs in slices, one user after the other,
  * for a bounded time in each turn; what is left runs in later turns, after the loop has polled its sockets and run its
- * timers. Used on its event loop only.
+ * timers. A few events and slices run in each turn however long they take, as a process with a fraction of a core is
+ * stopped within them. Used on its event loop only.
  */
 public final class TurnScheduler {
     /** How long a slice should last; see {@link Work#runSlice}. */
@@ -20,6 +21,10 @@
     /** How long the work of users with a backlog may take in one turn. */
     private static final long BACKLOG_NANOS = TimeUnit.MICROSECONDS.toNanos(500);
 
+    private static final int MIN_DIRECT_EVENTS = 4;
+    private static final int MIN_NEW_SLICES = 8;
+    private static final int MIN_BACKLOG_SLICES = 2;
+
     /** What a user has to do. */
     @FunctionalInterface
     public interface Work {
@@ -33,13 +38,14 @@
     private final EventLoop loop;
     private final PollClock polls;
     private final FaultMonitor faults;
-    private final WorkQueue newWork = new WorkQueue(NEW_WORK_NANOS);
-    private final WorkQueue backlog = new WorkQueue(BACKLOG_NANOS);
+    private final WorkQueue newWork = new WorkQueue(NEW_WORK_NANOS, MIN_NEW_SLICES);
+    private final WorkQueue backlog = new WorkQueue(BACKLOG_NANOS, MIN_BACKLOG_SLICES);
     private final Runnable run = this::run;
     private boolean runPending;
     private boolean nextTurnPending;
     private long currentTurn;
     private long remainingDirectNanos = DIRECT_NANOS;
+    private int directEvents;
     private long turnsCutShort;
 
     /**
@@ -57,18 +63,20 @@
     /** Returns whether an event of a user may be handled at once in this turn, instead of being queued as work. */
     public boolean mayHandleAtOnce() {
         noticeTurn();
-        return remainingDirectNanos > 0;
+        return remainingDirectNanos > 0 || directEvents < MIN_DIRECT_EVENTS;
     }
 
     /** Records for how long an event of a user was handled at once. */
     public void handledAtOnce(long nanos) {
         remainingDirectNanos -= nanos;
+        directEvents++;
     }
 
     private void noticeTurn() {
         if (polls.turn() == 0 || polls.turn() != currentTurn) {
             currentTurn = polls.turn();
             remainingDirectNanos = DIRECT_NANOS;
+            directEvents = 0;
             newWork.beginTurn();
             backlog.beginTurn();
         }
@@ -126,11 +134,14 @@
     /** Work in the order of its arrival, and how long it may still run in this turn. */
     private final class WorkQueue {
         private final long nanosPerTurn;
+        private final int minSlicesPerTurn;
         private final ArrayDeque<Work> queue = new ArrayDeque<>();
         private long remainingNanos;
+        private int remainingMinSlices;
 
-        WorkQueue(long nanosPerTurn) {
+        WorkQueue(long nanosPerTurn, int minSlicesPerTurn) {
             this.nanosPerTurn = nanosPerTurn;
+            this.minSlicesPerTurn = minSlicesPerTurn;
         }
 
         void add(Work work) {
@@ -143,12 +154,14 @@
 
         void beginTurn() {
             remainingNanos = nanosPerTurn;
+            remainingMinSlices = minSlicesPerTurn;
         }
 
         /** Runs slices until none is left or the time is used; returns the time at its end. */
         long run(long startNanos) {
             long nowNanos = startNanos;
-            while (remainingNanos > 0 && !queue.isEmpty()) {
+            while ((remainingNanos > 0 || remainingMinSlices > 0) && !queue.isEmpty()) {
+                remainingMinSlices--;
                 Work work = queue.poll();
                 if (runSlice(work)) {
                     backlog.add(work);
--- a/src/test/java/cacheproxy/proxy/net/TurnSchedulerTest.java
+++ b/src/test/java/cacheproxy/proxy/net/TurnSchedulerTest.java
@@ -76,6 +76,28 @@
         assertThat(order).hasSize(users + 1).first().isEqualTo("new");
     }
 
+    /** Guards against turns that are cut after each event in a process with a fraction of a core. */
+    @Test
+    void someEventsAndSlicesRunInATurnHoweverLongTheyTake() throws Exception {
+        List<Long> turns = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(3);
+        loop.execute(() -> {
+            assertThat(scheduler.mayHandleAtOnce()).isTrue();
+            scheduler.handledAtOnce(TimeUnit.SECONDS.toNanos(1));
+            assertThat(scheduler.mayHandleAtOnce()).isTrue();
+            for (int i = 0; i < 3; i++) {
+                scheduler.schedule(() -> {
+                    use(TimeUnit.MILLISECONDS.toNanos(5));
+                    turns.add(polls.turn());
+                    done.countDown();
+                    return false;
+                });
+            }
+        });
+        done.await();
+        assertThat(turns).containsOnly(turns.get(0));
+    }
+
     @Test
     void usersHaveTheirSlicesInTurn() throws Exception {
         List<Integer> order = new ArrayList<>();
