Let the explorer wait until the loop has polled, not until a number fits

Cause: after a step the explorer waited for the proxy's number of clients. It is as expected, too, if one client has come and another has left while the loop was held, and neither has been noticed; the three tasks that it then waited for can run in one turn of the loop, without a poll. So a node's answer and the close were read in one poll, and the attempt that followed began within the 0.1 s allowed. The times of a failing order were not recorded. Change: it waits for three polls besides.

--- a/src/test/java/cacheproxy/proxy/Explorer.java
+++ b/src/test/java/cacheproxy/proxy/Explorer.java
@@ -315,8 +315,9 @@
                 fleet.proxy.clientCount() != live && System.nanoTime() < until; ) {
             Thread.onSpinWait(); // a close may reach the proxy later than newer events on other connections
         }
+        // The number is also as expected if a client has come and another has left, and neither has been noticed.
         for (int i = 0; i < 3; i++) { // an event, the tasks that it schedules, and the writes of those
-            fleet.proxy.pendingRequests();
+            awaitPoll();
         }
         accept(nodeListener, nodeConnections);
         accept(originListener, originConnections);
@@ -345,6 +346,13 @@
         }
     }
 
+    /** Waits until the event loop has polled its sockets and handled what it found: a timer runs after a poll. */
+    private void awaitPoll() throws InterruptedException {
+        CountDownLatch polled = new CountDownLatch(1);
+        fleet.proxy.runAfter(0, polled::countDown);
+        polled.await();
+    }
+
     private static void accept(ServerSocketChannel listener, List<ServerPeer> to) throws IOException {
         for (SocketChannel socket; (socket = listener.accept()) != null; ) {
             to.add(new ServerPeer(socket));
