--- a/src/main/java/cacheproxy/proxy/client/package-info.java
+++ b/src/main/java/cacheproxy/proxy/client/package-info.java
@@ -8,9 +8,10 @@
  *       their order. Its parts own one state each: {@link cacheproxy.proxy.client.RequestDecoder} the command that is
  *       being read, {@link cacheproxy.proxy.client.RequestSubmitter} the requests that are complete and not submitted
  *       yet, {@link cacheproxy.proxy.client.ResponseQueue} the open responses,
- *       {@link cacheproxy.proxy.client.ReadControl} the pauses in reading,
- *       {@link cacheproxy.proxy.client.ConnectionCloser} the steps of closing, and
- *       {@link cacheproxy.proxy.client.ConnectionActivity} the times that timeouts count from.
+ *       {@link cacheproxy.proxy.client.ReadControl} the pauses in reading, {@link cacheproxy.proxy.client.CommandTurns}
+ *       the share of the event loop that its commands may take, {@link cacheproxy.proxy.client.ImmediateResponses} the
+ *       proxy's own lines that are written together, {@link cacheproxy.proxy.client.ConnectionCloser} the steps of
+ *       closing, and {@link cacheproxy.proxy.client.ConnectionActivity} the times that timeouts count from.
  *   <li>{@link cacheproxy.proxy.client.MetaProtocol} is the grammar: the platform's, or the one of stock clients
  *       according to memcached's protocol.txt.
  * </ul>
