Let the fleet simulation restart servers in groups and judge them by the stated budget

The simulation could not play the report's release: groups of six servers that drain and are back cold under their ids 7.47 s later, beside servers that fall silent and clients that retry often or at once. It judged cold servers by a plain multiple of their capacity and by counts.

--- a/src/main/java/cacheproxy/simulation/FleetFaults.java
+++ b/src/main/java/cacheproxy/simulation/FleetFaults.java
@@ -12,6 +12,15 @@
     private static final int RELEASE_WAVES = 2;
     private static final double RELEASE_WAVE_INTERVAL_MS = 4000;
     private static final double ZONE_LOST_MS = 5000;
+    private static final int RESTART_GROUP_SIZE = 6;
+    private static final double RESTART_INTERVAL_MS = 1573;
+    /** From the beginning of a server's drain to the end of its process. */
+    private static final double RESTART_DRAIN_MS = 3500;
+    /** From the beginning of a server's drain until its next process is ready. */
+    private static final double RESTART_READY_MS = 7470;
+
+    private static final double SILENCE_AFTER_MS = 6000;
+    private static final double SILENCE_MS = 5000;
     private static final double MIN_PROXY_RESTART_MS = 1500;
     private static final double PROXY_RESTART_RANGE_MS = 500;
     /** When all proxies have been told of the new servers. */
@@ -42,6 +51,7 @@
         if (config.faults().contains(SimulatedFault.ZONE_LOST)) {
             isolateLastQuarter();
         }
+        restartInGroups(config.rollingRestart());
         boolean hotKey = config.faults().contains(SimulatedFault.HOT_KEY_AT_A_COLD_NODE);
         boolean proxiesKilled = config.faults().contains(SimulatedFault.PROXIES_KILLED);
         if (proxiesKilled) {
@@ -56,6 +66,36 @@
         }
     }
 
+    /** Restarts servers in groups, those of the lowest ids first, and silences those of the highest ids. */
+    private void restartInGroups(FleetSimulationConfig.RollingRestart rollingRestart) {
+        for (int group = 0; group < rollingRestart.groups(); group++) {
+            int fromId = 1 + group * RESTART_GROUP_SIZE;
+            int toId = Math.min(fromId + RESTART_GROUP_SIZE, config.servers() + 1);
+            fleet.clock().after(group * RESTART_INTERVAL_MS, () -> restart(serversOfIds(fromId, toId)));
+        }
+        int firstSilentId = config.servers() - rollingRestart.silentServers() + 1;
+        List<SimulatedServer> silent = serversOfIds(firstSilentId, config.servers() + 1);
+        fleet.clock().after(SILENCE_AFTER_MS, () -> silent.forEach(server -> server.isolated = true));
+        fleet.clock().after(SILENCE_AFTER_MS + SILENCE_MS, () -> silent.forEach(server -> server.isolated = false));
+    }
+
+    private List<SimulatedServer> serversOfIds(int fromId, int toId) {
+        return fleet.servers().stream()
+                .filter(server -> server.id >= fromId && server.id < toId)
+                .toList();
+    }
+
+    /** Restarts servers under their ids: they drain, their processes end, and their next processes start cold. */
+    private void restart(List<SimulatedServer> servers) {
+        servers.forEach(server -> server.draining = true);
+        fleet.publish(servers);
+        fleet.clock().after(RESTART_DRAIN_MS, () -> servers.forEach(server -> server.ended = true));
+        fleet.clock().after(RESTART_READY_MS, () -> {
+            servers.forEach(server -> server.restart(fleet.clock().nowMs()));
+            fleet.publish(servers);
+        });
+    }
+
     private void release(int serversPerWave) {
         for (int wave = 0; wave < RELEASE_WAVES; wave++) {
             int from = 1 + wave * config.servers() * 3 / 10;
--- a/src/main/java/cacheproxy/simulation/FleetMetrics.java
+++ b/src/main/java/cacheproxy/simulation/FleetMetrics.java
@@ -60,9 +60,11 @@
     /** Returns the sums at the end. */
     FleetSimulationResult result(int unanswered, Collection<SimulatedServer> servers) {
         double maxColdLoad = 0;
+        double maxBudgetUse = 0;
         int coldAttempts = 0;
         for (SimulatedServer server : servers) {
             maxColdLoad = Math.max(maxColdLoad, server.maxColdLoad());
+            maxBudgetUse = Math.max(maxBudgetUse, server.maxBudgetUse());
             coldAttempts += server.coldAttempts();
         }
         return new FleetSimulationResult(
@@ -70,6 +72,7 @@
                 served,
                 unanswered,
                 maxColdLoad,
+                maxBudgetUse,
                 maxWriteEffects,
                 attempts,
                 crossZoneAttempts,
--- a/src/main/java/cacheproxy/simulation/FleetSimulationResult.java
+++ b/src/main/java/cacheproxy/simulation/FleetSimulationResult.java
@@ -9,6 +9,9 @@
  * @param maxColdLoad the most work that a server was sent while it was warming up, in the time after which it would
  *     collapse, by what it could do in that time; the rule has a bound. Spans in which a third or more came from
  *     proxies that had not been told of its start are left out
+ * @param maxBudgetUse the most work that a server was sent in such a span, by what the rule allows it: N + 2 root(N) +
+ *     2 requests of mean work, or N + 3 root(N) + 3 for N under 30, where N is the settings' multiple of what it could
+ *     do in the middle of the span. Above 1 the server collapses
  * @param maxWriteEffects how often a write took effect at most; the rules allow 1
  * @param attempts of proxies, also at the origin
  * @param crossZoneAttempts of those: to another zone
@@ -24,6 +27,7 @@
         int served,
         int unanswered,
         double maxColdLoad,
+        double maxBudgetUse,
         int maxWriteEffects,
         int attempts,
         int crossZoneAttempts,
--- a/src/main/java/cacheproxy/simulation/SimulatedProxy.java
+++ b/src/main/java/cacheproxy/simulation/SimulatedProxy.java
@@ -158,8 +158,9 @@
 
     private void arriveAtServer(
             int requestId, int attempt, PendingRequest pending, SimulatedServer server, double oneWayMs) {
+        double size = MIN_REQUEST_SIZE + fleet.random().nextDouble();
         if (server.isWarmingUp(nowMs())) {
-            server.recordColdAttempt(nowMs(), listedStartMs.get(server.id) == server.startedMs());
+            server.recordColdAttempt(nowMs(), size, listedStartMs.get(server.id) == server.startedMs());
         }
         if (server.ended || server.isolated) {
             fleet.metrics().recordUnreachableAttempt();
@@ -167,7 +168,6 @@
             endAttemptAfter(delayMs, requestId, attempt, AttemptOutcome.CONNECT_FAILED);
             return;
         }
-        double size = MIN_REQUEST_SIZE + fleet.random().nextDouble();
         SimulatedServer.Admission admission = server.admit(nowMs(), pending.request.key(), size);
         if (admission == null) {
             fleet.metrics().recordRejectedAttempt();
