Bound what all proxies send a server in its slow start by a number, not by a share of demand

Cause: nothing on the platform bounded the number of requests to such a server. SlowStart admitted a share of the demand that came down to it; where other servers were draining, silent or full, or clients tried again, each candidate and each try drew anew, in all proxies at once. collapseLoadMultiple and collapseAfterMs, the rule's two figures, were read by nothing. Class: a bound on a ratio where the rule is a sum over users that don't see one another. Change: LearnedSlowStartBudget gives each proxy its part by what warm servers of the kind were seen to answer (ThroughputEstimate), so that the sum over all proxies is at most 2/3 N + sqrt(N) + 1, whatever their shares are. SlowStartWindow counts attempts from admission to one window after their end, so late ones still fit; what never reached its server is given back, in the daemon's process budget too. A fraction of a request is rounded at random once for a start. SentAttempt replaces three arrays. Tests that read thousands of keys in one instant, from a policy that had never had an answer, let it have traffic first; their bounds are the same.

--- a/src/main/java/cacheproxy/limits/PoolAdmissionControl.java
+++ b/src/main/java/cacheproxy/limits/PoolAdmissionControl.java
@@ -35,6 +35,11 @@
         return slowStartBudget.tryAcquire(nowMs, server.id(), server.startedMs(), startedMs);
     }
 
+    @Override
+    public void returnWarmingUp(Endpoint server) {
+        slowStartBudget.giveBack(server.id(), server.startedMs());
+    }
+
     @Override
     public boolean admitHalfOpenProbe(double nowMs, Endpoint server) {
         return halfOpenProbeAllowed.test(server.id());
--- a/src/main/java/cacheproxy/limits/SlowStartBudget.java
+++ b/src/main/java/cacheproxy/limits/SlowStartBudget.java
@@ -108,6 +108,18 @@
         return true;
     }
 
+    /**
+     * Returns a token, because its request never reached the server. It is lost if the server has restarted since.
+     *
+     * @param listedStartMs the start time in the endpoint list
+     */
+    public void giveBack(int server, double listedStartMs) {
+        Bucket bucket = buckets.get(server);
+        if (bucket != null && bucket.listedStartMs == listedStartMs) {
+            bucket.tokens++;
+        }
+    }
+
     /** Returns how many requests a millisecond this proxy may send to a server that started at {@code startedMs}. */
     private double requestsPerMs(int server, double startedMs, double nowMs) {
         double ageMs = Math.max(0, nowMs - startedMs);
--- a/src/main/java/cacheproxy/placement/AdmissionControl.java
+++ b/src/main/java/cacheproxy/placement/AdmissionControl.java
@@ -20,6 +20,9 @@
         return true;
     }
 
+    /** Takes back the last admission of {@link #admitWarmingUp}, because the request never reached the server. */
+    default void returnWarmingUp(Endpoint server) {}
+
     /** Returns whether a client's request may now be the half-open probe of a server that was ejected. */
     default boolean admitHalfOpenProbe(double nowMs, Endpoint server) {
         return true;
--- a/src/main/java/cacheproxy/policy/AttemptFeedback.java
+++ b/src/main/java/cacheproxy/policy/AttemptFeedback.java
@@ -58,6 +58,7 @@
             if (isOrigin) {
                 recordOriginSuccess(nowMs, pending, result.elapsedMs());
             } else {
+                server.answerRate().record(nowMs);
                 recordServerSuccess(nowMs, pending, result.elapsedMs());
             }
         }
--- a/src/main/java/cacheproxy/policy/ExponentialDecay.java
+++ b/src/main/java/cacheproxy/policy/ExponentialDecay.java
@@ -11,4 +11,12 @@
     static double remaining(double elapsedMs) {
         return Math.pow(0.5, elapsedMs / HALF_LIFE_MS);
     }
+
+    /**
+     * Returns the count, divided by its rate per millisecond, of something that has happened at a constant rate for a
+     * time in milliseconds.
+     */
+    static double totalMs(double elapsedMs) {
+        return HALF_LIFE_MS / Math.log(2) * (1 - remaining(elapsedMs));
+    }
 }
--- a/src/main/java/cacheproxy/policy/LatencyEstimates.java
+++ b/src/main/java/cacheproxy/policy/LatencyEstimates.java
@@ -84,7 +84,7 @@
     }
 
     /** Returns a request's cost hint as a multiple of the average; 1 if it has no plausible hint. */
-    private double relativeCost(RoutingRequest request) {
+    double relativeCost(RoutingRequest request) {
         return hasPlausibleCost(request) && averageCostMs > 0 ? request.costHintMs() / averageCostMs : 1;
     }
 
--- a/src/main/java/cacheproxy/policy/PendingRequest.java
+++ b/src/main/java/cacheproxy/policy/PendingRequest.java
@@ -14,9 +14,7 @@
     private final double arrivedMs;
     private final int keyHash;
     private final int number;
-    private final ServerState[] attemptedServers;
-    private final double[] sentAtMs;
-    private final boolean[] ended;
+    private final SentAttempt[] sentAttempts;
     private int attempts;
     private int inFlightAttempts;
     private int hotKeySpread = 1;
@@ -34,6 +32,9 @@
     private ServerState mayHaveRunServer;
     private ArrayDeque<PendingRequest> waiters;
 
+    /** The next attempt's part of its server's slow-start budget; null if it has none. */
+    private SlowStartReservation reservation;
+
     /**
      * Creates a request without attempts.
      *
@@ -45,9 +46,7 @@
         this.number = number;
         arrivedMs = nowMs;
         keyHash = CarpHash.keyHash(placementKey());
-        attemptedServers = new ServerState[maxAttempts];
-        sentAtMs = new double[maxAttempts];
-        ended = new boolean[maxAttempts];
+        sentAttempts = new SentAttempt[maxAttempts];
     }
 
     /** Returns the request as the client has sent it. */
@@ -104,23 +103,22 @@
     /** Records an attempt that is sent; returns its number. */
     int startAttempt(double nowMs, ServerState server) {
         int attempt = attempts++;
-        attemptedServers[attempt] = server;
-        sentAtMs[attempt] = nowMs;
+        sentAttempts[attempt] = new SentAttempt(nowMs, server, takeReservation());
         inFlightAttempts++;
         return attempt;
     }
 
     /** Records the end of an attempt. */
     void endAttempt(int attempt) {
-        ended[attempt] = true;
+        sentAttempts[attempt].end();
         inFlightAttempts--;
     }
 
     /** Records that an attempt may have taken effect; only the first such attempt is kept. */
     void markMayHaveRun(int attempt) {
         if (Double.isNaN(mayHaveRunSinceMs)) {
-            mayHaveRunSinceMs = sentAtMs[attempt];
-            mayHaveRunServer = attemptedServers[attempt];
+            mayHaveRunSinceMs = sentAttempts[attempt].sentAtMs();
+            mayHaveRunServer = sentAttempts[attempt].server();
         }
     }
 
@@ -146,7 +144,7 @@
 
     /** Returns how many attempts may still be sent. */
     int attemptsLeft() {
-        return attemptedServers.length - attempts;
+        return sentAttempts.length - attempts;
     }
 
     /** Returns whether the request may have another attempt and, after that, one at the origin. */
@@ -161,18 +159,35 @@
 
     /** Returns the server that an attempt was sent to. */
     ServerState server(int attempt) {
-        return attemptedServers[attempt];
+        return sentAttempts[attempt].server();
+    }
+
+    /** Returns an attempt that was sent. */
+    SentAttempt sentAttempt(int attempt) {
+        return sentAttempts[attempt];
     }
 
     /** Whether an attempt has ended. */
     boolean hasEnded(int attempt) {
-        return ended[attempt];
+        return sentAttempts[attempt].hasEnded();
+    }
+
+    /** Keeps a part of a server's slow-start budget for the next attempt. */
+    void setReservation(SlowStartReservation reserved) {
+        reservation = reserved;
+    }
+
+    /** Returns the part of a server's slow-start budget that is kept for the next attempt, and keeps none. */
+    SlowStartReservation takeReservation() {
+        SlowStartReservation taken = reservation;
+        reservation = null;
+        return taken;
     }
 
     /** Whether an attempt was sent to a server. */
     boolean wasSentTo(ServerState server) {
         for (int attempt = 0; attempt < attempts; attempt++) {
-            if (attemptedServers[attempt] == server) {
+            if (sentAttempts[attempt].server() == server) {
                 return true;
             }
         }
--- a/src/main/java/cacheproxy/policy/RequestRouter.java
+++ b/src/main/java/cacheproxy/policy/RequestRouter.java
@@ -15,6 +15,7 @@
     private final LoadEstimates estimates;
     private final EndpointList endpoints;
     private final OutlierEjection ejection;
+    private final SlowStart slowStart;
     private final PendingRequestTable requests;
     private final ServerSelector selector;
     private final RetryRules retryRules;
@@ -36,6 +37,7 @@
         this.endpoints = endpoints;
         this.estimates = estimates;
         this.ejection = ejection;
+        this.slowStart = slowStart;
         settings = environment.settings();
         admission = environment.admission();
         requests = new PendingRequestTable(settings);
@@ -76,6 +78,14 @@
         }
     }
 
+    /** Returns whether an attempt may begin now; true for one that is not known, whose end will be ignored. */
+    boolean mayBegin(double nowMs, int requestId, int attempt) {
+        PendingRequest pending = requests.byId(requestId);
+        return pending == null
+                || attempt >= pending.attempts()
+                || slowStart.mayBegin(nowMs, pending, pending.sentAttempt(attempt));
+    }
+
     /** Handles the end of an attempt. It is ignored if it was already reported or the attempt was never sent. */
     void attemptEnded(double nowMs, AttemptResult result, PolicyActions actions) {
         PendingRequest pending = requests.byId(result.requestId());
@@ -85,6 +95,7 @@
         }
         ServerState server = pending.server(attempt);
         pending.endAttempt(attempt);
+        slowStart.attemptEnded(nowMs, pending.sentAttempt(attempt), result.outcome());
         feedback.record(nowMs, pending, server, result);
         if (result.outcome().mayHaveRun()) {
             pending.markMayHaveRun(attempt);
@@ -232,6 +243,11 @@
             return;
         }
         ServerState server = selector.selectNext(nowMs, pending, actions);
+        advanceTo(server, nowMs, pending, actions);
+        slowStart.releaseUnsent(pending);
+    }
+
+    private void advanceTo(ServerState server, double nowMs, PendingRequest pending, PolicyActions actions) {
         if (server == null || !retryRules.maySend(nowMs, pending, server)) {
             giveUp(nowMs, pending, actions);
             return;
--- a/src/main/java/cacheproxy/policy/RoutingPolicy.java
+++ b/src/main/java/cacheproxy/policy/RoutingPolicy.java
@@ -51,8 +51,8 @@
             AdmissionControl admission,
             Siblings siblings) {
         this.settings = settings;
-        PolicyEnvironment environment =
-                new PolicyEnvironment(settings, new SplittableRandom(seed), placements, admission, siblings);
+        PolicyEnvironment environment = new PolicyEnvironment(
+                settings, new SplittableRandom(seed), new SplittableRandom(~seed), placements, admission, siblings);
         endpointList = new EndpointList(environment);
         listWatch = new EndpointListWatch(settings, environment.random());
         estimates = LoadEstimates.initial(settings);
@@ -60,7 +60,7 @@
             throw new IllegalArgumentException("maxAttempts must be at least 1, but is " + settings.maxAttempts());
         }
         ejection = new OutlierEjection(settings);
-        slowStart = new SlowStart(environment, estimates);
+        slowStart = new SlowStart(environment, estimates, endpointList);
         router = new RequestRouter(environment, endpointList, estimates, ejection, slowStart);
         stateTransfer = new LearnedStateTransfer(endpointList, estimates, ejection);
     }
@@ -74,6 +74,7 @@
         if (kind == EndpointListKind.CACHED) {
             listWatch.cachedListReceived(actions); // even if the list is invalid: discovery's list may be valid
         }
+        slowStart.beforeListChange(nowMs);
         endpointList.update(nowMs, kind, endpoints); // throws for an invalid list, which is not an answer
         if (kind != EndpointListKind.CACHED) {
             listWatch.answered();
@@ -98,6 +99,14 @@
         return value >= 0 && value < count;
     }
 
+    /**
+     * Returns whether an attempt may begin now: whether it fits the budget of a server that is in its slow start. To be
+     * called right before the attempt's first byte is written, which may be long after it was placed.
+     */
+    public boolean mayBegin(double nowMs, int requestId, int attempt) {
+        return router.mayBegin(nowMs, requestId, attempt);
+    }
+
     @Override
     public void onFirstByte(double nowMs, int requestId, int attempt, int serverId, PolicyActions actions) {
         router.responseStarted(requestId);
--- a/src/main/java/cacheproxy/policy/ServerSelector.java
+++ b/src/main/java/cacheproxy/policy/ServerSelector.java
@@ -109,7 +109,13 @@
     }
 
     private boolean admitsProbe(double nowMs, PendingRequest pending, ServerState server) {
-        return slowStart.admits(nowMs, pending, server)
-                && environment.admission().admitHalfOpenProbe(nowMs, server.endpoint());
+        if (!slowStart.admits(nowMs, pending, server)) {
+            return false;
+        }
+        boolean admitted = environment.admission().admitHalfOpenProbe(nowMs, server.endpoint());
+        if (!admitted) {
+            slowStart.releaseUnsent(pending);
+        }
+        return admitted;
     }
 }
--- a/src/main/java/cacheproxy/policy/ServerState.java
+++ b/src/main/java/cacheproxy/policy/ServerState.java
@@ -20,6 +20,10 @@
     private boolean probing;
     private boolean probeSucceeded;
     private boolean failuresRestored;
+    private final AnswerRate answerRate = new AnswerRate();
+
+    /** What counts against the server's slow-start budget since its present start; null if nothing has. */
+    private SlowStartWindow slowStartWindow;
 
     ServerState(int id) {
         this.id = id;
@@ -54,6 +58,10 @@
             probeSucceeded = false;
             failuresRestored = false;
         }
+        if (isNew || restarted) {
+            answerRate.reset(nowMs);
+            slowStartWindow = null;
+        }
         if (!firstList && (isNew || restarted)) {
             restartSeenMs = nowMs;
         }
@@ -65,6 +73,20 @@
         return restartSeenMs;
     }
 
+    /** Returns the rate at which the server answers since its present start. */
+    AnswerRate answerRate() {
+        return answerRate;
+    }
+
+    /** Returns what counts against the server's slow-start budget since its present start; null if nothing has. */
+    SlowStartWindow slowStartWindow() {
+        return slowStartWindow;
+    }
+
+    void setSlowStartWindow(SlowStartWindow window) {
+        slowStartWindow = window;
+    }
+
     /** Returns the server's fraction of the total weight of all ready cache servers, 0 to 1. */
     double weightFraction() {
         return weightFraction;
--- a/src/main/java/cacheproxy/policy/SlowStart.java
+++ b/src/main/java/cacheproxy/policy/SlowStart.java
@@ -5,8 +5,9 @@
 
 /**
  * Limits the requests to a server that is warming up after its start. With an empty cache it has only a fraction of its
- * capacity, which grows linearly to the full capacity over {@link PolicySettings#warmUpMs}. It receives no retries and
- * no requests for hot keys that are spread.
+ * capacity, which grows linearly to the full capacity over {@link PolicySettings#warmUpMs}. It receives that fraction
+ * of its usual requests, no retries and no requests for hot keys that are spread, and never more than the budget of
+ * {@link LearnedSlowStartBudget}, whatever the clients send and however few other servers are left.
  */
 final class SlowStart {
     /**
@@ -27,12 +28,21 @@
     private final PolicyEnvironment environment;
     private final PolicySettings settings;
     private final LoadEstimates estimates;
+    private final ThroughputEstimate throughput;
+    private final LearnedSlowStartBudget budget;
     private final StartTimes startTimes = new StartTimes();
 
-    SlowStart(PolicyEnvironment environment, LoadEstimates estimates) {
+    SlowStart(PolicyEnvironment environment, LoadEstimates estimates, EndpointList endpoints) {
         this.environment = environment;
         this.estimates = estimates;
         settings = environment.settings();
+        throughput = new ThroughputEstimate(endpoints, settings.kindCount(), this::capacityFraction);
+        budget = new LearnedSlowStartBudget(settings, throughput);
+    }
+
+    /** Must be called before a list changes which servers there are. */
+    void beforeListChange(double nowMs) {
+        throughput.calculate(nowMs);
     }
 
     /** Records the start times of a received list. */
@@ -46,8 +56,8 @@
     }
 
     /**
-     * Returns whether a server may receive a request's next attempt, which then counts as sent. Always true for a
-     * server that has warmed up.
+     * Returns whether a server may receive a request's next attempt, which then has its part of the server's budget.
+     * Always true for a server that has warmed up.
      */
     boolean admits(double nowMs, PendingRequest pending, ServerState server) {
         if (!isWarmingUp(nowMs, server)) {
@@ -58,16 +68,109 @@
         }
         // Requests are admitted at random rather than by key: if all proxies admitted the same keys, a new hot key
         // among them would arrive from all proxies.
-        return environment.random().nextDouble() < acceptedFraction(nowMs, server) * fairFraction(pending, server)
-                && environment.admission().admitWarmingUp(nowMs, server.endpoint(), startedMs(server));
+        double share = acceptedFraction(nowMs, server) * fairFraction(pending, server);
+        if (environment.random().nextDouble() * openFraction(nowMs, server) >= share) {
+            return false;
+        }
+        SlowStartReservation reservation = reserve(nowMs, pending, server);
+        pending.setReservation(reservation);
+        return reservation != null;
     }
 
-    private double acceptedFraction(double nowMs, ServerState server) {
+    /** Gives back the part of a budget that was kept for an attempt that is not sent after all. */
+    void releaseUnsent(PendingRequest pending) {
+        SlowStartReservation reservation = pending.takeReservation();
+        if (reservation != null) {
+            giveBack(reservation);
+        }
+    }
+
+    /** Records the end of an attempt; one that never reached its server gives its part of the budget back. */
+    void attemptEnded(double nowMs, SentAttempt attempt, AttemptOutcome outcome) {
+        SlowStartReservation reservation = attempt.reservation();
+        if (reservation == null) {
+            return;
+        }
+        if (outcome == AttemptOutcome.NOT_SENT || outcome == AttemptOutcome.CONNECT_FAILED) {
+            giveBack(reservation);
+        } else {
+            reservation.window().end(nowMs, reservation.cost());
+        }
+    }
+
+    /**
+     * Returns whether an attempt whose first byte is about to be written fits its server's budget. One that was placed
+     * before the server restarted takes its part now.
+     */
+    boolean mayBegin(double nowMs, PendingRequest pending, SentAttempt attempt) {
+        ServerState server = attempt.server();
+        SlowStartReservation reservation = attempt.reservation();
+        if (!isWarmingUp(nowMs, server) || (reservation != null && reservation.isForPresentStart())) {
+            return true;
+        }
+        SlowStartReservation renewed = reserve(nowMs, pending, server);
+        if (renewed != null) {
+            attempt.setReservation(renewed);
+        }
+        return renewed != null;
+    }
+
+    /** Takes a request's part of a server's budget; null if the budget is used up. */
+    private SlowStartReservation reserve(double nowMs, PendingRequest pending, ServerState server) {
+        SlowStartWindow window = window(server);
+        double cost = Math.max(1, estimates.latencies().relativeCost(pending.request()));
+        if (budget.isBounded() && !window.tryAdmit(nowMs, cost, budgetOf(nowMs, server))) {
+            return null;
+        }
+        SlowStartReservation reservation = new SlowStartReservation(server, window, cost);
+        if (!environment.admission().admitWarmingUp(nowMs, server.endpoint(), startedMs(server))) {
+            window.giveBack(cost);
+            return null;
+        }
+        return reservation;
+    }
+
+    private void giveBack(SlowStartReservation reservation) {
+        reservation.window().giveBack(reservation.cost());
+        environment.admission().returnWarmingUp(reservation.server().endpoint());
+    }
+
+    private SlowStartWindow window(ServerState server) {
+        if (server.slowStartWindow() == null) {
+            double rounding = environment.roundingRandom().nextDouble();
+            server.setSlowStartWindow(new SlowStartWindow(settings.collapseAfterMs(), rounding));
+        }
+        return server.slowStartWindow();
+    }
+
+    /** Returns a server's budget, by what it can do in the middle of the window that ends now. */
+    private double budgetOf(double nowMs, ServerState server) {
+        double middleMs = nowMs - settings.collapseAfterMs() / 2;
+        return budget.requests(nowMs, server, capacityFraction(middleMs, server));
+    }
+
+    /**
+     * Returns the probability that the budget allows anything. Whether it does is drawn once for each start of a
+     * server. A proxy that may send then sends more, so that all proxies together send the same.
+     */
+    private double openFraction(double nowMs, ServerState server) {
+        return budget.isBounded() ? Math.min(1, budgetOf(nowMs, server)) : 1;
+    }
+
+    /** Returns the fraction of its capacity that a server has; 1 if it has warmed up. */
+    private double capacityFraction(double nowMs, ServerState server) {
+        if (server.endpoint().startedMs() == 0) {
+            return 1;
+        }
         double ageMs = Math.max(0, nowMs - startedMs(server));
         double initial = settings.initialCapacityFraction();
-        double capacity = initial + (1 - initial) * ageMs / settings.warmUpMs();
-        return capacity
-                / Math.min(MAX_OVERLOAD_FACTOR, estimates.serverThrottle().pressure(nowMs));
+        return ageMs < settings.warmUpMs() ? initial + (1 - initial) * ageMs / settings.warmUpMs() : 1;
+    }
+
+    /** Returns the fraction of its usual requests that a server accepts. */
+    private double acceptedFraction(double nowMs, ServerState server) {
+        double pressure = estimates.serverThrottle().pressure(nowMs);
+        return capacityFraction(nowMs, server) / Math.min(MAX_OVERLOAD_FACTOR, pressure);
     }
 
     /**
--- /dev/null
+++ b/src/main/java/cacheproxy/policy/SlowStartReservation.java
@@ -0,0 +1,15 @@
+package cacheproxy.policy;
+
+/**
+ * An attempt's part of the budget of a server in its slow start, from the attempt's admission to its end.
+ *
+ * @param server the server
+ * @param window the attempts since the start for which the part was admitted
+ * @param cost the part, in requests of average work
+ */
+record SlowStartReservation(ServerState server, SlowStartWindow window, double cost) {
+    /** Whether the server has not restarted since the admission. */
+    boolean isForPresentStart() {
+        return window == server.slowStartWindow();
+    }
+}
--- a/src/main/java/cacheproxy/simulation/FleetFaults.java
+++ b/src/main/java/cacheproxy/simulation/FleetFaults.java
@@ -12,7 +12,6 @@
     private static final int RELEASE_WAVES = 2;
     private static final double RELEASE_WAVE_INTERVAL_MS = 4000;
     private static final double ZONE_LOST_MS = 5000;
-    private static final int RESTART_GROUP_SIZE = 6;
     private static final double RESTART_INTERVAL_MS = 1573;
     /** From the beginning of a server's drain to the end of its process. */
     private static final double RESTART_DRAIN_MS = 3500;
@@ -69,8 +68,8 @@
     /** Restarts servers in groups, those of the lowest ids first, and silences those of the highest ids. */
     private void restartInGroups(FleetSimulationConfig.RollingRestart rollingRestart) {
         for (int group = 0; group < rollingRestart.groups(); group++) {
-            int fromId = 1 + group * RESTART_GROUP_SIZE;
-            int toId = Math.min(fromId + RESTART_GROUP_SIZE, config.servers() + 1);
+            int fromId = 1 + group * rollingRestart.groupSize();
+            int toId = Math.min(fromId + rollingRestart.groupSize(), config.servers() + 1);
             fleet.clock().after(group * RESTART_INTERVAL_MS, () -> restart(serversOfIds(fromId, toId)));
         }
         int firstSilentId = config.servers() - rollingRestart.silentServers() + 1;
--- a/src/main/java/cacheproxy/simulation/FleetSimulationConfig.java
+++ b/src/main/java/cacheproxy/simulation/FleetSimulationConfig.java
@@ -52,22 +52,23 @@
     }
 
     /**
-     * Servers that drain in groups of six, one group every 1.573 s, and are back cold under their ids 7.47 s after they
-     * began to drain; beside that, servers that fall silent for 5 s.
+     * Servers that drain in groups, one group every 1.573 s, and are back cold under their ids 7.47 s after they began
+     * to drain; beside that, servers that fall silent for 5 s.
      *
      * @param groups how many groups restart, 0 or more
+     * @param groupSize servers in a group, 0 or more
      * @param silentServers how many of the servers with the highest ids fall silent 6 s after the first drain, 0 or
      *     more
      */
-    public record RollingRestart(int groups, int silentServers) {
+    public record RollingRestart(int groups, int groupSize, int silentServers) {
         /** No server restarts or falls silent. */
-        public static final RollingRestart NONE = new RollingRestart(0, 0);
+        public static final RollingRestart NONE = new RollingRestart(0, 0, 0);
 
         /** @throws IllegalArgumentException if a number is negative */
         public RollingRestart {
-            if (groups < 0 || silentServers < 0) {
-                throw new IllegalArgumentException(
-                        groups + " groups and " + silentServers + " silent servers: expected 0 or more");
+            if (groups < 0 || groupSize < 0 || silentServers < 0) {
+                throw new IllegalArgumentException(groups + " groups of " + groupSize + " and " + silentServers
+                        + " silent servers: expected 0 or more");
             }
         }
     }
--- a/src/test/java/cacheproxy/policy/LearnedStateTransferTest.java
+++ b/src/test/java/cacheproxy/policy/LearnedStateTransferTest.java
@@ -154,6 +154,7 @@
             int started = 1 + random.nextInt(servers);
             for (PolicyHarness harness : List.of(restored, fresh)) {
                 harness.nowMs = 1e12;
+                harness.withSteadyReads(0.2, 500, 10);
                 harness.changeEndpoints(PolicyHarness.endpoint(started, EndpointState.READY, harness.nowMs - ageMs));
             }
             restored.policy.restore(restored.nowMs, learned);
--- a/src/test/java/cacheproxy/policy/OutlierEjectionTest.java
+++ b/src/test/java/cacheproxy/policy/OutlierEjectionTest.java
@@ -36,7 +36,8 @@
     void probeRejectedBySlowStartDoesNotKeepServerEjected() {
         PolicyHarness harness = new PolicyHarness(
                         PolicyHarness.withoutProbing(PolicyHarness.settings(true, false, true, DeduplicationScope.ALL)))
-                .withFleet(8);
+                .withFleet(8)
+                .withSteadyReads(1, 1000, 10);
         harness.changeEndpoints(PolicyHarness.endpoint(2, EndpointState.READY, harness.nowMs));
         int id = 1;
         for (long key = 1; harness.sentAttempts.isEmpty() || harness.lastSent().serverId() != 2; key++) {
--- a/src/test/java/cacheproxy/policy/PolicyHarness.java
+++ b/src/test/java/cacheproxy/policy/PolicyHarness.java
@@ -33,6 +33,8 @@
     final RoutingPolicy policy;
     int watchCount;
     double nowMs = 1000;
+    /** The id and the key of the last steady read. */
+    private int steadyReadId = 100_000_000;
 
     PolicyHarness(PolicySettings settings) {
         this(settings, new RoutingPolicy(settings, 42));
@@ -123,6 +125,29 @@
         return this;
     }
 
+    /**
+     * Reads other keys at a constant rate, each of which is answered at once, and forgets them. The policy then knows
+     * what its servers can do; without that it sends a server in its slow start next to nothing.
+     *
+     * @param answeredAfterMs what the policy is told of the time that the first three answers in four took
+     */
+    PolicyHarness withSteadyReads(double perMs, double durationMs, double answeredAfterMs) {
+        int count = (int) Math.round(perMs * durationMs);
+        for (int i = 0; i < count; i++) {
+            int sentBefore = sentAttempts.size();
+            read(++steadyReadId, steadyReadId);
+            if (sentAttempts.size() > sentBefore) {
+                endAfter(lastSent(), AttemptOutcome.OK, i % 4 > 0 ? answeredAfterMs : 10);
+            }
+            nowMs += 1 / perMs;
+        }
+        sentAttempts.clear();
+        rejected.clear();
+        timers.clear();
+        actions.clear();
+        return this;
+    }
+
     void changeEndpoints(Endpoint... endpoints) {
         policy.onEndpointList(nowMs, EndpointListKind.CHANGES, List.of(endpoints), this);
     }
--- a/src/test/java/cacheproxy/policy/SlowStartTest.java
+++ b/src/test/java/cacheproxy/policy/SlowStartTest.java
@@ -6,6 +6,10 @@
 
 /** The requests that a server receives while it warms up. */
 class SlowStartTest {
+    private static final double READS_PER_MS = 10;
+    /** For how long there are reads before a server starts. */
+    private static final double KNOWN_TRAFFIC_MS = 2000;
+
     /**
      * The server accepts 0.3 of its keys at its start, 0.65 halfway through its slow start, and all of them afterwards.
      */
@@ -27,8 +31,9 @@
             int accepted = 0;
             for (int seed = 1; seed <= 8; seed++) {
                 PolicySettings settings = PolicyHarness.settings(true, false, false, DeduplicationScope.ALL);
-                PolicyHarness harness = new PolicyHarness(settings, new RoutingPolicy(settings, seed)).withFleet(12);
-                harness.nowMs = 10_000_000 + clockErrorMs;
+                PolicyHarness harness = new PolicyHarness(settings, new RoutingPolicy(settings, seed));
+                harness.nowMs = 10_000_000 + clockErrorMs - KNOWN_TRAFFIC_MS;
+                harness.withFleet(12).withSteadyReads(READS_PER_MS, KNOWN_TRAFFIC_MS, 10);
                 harness.changeEndpoints(PolicyHarness.endpoint(5, EndpointState.READY, 10_000_000));
                 for (int key = 1; key <= 4000; key++) {
                     if (PolicyHarness.topRank(key, 12) == 5) {
@@ -36,6 +41,7 @@
                         ownKeys++;
                         accepted += harness.lastSent().serverId() == 5 ? 1 : 0;
                         harness.endAfter(harness.lastSent(), AttemptOutcome.OK, 10);
+                        harness.nowMs += 12 / READS_PER_MS;
                     }
                 }
             }
@@ -79,17 +85,14 @@
         int accepted = 0;
         for (int seed = 1; seed <= 8; seed++) {
             PolicySettings settings = PolicyHarness.settings(true, false, false, DeduplicationScope.ALL);
-            PolicyHarness harness = new PolicyHarness(settings, new RoutingPolicy(settings, seed)).withFleet(12);
-            harness.nowMs = 100000 - ageMs;
+            PolicyHarness harness = new PolicyHarness(settings, new RoutingPolicy(settings, seed));
+            harness.nowMs = 100000 - ageMs - KNOWN_TRAFFIC_MS;
+            double answeredAfterMs = overloaded ? 900 : 10; // under overload three in four responses are late
+            harness.withFleet(12).withSteadyReads(READS_PER_MS, KNOWN_TRAFFIC_MS, answeredAfterMs);
             harness.changeEndpoints(PolicyHarness.endpoint(
                     5, EndpointState.READY, harness.nowMs)); // the list reports a start soon after it
-            harness.nowMs = 100000;
-            for (int i = 0; i < 300; i++) { // under overload three in four responses are late
-                harness.read(10_000 + i, 10_000 + i);
-                if (harness.lastSent().requestId() == 10_000 + i) {
-                    harness.endAfter(harness.lastSent(), AttemptOutcome.OK, overloaded && i % 4 > 0 ? 900 : 10);
-                }
-            }
+            harness.withSteadyReads(READS_PER_MS, ageMs, answeredAfterMs);
+            harness.sentAttempts.add(new PolicyHarness.SentAttempt(0, 0, 0, 0)); // there is a last one
             for (int key = 1; key <= 4000; key++) {
                 if (PolicyHarness.topRank(key, 12) == 5) {
                     harness.read(key, key);
@@ -98,6 +101,7 @@
                         accepted += harness.lastSent().serverId() == 5 ? 1 : 0;
                         harness.endAfter(harness.lastSent(), AttemptOutcome.OK, overloaded && key % 4 > 0 ? 900 : 10);
                     }
+                    harness.nowMs += 12 / READS_PER_MS;
                 }
             }
         }
--- a/src/test/java/cacheproxy/simulation/RollingRestartTest.java
+++ b/src/test/java/cacheproxy/simulation/RollingRestartTest.java
@@ -14,6 +14,7 @@
 class RollingRestartTest {
     private static final int SERVERS = 38;
     private static final int ZONES = 4;
+    private static final int GROUP_SIZE = 6;
     private static final double DURATION_SECONDS = 24;
 
     /** The worst of a few seeds; some cases judge by the mean of what is served as well. */
@@ -57,7 +58,7 @@
                         Set.of(),
                         seed,
                         new ClientRetries(clientRetries, immediateRetries),
-                        new RollingRestart(groups, silentServers),
+                        new RollingRestart(groups, GROUP_SIZE, silentServers),
                         collapseLoadMultiple))
                 .mapToDouble(config -> {
                     FleetSimulationResult result = new FleetSimulation(config, RoutingPolicy::new).run();
@@ -72,4 +73,27 @@
                 .orElseThrow();
         assertThat(served).as("served").isGreaterThanOrEqualTo(minServed);
     }
+
+    /** All servers restart at once, and in some cases six in ten proxies shortly before them, with nothing learned. */
+    @ParameterizedTest
+    @CsvSource({"1, 0.3, false", "6, 0.68, false", "6, 0.68, true", "100, 0.68, false", "100, 0.68, true"})
+    void overloadsNoServerOfAFleetThatStartsAsAWhole(int proxies, double load, boolean proxiesKilled) {
+        for (int seed = 1; seed <= 3; seed++) {
+            FleetSimulationConfig config = new FleetSimulationConfig(
+                    proxies,
+                    SERVERS,
+                    ZONES,
+                    load,
+                    DURATION_SECONDS,
+                    proxiesKilled ? Set.of(SimulatedFault.PROXIES_KILLED) : Set.of(),
+                    seed,
+                    ClientRetries.DEFAULT,
+                    new RollingRestart(1, SERVERS, 0),
+                    3);
+            FleetSimulationResult result = new FleetSimulation(config, RoutingPolicy::new).run();
+            assertThat(result.maxBudgetUse()).as("seed %s", seed).isLessThanOrEqualTo(1);
+            assertThat(result.coldAttempts()).isGreaterThan(SERVERS);
+            assertThat(result.unanswered()).isZero();
+        }
+    }
 }
