Check the slow-start budget again right before an attempt's first byte

Need: an attempt is placed at one moment and begins at another, after a dial or behind others. What was placed at a warm server could begin after the server's restart, by the dozen, and the budget was the one rule of sending without a guard (docs/design/invariants.md). Change: SendGuard asks the policy last (mayBegin); an attempt that was placed before the restart takes its part then or is not begun, and the policy goes on from there. A second count, of attempts that have begun in a window by what their admissions allowed, is kept apart from the admission: beyond it slow_start_budget is counted as violated. A health check counts as a request. Measured: LearnedSlowStartBudgetTest places over 1,000 attempts at a server that restarts; fewer than 161 may begin, none is counted as violated. SendGuardTest's other cases are unchanged.

--- a/src/main/java/cacheproxy/invariant/Invariant.java
+++ b/src/main/java/cacheproxy/invariant/Invariant.java
@@ -21,6 +21,8 @@
     SINGLE_ATTEMPT,
     /** Nothing is sent to a server that has been draining or gone for longer than the grace period. */
     SERVER_ACCEPTS,
+    /** A server in its slow start is sent no more than this proxy's part of its budget. */
+    SLOW_START_BUDGET,
     /** A request has one final response. */
     SINGLE_ANSWER,
     /** The proxy closes no client connection on which a response is pending. */
--- a/src/main/java/cacheproxy/invariant/SendFacts.java
+++ b/src/main/java/cacheproxy/invariant/SendFacts.java
@@ -28,4 +28,10 @@
 
     /** Since when the server is known to be draining or gone; infinite if it is ready. */
     double serverUnavailableSinceMs();
+
+    /**
+     * Whether the server is in its slow start and its budget has no part for this attempt. May take the part; is asked
+     * after all other facts.
+     */
+    boolean exceedsSlowStartBudget();
 }
--- a/src/main/java/cacheproxy/invariant/SendGuard.java
+++ b/src/main/java/cacheproxy/invariant/SendGuard.java
@@ -53,6 +53,9 @@
         if (nowMs - send.serverUnavailableSinceMs() > drainGraceMs - pauseMarginMs(drainGraceMs)) {
             return Invariant.SERVER_ACCEPTS;
         }
+        if (send.exceedsSlowStartBudget()) {
+            return Invariant.SLOW_START_BUDGET;
+        }
         return null;
     }
 
--- a/src/main/java/cacheproxy/policy/RequestRouter.java
+++ b/src/main/java/cacheproxy/policy/RequestRouter.java
@@ -86,6 +86,14 @@
                 || slowStart.mayBegin(nowMs, pending, pending.sentAttempt(attempt));
     }
 
+    /** Records that an attempt begins; returns false if its server's slow-start budget does not allow it. */
+    boolean attemptBegan(double nowMs, int requestId, int attempt) {
+        PendingRequest pending = requests.byId(requestId);
+        return pending == null
+                || attempt >= pending.attempts()
+                || slowStart.attemptBegan(nowMs, pending.sentAttempt(attempt));
+    }
+
     /** Handles the end of an attempt. It is ignored if it was already reported or the attempt was never sent. */
     void attemptEnded(double nowMs, AttemptResult result, PolicyActions actions) {
         PendingRequest pending = requests.byId(result.requestId());
--- a/src/main/java/cacheproxy/policy/RoutingPolicy.java
+++ b/src/main/java/cacheproxy/policy/RoutingPolicy.java
@@ -5,6 +5,7 @@
 import cacheproxy.placement.PlacementFactory;
 import cacheproxy.siblings.Siblings;
 import cacheproxy.snapshot.state.LearnedState;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -107,6 +108,33 @@
         return router.mayBegin(nowMs, requestId, attempt);
     }
 
+    /**
+     * Records that the first byte of an attempt is written.
+     *
+     * @return false if more attempts have begun at a server in its slow start than its budget allows, which is a defect
+     */
+    public boolean attemptBegan(double nowMs, int requestId, int attempt) {
+        return router.attemptBegan(nowMs, requestId, attempt);
+    }
+
+    /** Returns what this policy has done with each ready cache server that is in its slow start. */
+    public List<SlowStartStatus> slowStarts(double nowMs) {
+        List<SlowStartStatus> statuses = new ArrayList<>();
+        for (int i = 0; i < endpointList.rankedCount(); i++) {
+            ServerState server = endpointList.ranked(i);
+            if (slowStart.isWarmingUp(nowMs, server)) {
+                statuses.add(slowStart.status(nowMs, server));
+            }
+        }
+        return statuses;
+    }
+
+    /** Returns what this policy has done with a server since its last start; null if the server is not listed. */
+    public SlowStartStatus slowStart(double nowMs, int serverId) {
+        ServerState server = endpointList.server(serverId);
+        return server == null ? null : slowStart.status(nowMs, server);
+    }
+
     @Override
     public void onFirstByte(double nowMs, int requestId, int attempt, int serverId, PolicyActions actions) {
         router.responseStarted(requestId);
--- a/src/main/java/cacheproxy/policy/ServerSelector.java
+++ b/src/main/java/cacheproxy/policy/ServerSelector.java
@@ -104,7 +104,9 @@
             return slowStart.admits(nowMs, pending, server);
         }
         return ejection.isProbeDue(nowMs, pending, server)
-                && (environment.settings().probingAllowed() || admitsProbe(nowMs, pending, server))
+                && (environment.settings().probingAllowed()
+                        ? slowStart.admitsHealthCheck(nowMs, server)
+                        : admitsProbe(nowMs, pending, server))
                 && ejection.startProbe(server, actions);
     }
 
--- a/src/main/java/cacheproxy/policy/SlowStart.java
+++ b/src/main/java/cacheproxy/policy/SlowStart.java
@@ -72,11 +72,24 @@
         if (environment.random().nextDouble() * openFraction(nowMs, server) >= share) {
             return false;
         }
-        SlowStartReservation reservation = reserve(nowMs, pending, server);
+        SlowStartReservation reservation = reserve(nowMs, costOf(pending), server);
         pending.setReservation(reservation);
         return reservation != null;
     }
 
+    /** Returns whether a server may receive a health check now; if it is in its slow start, one counts as a request. */
+    boolean admitsHealthCheck(double nowMs, ServerState server) {
+        if (!isWarmingUp(nowMs, server)) {
+            return true;
+        }
+        SlowStartReservation reservation = reserve(nowMs, 1, server);
+        if (reservation == null) {
+            return false;
+        }
+        reservation.window().end(nowMs, reservation.cost());
+        return true;
+    }
+
     /** Gives back the part of a budget that was kept for an attempt that is not sent after all. */
     void releaseUnsent(PendingRequest pending) {
         SlowStartReservation reservation = pending.takeReservation();
@@ -108,26 +121,59 @@
         if (!isWarmingUp(nowMs, server) || (reservation != null && reservation.isForPresentStart())) {
             return true;
         }
-        SlowStartReservation renewed = reserve(nowMs, pending, server);
+        SlowStartReservation renewed = reserve(nowMs, costOf(pending), server);
         if (renewed != null) {
             attempt.setReservation(renewed);
         }
         return renewed != null;
     }
 
-    /** Takes a request's part of a server's budget; null if the budget is used up. */
-    private SlowStartReservation reserve(double nowMs, PendingRequest pending, ServerState server) {
+    /**
+     * Records that the first byte of an attempt is written.
+     *
+     * @return false if more attempts have begun at a server in its slow start than its budget allows, which is a defect
+     */
+    boolean attemptBegan(double nowMs, SentAttempt attempt) {
+        if (!isWarmingUp(nowMs, attempt.server())) {
+            return true;
+        }
+        SlowStartReservation reservation = attempt.reservation();
+        return reservation != null
+                && reservation.isForPresentStart()
+                && reservation.window().recordBegin(nowMs, reservation.cost(), reservation.allowedCost());
+    }
+
+    /** Returns what was done with a server since its present start. */
+    SlowStartStatus status(double nowMs, ServerState server) {
         SlowStartWindow window = window(server);
-        double cost = Math.max(1, estimates.latencies().relativeCost(pending.request()));
-        if (budget.isBounded() && !window.tryAdmit(nowMs, cost, budgetOf(nowMs, server))) {
+        return new SlowStartStatus(
+                server.id(),
+                isWarmingUp(nowMs, server),
+                server.endpoint().startedMs(),
+                Math.max(0, nowMs - startedMs(server)),
+                budgetOf(nowMs, server),
+                window.usedCost(nowMs),
+                window.admitted(),
+                window.withheld());
+    }
+
+    /** Returns what a request costs at least, in requests of average work; clients may give hints that are too low. */
+    private double costOf(PendingRequest pending) {
+        return Math.max(1, estimates.latencies().relativeCost(pending.request()));
+    }
+
+    /** Takes a part of a server's budget; null if the budget is used up. */
+    private SlowStartReservation reserve(double nowMs, double cost, ServerState server) {
+        SlowStartWindow window = window(server);
+        double serverBudget = budgetOf(nowMs, server);
+        if (!window.tryAdmit(nowMs, cost, serverBudget)) {
             return null;
         }
-        SlowStartReservation reservation = new SlowStartReservation(server, window, cost);
         if (!environment.admission().admitWarmingUp(nowMs, server.endpoint(), startedMs(server))) {
-            window.giveBack(cost);
+            window.deny(cost);
             return null;
         }
-        return reservation;
+        return new SlowStartReservation(server, window, cost, window.allowedCost(serverBudget));
     }
 
     private void giveBack(SlowStartReservation reservation) {
@@ -143,8 +189,14 @@
         return server.slowStartWindow();
     }
 
-    /** Returns a server's budget, by what it can do in the middle of the window that ends now. */
+    /**
+     * Returns a server's budget, by what it can do in the middle of the window that ends now; infinite if the settings
+     * have no bound.
+     */
     private double budgetOf(double nowMs, ServerState server) {
+        if (!budget.isBounded()) {
+            return Double.POSITIVE_INFINITY;
+        }
         double middleMs = nowMs - settings.collapseAfterMs() / 2;
         return budget.requests(nowMs, server, capacityFraction(middleMs, server));
     }
@@ -154,7 +206,7 @@
      * server. A proxy that may send then sends more, so that all proxies together send the same.
      */
     private double openFraction(double nowMs, ServerState server) {
-        return budget.isBounded() ? Math.min(1, budgetOf(nowMs, server)) : 1;
+        return Math.min(1, budgetOf(nowMs, server));
     }
 
     /** Returns the fraction of its capacity that a server has; 1 if it has warmed up. */
--- a/src/main/java/cacheproxy/policy/SlowStartReservation.java
+++ b/src/main/java/cacheproxy/policy/SlowStartReservation.java
@@ -6,8 +6,9 @@
  * @param server the server
  * @param window the attempts since the start for which the part was admitted
  * @param cost the part, in requests of average work
+ * @param allowedCost what all attempts that count together could cost when it was admitted
  */
-record SlowStartReservation(ServerState server, SlowStartWindow window, double cost) {
+record SlowStartReservation(ServerState server, SlowStartWindow window, double cost, double allowedCost) {
     /** Whether the server has not restarted since the admission. */
     boolean isForPresentStart() {
         return window == server.slowStartWindow();
--- a/src/main/java/cacheproxy/policy/SlowStartWindow.java
+++ b/src/main/java/cacheproxy/policy/SlowStartWindow.java
@@ -13,11 +13,19 @@
     /** An attempt that has ended, and until when it counts. */
     private record EndedAttempt(double untilMs, double cost) {}
 
+    /** An attempt that has begun, and what all that counted could cost when it was admitted. */
+    private record BegunAttempt(double atMs, double cost, double allowedCost) {}
+
+    /** Sums of costs differ by no more than this for the order in which they were added. */
+    private static final double ROUNDING_ERROR = 1e-6;
+
     private final double windowMs;
     private final double rounding;
     private final ArrayDeque<EndedAttempt> ended = new ArrayDeque<>();
+    private final ArrayDeque<BegunAttempt> begun = new ArrayDeque<>();
     private double endedCost;
     private double inFlightCost;
+    private double begunCost;
     private long admitted;
     private long withheld;
 
@@ -34,7 +42,7 @@
 
     /** Admits an attempt if it fits the budget; returns whether it does. */
     boolean tryAdmit(double nowMs, double cost, double budget) {
-        if (usedCost(nowMs) + cost > allowedCost(budget)) {
+        if (usedCost(nowMs) + cost > allowedCost(budget) + ROUNDING_ERROR) {
             withheld++;
             return false;
         }
@@ -56,6 +64,31 @@
         admitted--;
     }
 
+    /** Takes back an admission because another budget does not allow the attempt. */
+    void deny(double cost) {
+        giveBack(cost);
+        withheld++;
+    }
+
+    /**
+     * Records that the first byte of an attempt is written. This count is independent of {@link #tryAdmit}.
+     *
+     * @param allowedCost what all attempts that counted could cost when this one was admitted
+     * @return false if the attempts that have begun within one window cost more than any of their admissions allowed
+     */
+    boolean recordBegin(double nowMs, double cost, double allowedCost) {
+        while (!begun.isEmpty() && begun.peek().atMs <= nowMs - windowMs) {
+            begunCost -= begun.poll().cost;
+        }
+        begun.add(new BegunAttempt(nowMs, cost, allowedCost));
+        begunCost += cost;
+        double greatestAllowed = 0;
+        for (BegunAttempt attempt : begun) {
+            greatestAllowed = Math.max(greatestAllowed, attempt.allowedCost);
+        }
+        return begunCost <= greatestAllowed + ROUNDING_ERROR;
+    }
+
     /** Returns the cost of the attempts that count now. */
     double usedCost(double nowMs) {
         while (!ended.isEmpty() && ended.peek().untilMs <= nowMs) {
--- a/src/main/java/cacheproxy/proxy/dispatch/PolicyEvents.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/PolicyEvents.java
@@ -7,6 +7,7 @@
 import cacheproxy.policy.PolicyActions;
 import cacheproxy.policy.RoutingPolicy;
 import cacheproxy.policy.RoutingRequest;
+import cacheproxy.policy.SlowStartStatus;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import cacheproxy.snapshot.state.LearnedState;
 import java.util.ArrayDeque;
@@ -88,6 +89,25 @@
         runFor(context, () -> policy.onRequest(nowMs, request, actions));
     }
 
+    /** Asks whether an attempt may begin now; unlike events, this may be asked while an event is handled. */
+    boolean mayBegin(RequestAttempt attempt) {
+        return policy.mayBegin(loopContext.nowMs(), attempt.context().id(), attempt.index());
+    }
+
+    /**
+     * Reports that an attempt begins; unlike events, this may be reported while an event is handled.
+     *
+     * @return false if its server's slow-start budget does not allow it
+     */
+    boolean attemptBegan(RequestAttempt attempt) {
+        return policy.attemptBegan(loopContext.nowMs(), attempt.context().id(), attempt.index());
+    }
+
+    /** The servers that are in their slow start. */
+    List<SlowStartStatus> slowStarts() {
+        return policy.slowStarts(loopContext.nowMs());
+    }
+
     /** Reports that the first bytes of a long value have arrived for an attempt. */
     void firstByteReceived(RequestAttempt attempt) {
         run(() -> policy.onFirstByte(
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestAttempt.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestAttempt.java
@@ -183,4 +183,9 @@
     public double serverUnavailableSinceMs() {
         return connection().serverUnavailableSinceMs();
     }
+
+    @Override
+    public boolean exceedsSlowStartBudget() {
+        return !owner.fitsSlowStartBudget(this);
+    }
 }
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestAttempts.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestAttempts.java
@@ -111,8 +111,22 @@
         return true;
     }
 
+    /** Whether the slow-start budget of an attempt's server has a part for it. */
+    boolean fitsSlowStartBudget(RequestAttempt attempt) {
+        return pool.policy().mayBegin(attempt);
+    }
+
     /** Called when an attempt's first byte is about to be written. */
     void begun(RequestAttempt attempt) {
+        if (!pool.policy().attemptBegan(attempt)) {
+            loopContext
+                    .invariants()
+                    .recordViolation(
+                            Invariant.SLOW_START_BUDGET,
+                            attempt.context().request().id(),
+                            "attempt " + attempt.index() + " at "
+                                    + pool.servers().name(attempt.server()));
+        }
         pool.log().attemptStarted(attempt);
     }
 
--- a/src/test/java/cacheproxy/invariant/SendGuardTest.java
+++ b/src/test/java/cacheproxy/invariant/SendGuardTest.java
@@ -22,6 +22,7 @@
         boolean earlierAttemptInFlight;
         boolean hedgingAllowed = true;
         double serverUnavailableSinceMs = Double.POSITIVE_INFINITY;
+        boolean exceedsSlowStartBudget;
 
         @Override
         public double deadlineMs() {
@@ -62,6 +63,11 @@
         public double serverUnavailableSinceMs() {
             return serverUnavailableSinceMs;
         }
+
+        @Override
+        public boolean exceedsSlowStartBudget() {
+            return exceedsSlowStartBudget;
+        }
     }
 
     private final FakeSend facts = new FakeSend();
@@ -115,6 +121,15 @@
         assertThat(guard.violatedBy(facts, NOW_MS + 0.1)).isEqualTo(Invariant.SERVER_ACCEPTS);
     }
 
+    /** The budget is asked last, as asking may take a part of it. */
+    @Test
+    void stopsSendsBeyondTheSlowStartBudget() {
+        facts.exceedsSlowStartBudget = true;
+        assertThat(guard.violatedBy(facts, NOW_MS)).isEqualTo(Invariant.SLOW_START_BUDGET);
+        facts.serverUnavailableSinceMs = 0;
+        assertThat(guard.violatedBy(facts, NOW_MS)).isEqualTo(Invariant.SERVER_ACCEPTS);
+    }
+
     @Test
     void countsAndReportsByInvariant() {
         List<String> events = new ArrayList<>();
--- a/src/test/java/cacheproxy/invariant/SummaryGoldenTextTest.java
+++ b/src/test/java/cacheproxy/invariant/SummaryGoldenTextTest.java
@@ -18,6 +18,7 @@
                         "single_effect",
                         "single_attempt",
                         "server_accepts",
+                        "slow_start_budget",
                         "single_answer",
                         "close_owes_nothing");
     }
--- a/src/test/java/cacheproxy/policy/SlowStartBudgetTest.java
+++ b/src/test/java/cacheproxy/policy/LearnedSlowStartBudgetTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The budget of a server in its slow start. */
-class SlowStartBudgetTest {
+class LearnedSlowStartBudgetTest {
     private static final double WINDOW_MS = 1500;
     private static final double MULTIPLE = 3;
     private static final double CAPACITY_FRACTION = 0.3;
@@ -63,6 +63,19 @@
         assertThat(window.tryAdmit(11 * WINDOW_MS, 1, 2.9)).isFalse();
     }
 
+    /** The count at the first byte finds what the admission has let through by mistake. */
+    @Test
+    void attemptsThatBeginBeyondAllAdmissionsAreADefect() {
+        SlowStartWindow window = new SlowStartWindow(WINDOW_MS, 0);
+        assertThat(window.recordBegin(0, 1, 2)).isTrue();
+        assertThat(window.recordBegin(WINDOW_MS - 1, 1, 2)).isTrue();
+        assertThat(window.recordBegin(WINDOW_MS, 1, 2))
+                .as("the first has left the window")
+                .isTrue();
+        assertThat(window.recordBegin(WINDOW_MS, 1, 2)).isFalse();
+        assertThat(window.recordBegin(WINDOW_MS, 1, 4)).as("a greater budget").isTrue();
+    }
+
     /** A crowd of reads, of which all other servers but one fail, does not take a server over its budget. */
     @Test
     void sendsNoMoreThanTheBudgetHoweverManyRequestsThereAre() {
@@ -110,6 +123,8 @@
         long begun = waiting.stream()
                 .filter(sent -> sent.serverId() == 2)
                 .filter(sent -> harness.policy.mayBegin(harness.nowMs, sent.requestId(), sent.attempt()))
+                .peek(sent -> assertThat(harness.policy.attemptBegan(harness.nowMs, sent.requestId(), sent.attempt()))
+                        .isTrue())
                 .count();
         assertThat(placed).isGreaterThan(1000);
         assertThat(begun).isBetween(1L, 160L);
