Tell at the control address and in the event log what servers in their slow start are sent

The report has no line of a proxy on what it sent servers that had just started, and no call told it. Which servers, how old by this proxy's clock, what budget, what was withheld: unknown. The three texts that list the calls name the new one.

--- a/src/main/java/cacheproxy/daemon/ConfigSnapshot.java
+++ b/src/main/java/cacheproxy/daemon/ConfigSnapshot.java
@@ -14,6 +14,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * The running state built from one configuration file. A request uses the snapshot that was current when it arrived. On
@@ -100,4 +101,11 @@
     boolean uses(PoolRuntime pool) {
         return pools.get(pool.name) == pool;
     }
+
+    /** Returns, for each pool in several lines, the servers in their slow start with their budgets. */
+    String slowStartSummary() {
+        return pools.values().stream()
+                .map(pool -> "pool=" + pool.name + " " + pool.dispatcher.slowStartSummary())
+                .collect(Collectors.joining("\n"));
+    }
 }
--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -94,6 +94,7 @@
                         core.invariants()::summary,
                         core::memorySummary,
                         () -> core.load().summary() + clients.summary(),
+                        () -> router.configuration().slowStartSummary(),
                         core.events()::setEnabled,
                         this::requestReload));
     }
--- a/src/main/java/cacheproxy/eventlog/ProxyEvent.java
+++ b/src/main/java/cacheproxy/eventlog/ProxyEvent.java
@@ -24,6 +24,10 @@
     SERVER_DISCONNECTED,
     /** A server of the endpoint list has a new state or start time. */
     SERVER_LISTED,
+    /** A server has begun its slow start, with its age and the budget of this proxy for it. */
+    SLOW_START_BEGAN,
+    /** A server is warm, gone or has restarted, with the attempts that were sent and those that were withheld. */
+    SLOW_START_ENDED,
     /** A poll has been sent to discovery. */
     DISCOVERY_CALLED,
     /** A poll of discovery has received a valid response. */
--- a/src/main/java/cacheproxy/proxy/dispatch/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/Dispatcher.java
@@ -38,6 +38,7 @@
     private final RequestLifecycle requests;
     private final HealthProber prober;
     private final PolicyActionExecutor actions;
+    private final SlowStartLog slowStarts;
     private Siblings siblingDecisions = Siblings.NONE;
     private RoutingPolicy policy;
     private EndpointListSource discovery;
@@ -61,6 +62,7 @@
                 new RequestAttempts(services, new AttemptResultHandler(services, requests), protocol);
         prober = new HealthProber(services, protocol);
         actions = new PolicyActionExecutor(services, requests, attempts, prober);
+        slowStarts = new SlowStartLog(loopContext, settings, servers, events::slowStarts);
     }
 
     // ---- set up, before the start
@@ -95,7 +97,12 @@
         policy = new RoutingPolicy(
                 options.settings(), options.seed(), options.placements(), options.admission(), siblingDecisions);
         events.start(policy, actions);
-        sweeper = loopContext.loop().scheduleWithFixedDelay(servers::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweeper = loopContext.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void sweep() {
+        servers.sweep();
+        slowStarts.update();
     }
 
     /** Stops the pool at once, without a response to pending requests. Closes connections that no other pool uses. */
@@ -150,6 +157,7 @@
         servers.apply(kind, hosts);
         events.endpointListReceived(
                 kind, hosts.stream().map(ListedServer::endpoint).toList());
+        events.run(slowStarts::update);
         if (learnedState != null && hasServers()) {
             LearnedStateProvider provider = learnedState;
             learnedState = null;
@@ -178,6 +186,11 @@
         return servers.anyCacheServer(this::isHealthy);
     }
 
+    /** Returns, in several lines, the servers in their slow start with their budgets and what was sent and withheld. */
+    public String slowStartSummary() {
+        return slowStarts.summary();
+    }
+
     /** Probes a server and reports the result to the policy. */
     public void probe(int server) {
         prober.probe(server);
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * The actions that operators can take on a running proxy: query whether it accepts clients, put it into standby and
@@ -58,6 +59,7 @@
             Lifecycle lifecycle,
             ClientRegistry clients,
             Listener listener,
+            Supplier<String> slowStart,
             BooleanSupplier reload) {
         loop = loopContext.loop();
         this.loopContext = loopContext;
@@ -75,6 +77,7 @@
                                 loopContext.invariants()::summary,
                                 loopContext::memorySummary,
                                 () -> loopContext.load().summary() + clients.summary(),
+                                slowStart,
                                 loopContext.events()::setEnabled,
                                 reload)));
     }
@@ -84,6 +87,7 @@
      * then requests of operators. The control address is reserved first: a start that failed because of it after
      * clients had been accepted would cut their connections.
      *
+     * @param slowStart returns the servers in their slow start, in several lines
      * @param reload starts a reload of the configuration; returns false if there is no file to read
      * @throws IllegalStateException if the control address can't be bound
      */
@@ -93,9 +97,10 @@
             ClientRegistry clients,
             Listener listener,
             PlatformConfig config,
+            Supplier<String> slowStart,
             BooleanSupplier reload)
             throws InterruptedException {
-        OperatorActions actions = new OperatorActions(loopContext, lifecycle, clients, listener, reload);
+        OperatorActions actions = new OperatorActions(loopContext, lifecycle, clients, listener, slowStart, reload);
         InetSocketAddress control = config.control();
         try (ReservedAddress reserved = reserveControl(control)) {
             actions.listen(config);
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -80,8 +80,14 @@
             listener.bind(config.listen()).sync();
             operatorActions = null;
         } else {
-            operatorActions =
-                    OperatorActions.start(loopContext, lifecycle, clients, listener, config, this::requestReload);
+            operatorActions = OperatorActions.start(
+                    loopContext,
+                    lifecycle,
+                    clients,
+                    listener,
+                    config,
+                    dispatcher::slowStartSummary,
+                    this::requestReload);
         }
     }
 
@@ -187,6 +193,11 @@
                 .getNow();
     }
 
+    /** Returns, in several lines, the servers in their slow start with their budgets. */
+    public String slowStartSummary() {
+        return loop.submit(dispatcher::slowStartSummary).syncUninterruptibly().getNow();
+    }
+
     /** The state that the event loop's users share; to be used on the event loop only. */
     EventLoopContext loopContext() {
         return loopContext;
--- a/src/test/java/cacheproxy/control/ControlEndpointsGoldenTextTest.java
+++ b/src/test/java/cacheproxy/control/ControlEndpointsGoldenTextTest.java
@@ -15,7 +15,12 @@
             () -> true,
             () -> false,
             new DiagnosticEndpoints(
-                    () -> "violations=0 stopped=0", () -> "used=0", () -> "loop_busy", enabled -> {}, reloadable::get));
+                    () -> "violations=0 stopped=0",
+                    () -> "used=0",
+                    () -> "loop_busy",
+                    () -> "warming_up=0",
+                    enabled -> {},
+                    reloadable::get));
 
     private String exchange(String method, String path) {
         ControlResponse response = endpoints.handle(method, path);
@@ -49,9 +54,12 @@
         assertThat(exchange("POST", "/memory")).isEqualTo("405 use GET /memory [GET]");
         assertThat(exchange("GET", "/load")).isEqualTo("200 loop_busy");
         assertThat(exchange("POST", "/load")).isEqualTo("405 use GET /load [GET]");
+        assertThat(exchange("GET", "/slow-start")).isEqualTo("200 warming_up=0");
+        assertThat(exchange("POST", "/slow-start")).isEqualTo("405 use GET /slow-start [GET]");
         assertThat(exchange("GET", "/reload")).isEqualTo("405 use POST /reload [POST]");
         assertThat(exchange("GET", "/other"))
-                .isEqualTo("404 the calls are GET /status, POST /standby, POST /active, GET /invariants,"
-                        + " GET /memory, GET /load, POST /events/on, POST /events/off and POST /reload");
+                .isEqualTo(
+                        "404 the calls are GET /status, POST /standby, POST /active, GET /invariants,"
+                                + " GET /memory, GET /load, GET /slow-start, POST /events/on, POST /events/off and POST /reload");
     }
 }
--- a/src/test/java/cacheproxy/control/ControlServerTest.java
+++ b/src/test/java/cacheproxy/control/ControlServerTest.java
@@ -50,6 +50,7 @@
                                 () -> "violations=0 stopped=0",
                                 () -> "used=0 peak=9",
                                 () -> "loop_busy",
+                                () -> "warming_up=0",
                                 events::set,
                                 () -> reloads.incrementAndGet() == 1)));
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
--- a/src/test/java/cacheproxy/daemon/ControlAnswersGoldenTextTest.java
+++ b/src/test/java/cacheproxy/daemon/ControlAnswersGoldenTextTest.java
@@ -123,10 +123,11 @@
                     .isEqualTo("HTTP/1.1 405 Method Not Allowed\ncontent-type: text/plain\n"
                             + "content-length: 16\nconnection: close\nallow: GET\n\nuse GET /status\n");
             assertThat(call(daemon, "GET /fleet"))
-                    .isEqualTo(plain(
-                            "404 Not Found",
-                            "the calls are GET /status, GET /invariants,"
-                                    + " GET /memory, GET /load, POST /events/on, POST /events/off and POST /reload"));
+                    .isEqualTo(
+                            plain(
+                                    "404 Not Found",
+                                    "the calls are GET /status, GET /invariants,"
+                                            + " GET /memory, GET /load, GET /slow-start, POST /events/on, POST /events/off and POST /reload"));
         }
     }
 
@@ -153,7 +154,7 @@
             assertThat(body(daemon, "GET /other"))
                     .isEqualTo(
                             "the calls are GET /status, GET /duties, GET /limits, GET /fleet,"
-                                    + " GET /invariants, GET /memory, GET /load, POST /events/on, POST /events/off and POST /reload\n");
+                                    + " GET /invariants, GET /memory, GET /load, GET /slow-start, POST /events/on, POST /events/off and POST /reload\n");
         }
     }
 
--- a/src/test/java/cacheproxy/eventlog/EventNamesGoldenTextTest.java
+++ b/src/test/java/cacheproxy/eventlog/EventNamesGoldenTextTest.java
@@ -20,6 +20,8 @@
                         "server_connected",
                         "server_disconnected",
                         "server_listed",
+                        "slow_start_began",
+                        "slow_start_ended",
                         "discovery_called",
                         "discovery_answered",
                         "discovery_failed",
--- a/src/test/java/cacheproxy/proxy/EventLinesGoldenTextTest.java
+++ b/src/test/java/cacheproxy/proxy/EventLinesGoldenTextTest.java
@@ -150,6 +150,37 @@
         }
     }
 
+    /** The newest server of the first list counts as just started; what it may be sent is also told on request. */
+    @Test
+    void aSlowStart() throws Exception {
+        Fleet setup = new Fleet();
+        setup.config.addProperty("event_log", true);
+        setup.node(node()).set("guarantees.warm-up", "1.0e7");
+        setup.hosts.get(0).getAsJsonObject().addProperty("born_ms", 1000);
+        ScriptedServer discovery = new ScriptedServer(connection -> {
+            connection.readRequest();
+            releaseAnswer.await();
+            connection.sendHttp(200, "", Fleet.list(43, true, new JsonArray()).toString());
+            connection.awaitEnd();
+        });
+        try (Fleet fleet = setup.discovery(discovery).start()) {
+            assertThat(next("slow_start_began"))
+                    .isEqualTo("slow_start_began t=TIME server=1@/ADDRESS age_ms=MS budget=1.0");
+            assertThat(masked(fleet.proxy.slowStartSummary()))
+                    .isEqualTo("warming_up=1 proxies=1 multiple=3.0 window_ms=MS sent=0 withheld=0\n"
+                            + "server=1@/ADDRESS age_ms=MS left_ms=MS budget=1.0 used=0.0 sent=0 withheld=0");
+            try (Fleet.Client client = fleet.client()) {
+                client.read("a").line();
+                client.read("b").line();
+            }
+            releaseAnswer.countDown();
+            assertThat(next("slow_start_ended"))
+                    .matches("slow_start_ended t=TIME server=1(@/ADDRESS)? age_ms=MS sent=\\d withheld=\\d");
+            assertThat(fleet.proxy.slowStartSummary())
+                    .startsWith("warming_up=0 proxies=1 multiple=3.0 window_ms=1500 ");
+        }
+    }
+
     @Test
     void callsToDiscoveryAndAReload() throws Exception {
         AtomicInteger calls = new AtomicInteger();
