--- a/src/main/java/cacheproxy/faulttest/FaultInjector.java
+++ b/src/main/java/cacheproxy/faulttest/FaultInjector.java
@@ -177,6 +177,8 @@
             case SERVER_STALL -> schedule(atMs, () -> fakes.stall(index - endpoints.proxies(), durationMs));
             case SERVER_KILL -> scheduleAtServer(index, atMs, endMs, fakes::kill, fakes::restart);
             case SERVER_DRAIN -> scheduleAtServer(index, atMs, endMs, fakes::beginDrain, fakes::endDrain);
+            case SERVER_RESTART ->
+                scheduleAtServer(index, atMs, endMs, server -> drainAndKill(server, durationMs / 2), fakes::restart);
             default -> throw new IllegalArgumentException(fault.kind() + " does not hit a single process");
         }
     }
@@ -212,6 +214,11 @@
         });
     }
 
+    private void drainAndKill(int server, double drainMs) {
+        fakes.beginDrain(server);
+        schedule(drainMs, () -> fakes.kill(server));
+    }
+
     /** Pauses a slowed proxy for a fraction of each cycle, one cycle after another. */
     private void pauseForCycle(Fault fault, int proxy, long untilNanos) throws IOException {
         proxies.get(proxy).pause();
--- a/src/main/java/cacheproxy/faulttest/OpenLoopWorkload.java
+++ b/src/main/java/cacheproxy/faulttest/OpenLoopWorkload.java
@@ -103,16 +103,24 @@
     }
 
     private void sendNext() {
+        ProxyClient client = drawClient(nextSendNanos);
+        client.send(drawRequest());
+    }
+
+    private ProxyClient drawClient(long atNanos) {
         double drawnShare = random.nextDouble() * cumulativeShares[cumulativeShares.length - 1];
-        WorkloadRequest request = drawRequest();
         int found = Arrays.binarySearch(cumulativeShares, drawnShare);
         int proxy = Math.min(clients.length - 1, found < 0 ? -found - 1 : found);
-        long rotations = load.rotationMs() > 0 ? (long) ((nextSendNanos - startNanos) / 1e6 / load.rotationMs()) : 0;
-        clients[(int) ((proxy + rotations) % clients.length)].send(request);
+        long rotations = load.rotationMs() > 0 ? (long) ((atNanos - startNanos) / 1e6 / load.rotationMs()) : 0;
+        return clients[(int) ((proxy + rotations) % clients.length)];
+    }
+
+    private String nextId() {
+        return Integer.toHexString(FIRST_REQUEST_ID + requestCount++);
     }
 
     private WorkloadRequest drawRequest() {
-        String id = Integer.toHexString(FIRST_REQUEST_ID + requestCount++);
+        String id = nextId();
         double drawnKind = random.nextDouble();
         if (drawnKind < load.writeShare()) {
             return WorkloadRequest.write(id, drawnKind < load.writeShare() / 2);
@@ -129,6 +137,25 @@
         }
     }
 
+    /**
+     * Sends a rejected read again under a new id, after the load's delay, to a proxy that is drawn like that of any
+     * other request; does nothing if it may not be retried any more.
+     */
+    @SuppressWarnings("FutureReturnValueIgnored") // the timer is never cancelled
+    void retryRejected(WorkloadRequest request) {
+        if (!request.isRead() || request.rejections() >= load.retries()) {
+            return;
+        }
+        countPending();
+        loop.schedule(
+                () -> {
+                    countConcluded();
+                    drawClient(System.nanoTime()).send(request.retryAs(nextId()));
+                },
+                (long) (load.retryDelayMs() * 1000),
+                TimeUnit.MICROSECONDS);
+    }
+
     /** Counts a request or connection attempt that has begun. */
     void countPending() {
         pendingCount++;
--- a/src/main/java/cacheproxy/faulttest/PlatformConfigFile.java
+++ b/src/main/java/cacheproxy/faulttest/PlatformConfigFile.java
@@ -84,14 +84,15 @@
         return capabilities;
     }
 
-    private static JsonObject guarantees() {
+    private JsonObject guarantees() {
+        Scenario.SlowStart slowStart = scenario.slowStart();
         JsonObject guarantees = new JsonObject();
         guarantees.addProperty("drain-grace", 2000);
         guarantees.addProperty("grace-to-answer", 20);
-        guarantees.addProperty("start-capacity", 0.3);
-        guarantees.addProperty("warm-up", 9000);
-        guarantees.addProperty("tip-multiple", 3);
-        guarantees.addProperty("fall", 1500);
+        guarantees.addProperty("start-capacity", slowStart.startCapacity());
+        guarantees.addProperty("warm-up", slowStart.warmUpMs());
+        guarantees.addProperty("tip-multiple", slowStart.multiple());
+        guarantees.addProperty("fall", slowStart.windowMs());
         guarantees.addProperty("ask-within", 10_000);
         return guarantees;
     }
--- a/src/main/java/cacheproxy/faulttest/ProxyConnection.java
+++ b/src/main/java/cacheproxy/faulttest/ProxyConnection.java
@@ -133,8 +133,11 @@
     }
 
     private void concludeWithResponse(String result) {
-        conclude(Event.RESPONSE_RECEIVED, result);
+        WorkloadRequest concluded = conclude(Event.RESPONSE_RECEIVED, result);
         client.connectionReleased(this);
+        if (result.equals(Event.REJECTED)) {
+            workload.retryRejected(concluded);
+        }
     }
 
     @Override
--- a/src/main/java/cacheproxy/faulttest/ScenarioReader.java
+++ b/src/main/java/cacheproxy/faulttest/ScenarioReader.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.config.ConfigException;
 import cacheproxy.config.TomlTableReader;
+import cacheproxy.faulttest.check.Checker;
 import cacheproxy.faulttest.scenario.Fault;
 import cacheproxy.faulttest.scenario.Fault.Kind;
 import cacheproxy.faulttest.scenario.Fault.LinkFault;
@@ -25,6 +26,11 @@
     private static final int MAX_FAULTS = 10_000;
     private static final String ZONE_NAME = "[a-z0-9]{1,16}";
 
+    /** What random faults are drawn from where the file names no kinds: what it could name first. */
+    private static final List<Kind> DEFAULT_RANDOM_KINDS = Arrays.stream(Kind.values())
+            .filter(kind -> kind != Kind.SERVER_RESTART)
+            .toList();
+
     private ScenarioReader() {}
 
     /**
@@ -88,6 +94,8 @@
                 fleet.texts("duties"),
                 fleet.number("poll_ms", 20, 5, 10_000),
                 fleet.integer("waves", 16, 1, 200),
+                readSlowStart(root.table("slow_start")),
+                readJudgedCheckers(fleet),
                 readLoad(root.table("load")),
                 readQuota(root.table("limit")),
                 List.of());
@@ -102,6 +110,29 @@
         return zones;
     }
 
+    private static Scenario.SlowStart readSlowStart(TomlTableReader table) {
+        Scenario.SlowStart standard = Scenario.SlowStart.DEFAULT;
+        if (table == null) {
+            return standard;
+        }
+        Scenario.SlowStart slowStart = new Scenario.SlowStart(
+                table.number("start_capacity", standard.startCapacity(), 0.01, 1),
+                table.number("warm_up_ms", standard.warmUpMs(), 0, HOUR_MS),
+                table.number("multiple", standard.multiple(), 1.5, 100),
+                table.number("window_ms", standard.windowMs(), 100, HOUR_MS));
+        table.rejectUnknownKeys();
+        return slowStart;
+    }
+
+    private static List<String> readJudgedCheckers(TomlTableReader fleet) {
+        List<String> known = Checker.all().stream().map(Checker::name).toList();
+        List<String> names = fleet.texts("must_judge");
+        if (!known.containsAll(names)) {
+            fleet.error("must_judge", "must_judge names invariants; allowed: " + String.join(", ", known));
+        }
+        return names;
+    }
+
     private static Scenario.Quota readQuota(TomlTableReader table) {
         if (table == null) {
             return null;
@@ -120,7 +151,7 @@
 
     private static Scenario.Load readLoad(TomlTableReader table) {
         if (table == null) {
-            return new Scenario.Load(5, 200, 0, 0, 500, 0.05, 0.05, 1000);
+            return new Scenario.Load(5, 200, 0, 0, 500, 0.05, 0.05, 1000, 0, 0);
         }
         Scenario.Load load = new Scenario.Load(
                 table.number("seconds", 5, 0.1, 24 * 3600),
@@ -130,7 +161,9 @@
                 table.integer("keys", 500, 1, 1_000_000),
                 table.number("hot", 0.05, 0, 1),
                 table.number("writes", 0.05, 0, 1),
-                table.number("deadline_ms", 1000, 10, 60_000));
+                table.number("deadline_ms", 1000, 10, 60_000),
+                table.integer("retries", 0, 0, 100),
+                table.number("retry_ms", 0, 0, 60_000));
         table.rejectUnknownKeys();
         return load;
     }
@@ -262,7 +295,7 @@
             table.error("longest_ms", "longest_ms is " + maxDurationMs + " and does not fit between from_ms and to_ms");
             return List.of();
         }
-        List<Kind> drawnKinds = kinds.isEmpty() ? List.of(Kind.values()) : kinds;
+        List<Kind> drawnKinds = kinds.isEmpty() ? DEFAULT_RANDOM_KINDS : kinds;
         return new RandomFaults(count, drawnKinds, fromMs, toMs, maxDurationMs).draw(endpoints, scenario.seed());
     }
 }
--- a/src/main/java/cacheproxy/faulttest/WorkloadRequest.java
+++ b/src/main/java/cacheproxy/faulttest/WorkloadRequest.java
@@ -2,27 +2,39 @@
 
 import cacheproxy.faulttest.check.Event;
 
-/** A request of the workload, which can be retried once. */
+/** A request of the workload, which can be retried once after its connection was closed. */
 final class WorkloadRequest {
     private final String id;
     private final String kind;
     private final String key;
+    private final int rejections;
     private boolean retried;
 
-    private WorkloadRequest(String id, String kind, String key) {
+    private WorkloadRequest(String id, String kind, String key, int rejections) {
         this.id = id;
         this.kind = kind;
         this.key = key;
+        this.rejections = rejections;
     }
 
     /** A read of a key. */
     static WorkloadRequest read(String id, String key) {
-        return new WorkloadRequest(id, Event.READ, key);
+        return new WorkloadRequest(id, Event.READ, key, 0);
     }
 
     /** A write of a key that no other request uses, with or without an idempotency key. */
     static WorkloadRequest write(String id, boolean keyed) {
-        return new WorkloadRequest(id, keyed ? Event.KEYED_WRITE : Event.UNSAFE_WRITE, "w/" + id);
+        return new WorkloadRequest(id, keyed ? Event.KEYED_WRITE : Event.UNSAFE_WRITE, "w/" + id, 0);
+    }
+
+    /** The same request as its client sends it once more under a new id, after it was rejected. */
+    WorkloadRequest retryAs(String newId) {
+        return new WorkloadRequest(newId, kind, key, rejections + 1);
+    }
+
+    /** How often the request was rejected before, under other ids. */
+    int rejections() {
+        return rejections;
     }
 
     /** The id under which cache servers and the origin report what they do for the request. */
--- a/src/main/java/cacheproxy/faulttest/check/SlowStartChecker.java
+++ b/src/main/java/cacheproxy/faulttest/check/SlowStartChecker.java
@@ -1,5 +1,6 @@
 package cacheproxy.faulttest.check;
 
+import cacheproxy.faulttest.scenario.Scenario;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Locale;
@@ -7,18 +8,10 @@
 
 /**
  * Checks that all proxies together respect the slow start of a cache server that was restarted cold: in no window do
- * they send it more than a multiple of its capacity at the window's start.
+ * they send it more than a multiple of its capacity at the window's start. The figures are those of the scenario, which
+ * the proxies are told as well.
  */
 public final class SlowStartChecker implements Checker {
-    /** The share of its capacity that a server has when it starts. */
-    static final double INITIAL_CAPACITY_SHARE = 0.3;
-    /** Time in which the server's capacity grows linearly to its full value. */
-    static final double WARM_UP_MS = 9000;
-    /** Ratio of commands to capacity above which there is a violation. */
-    static final double MAX_CAPACITY_RATIO = 3;
-    /** Length of the windows over which commands are counted. */
-    static final double WINDOW_MS = 1500;
-
     private double worstRatio;
 
     @Override
@@ -39,7 +32,8 @@
         for (Event event : run.events()) {
             String endpoint = event.endpoint();
             switch (event.type()) {
-                case Event.SERVER_STARTED -> coldServers.put(endpoint, new ColdServer(event.timeMs()));
+                case Event.SERVER_STARTED ->
+                    coldServers.put(endpoint, new ColdServer(run.scenario().slowStart(), event.timeMs()));
                 case Event.SERVER_KILLED -> coldServers.remove(endpoint);
                 case Event.COMMAND_ARRIVED -> {
                     ColdServer server = coldServers.get(endpoint);
@@ -60,11 +54,12 @@
         server.addArrival(arrival.timeMs());
         double ratio = server.capacityRatio(warmPerSecond);
         worstRatio = Math.max(worstRatio, ratio);
-        if (ratio > MAX_CAPACITY_RATIO && !server.reported) {
+        if (ratio > server.slowStart.multiple() && !server.reported) {
             server.reported = true;
             violations.add(
                     arrival,
-                    arrival.endpoint() + " was sent " + server.arrivalsMs.size() + " commands in " + (int) WINDOW_MS
+                    arrival.endpoint() + " was sent " + server.arrivalsMs.size() + " commands in "
+                            + (int) server.slowStart.windowMs()
                             + " ms, " + String.format(Locale.ROOT, "%.2f", ratio)
                             + " times what it can do when so cold");
         }
@@ -72,21 +67,23 @@
 
     /** A server that is warming up, and the commands that arrived at it within the window. */
     private static final class ColdServer {
+        final Scenario.SlowStart slowStart;
         final double startedMs;
         final ArrayDeque<Double> arrivalsMs = new ArrayDeque<>();
         boolean reported;
 
-        ColdServer(double startedMs) {
+        ColdServer(Scenario.SlowStart slowStart, double startedMs) {
+            this.slowStart = slowStart;
             this.startedMs = startedMs;
         }
 
         boolean isWarmAt(double timeMs) {
-            return timeMs - startedMs > WARM_UP_MS;
+            return timeMs - startedMs > slowStart.warmUpMs();
         }
 
         void addArrival(double timeMs) {
             arrivalsMs.add(timeMs);
-            while (arrivalsMs.peek() < timeMs - WINDOW_MS) {
+            while (arrivalsMs.peek() < timeMs - slowStart.windowMs()) {
                 arrivalsMs.poll();
             }
         }
@@ -94,8 +91,9 @@
         /** Ratio of the commands in the window to the server's capacity at the window's start. */
         double capacityRatio(double warmPerSecond) {
             double ageMs = Math.max(0, arrivalsMs.peek() - startedMs);
-            double capacityShare = INITIAL_CAPACITY_SHARE + (1 - INITIAL_CAPACITY_SHARE) * ageMs / WARM_UP_MS;
-            double capacity = warmPerSecond * capacityShare * WINDOW_MS / 1000;
+            double initial = slowStart.startCapacity();
+            double capacityShare = initial + (1 - initial) * ageMs / slowStart.warmUpMs();
+            double capacity = warmPerSecond * capacityShare * slowStart.windowMs() / 1000;
             return arrivalsMs.size() / capacity;
         }
     }
--- a/src/main/java/cacheproxy/faulttest/scenario/Fault.java
+++ b/src/main/java/cacheproxy/faulttest/scenario/Fault.java
@@ -88,7 +88,11 @@
         /** A cache server is killed; it is restarted empty and cold at the end. */
         SERVER_KILL("node-kill"),
         /** Discovery lists a cache server as draining, and as up again at the end. */
-        SERVER_DRAIN("node-drain");
+        SERVER_DRAIN("node-drain"),
+        /**
+         * A cache server drains, ends halfway through the fault, and is started empty and cold under its id at the end.
+         */
+        SERVER_RESTART("node-restart");
 
         private final String tomlName;
 
@@ -108,7 +112,10 @@
 
         /** Returns whether the targets are cache servers. */
         boolean hitsServers() {
-            return this == SERVER_STALL || this == SERVER_KILL || this == SERVER_DRAIN;
+            return switch (this) {
+                case SERVER_STALL, SERVER_KILL, SERVER_DRAIN, SERVER_RESTART -> true;
+                default -> false;
+            };
         }
     }
 
--- a/src/main/java/cacheproxy/faulttest/scenario/Scenario.java
+++ b/src/main/java/cacheproxy/faulttest/scenario/Scenario.java
@@ -24,6 +24,8 @@
  * @param leases the leases that each proxy is polled for at its control address
  * @param pollMs minimum time between two polls of one lease at one proxy
  * @param concurrentStarts number of proxies that are started at the same time
+ * @param slowStart how cold servers warm up
+ * @param judgedCheckers names of checkers that the scenario is about: one that judges nothing makes the run fail
  * @param load what clients send
  * @param quota the quota that is checked; null if there is none
  * @param faults in the order of the file, then random ones
@@ -46,10 +48,33 @@
         List<String> leases,
         double pollMs,
         int concurrentStarts,
+        SlowStart slowStart,
+        List<String> judgedCheckers,
         Load load,
         Quota quota,
         List<Fault> faults) {
 
+    /**
+     * How a server that was started cold warms up, as the proxies are told.
+     *
+     * @param startCapacity fraction of its capacity that it has when it starts, above 0 up to 1
+     * @param warmUpMs time in which its capacity grows linearly to its full value
+     * @param multiple multiple of its capacity above which it is overloaded
+     * @param windowMs length of the windows over which commands are counted
+     */
+    public record SlowStart(double startCapacity, double warmUpMs, double multiple, double windowMs) {
+        /** The figures of a scenario that names none. */
+        public static final SlowStart DEFAULT = new SlowStart(0.3, 9000, 3, 1500);
+
+        private String toToml() {
+            return "\n[slow_start]\n"
+                    + "start_capacity = " + startCapacity + "\n"
+                    + "warm_up_ms = " + warmUpMs + "\n"
+                    + "multiple = " + multiple + "\n"
+                    + "window_ms = " + windowMs + "\n";
+        }
+    }
+
     /**
      * A fleet-wide quota that is checked at the cache servers. It limits either a rate or requests in flight.
      *
@@ -71,6 +96,8 @@
      * @param hotShare share of reads that go to one hot key, 0 to 1
      * @param writeShare share of requests that write, 0 to 1; half of them keyed, half of them unsafe
      * @param deadlineMs deadline of a request
+     * @param retries how often clients retry a rejected read, each time at a proxy of their choice
+     * @param retryDelayMs time after which they do
      */
     public record Load(
             double seconds,
@@ -80,7 +107,9 @@
             int keys,
             double hotShare,
             double writeShare,
-            double deadlineMs) {
+            double deadlineMs,
+            int retries,
+            double retryDelayMs) {
         private String toToml() {
             return "\n[load]\n"
                     + "seconds = " + seconds + "\n"
@@ -90,7 +119,8 @@
                     + "keys = " + keys + "\n"
                     + "hot = " + hotShare + "\n"
                     + "writes = " + writeShare + "\n"
-                    + "deadline_ms = " + deadlineMs + "\n";
+                    + "deadline_ms = " + deadlineMs + "\n"
+                    + (retries > 0 ? "retries = " + retries + "\nretry_ms = " + retryDelayMs + "\n" : "");
         }
     }
 
@@ -119,6 +149,8 @@
                 leases,
                 pollMs,
                 concurrentStarts,
+                slowStart,
+                judgedCheckers,
                 load,
                 quota,
                 List.copyOf(newFaults));
@@ -130,6 +162,9 @@
      */
     public String toToml() {
         StringBuilder text = new StringBuilder(fleetToml()).append(load.toToml());
+        if (!slowStart.equals(SlowStart.DEFAULT)) {
+            text.append(slowStart.toToml());
+        }
         if (quota != null) {
             text.append(quotaToml());
         }
@@ -150,6 +185,9 @@
                 .append("relay_nodes = " + relayServers + "\n")
                 .append("own_discovery = " + discoveryByZone + "\n")
                 .append("waves = " + concurrentStarts + "\n");
+        if (!judgedCheckers.isEmpty()) {
+            text.append("must_judge = " + quoted(judgedCheckers) + "\n");
+        }
         if (!leases.isEmpty()) {
             text.append("duties = " + quoted(leases) + "\n").append("poll_ms = " + pollMs + "\n");
         }
--- a/src/test/java/cacheproxy/faulttest/CheckersTest.java
+++ b/src/test/java/cacheproxy/faulttest/CheckersTest.java
@@ -1,16 +1,19 @@
 package cacheproxy.faulttest;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import cacheproxy.faulttest.check.AtMostOnceChecker;
 import cacheproxy.faulttest.check.Checker;
 import cacheproxy.faulttest.check.CrashChecker;
 import cacheproxy.faulttest.check.DrainChecker;
 import cacheproxy.faulttest.check.Event;
+import cacheproxy.faulttest.check.RunHistory;
 import cacheproxy.faulttest.check.ServiceStats;
 import cacheproxy.faulttest.check.SingleResponseChecker;
 import cacheproxy.faulttest.check.SlowStartChecker;
 import cacheproxy.faulttest.check.Verdict;
+import cacheproxy.faulttest.scenario.Scenario;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -106,6 +109,48 @@
                 .isZero();
     }
 
+    /** 4 commands a second just after the start, twice that allowed, in a window of 2 s: 16 are allowed. */
+    @Test
+    void judgesColdServersByTheFiguresOfTheScenario() throws Exception {
+        history.at(1000, "n1", Event.SERVER_STARTED, "", "", 0);
+        for (int i = 0; i < 17; i++) {
+            history.at(1010 + i, "n1", Event.COMMAND_ARRIVED, "r" + i, "", 0);
+        }
+        Scenario scenario = ScenarioReader.parse("s", """
+                [fleet]
+                proxies = 3
+                nodes = 4
+                node_per_second = 10
+                [slow_start]
+                start_capacity = 0.4
+                warm_up_ms = 6000
+                multiple = 2
+                window_ms = 2000
+                """, null);
+        RunHistory run = new RunHistory(scenario, history.events);
+        assertThat(new SlowStartChecker().check(run).messages())
+                .singleElement()
+                .asString()
+                .contains("n1 was sent 17 commands in 2000 ms, 2.1");
+        history.events.remove(history.events.size() - 1);
+        assertThat(new SlowStartChecker()
+                        .check(new RunHistory(scenario, history.events))
+                        .count())
+                .isZero();
+    }
+
+    @Test
+    void failsARunThatIsAboutSomethingThatWasNotJudged() throws Exception {
+        history.addValidRequests();
+        String text = "[fleet]\nproxies = 3\nnodes = 4\nmust_judge = [\"cold-sum\"]\n";
+        RunHistory run = new RunHistory(ScenarioReader.parse("s", text, null), history.events);
+        Verdict verdict = Verdict.of(run, List.of(), Checker.all());
+        assertThat(verdict.passed()).isFalse();
+        assertThat(verdict.lines()).contains("nothing judged: cold-sum").last().isEqualTo("NOTHING JUDGED");
+        assertThatThrownBy(() -> ScenarioReader.parse("s", text.replace("cold-sum", "warmth"), null))
+                .hasMessageContaining("must_judge names invariants");
+    }
+
     @Test
     void countsCommandsSentToStalledServers() throws Exception {
         history.at(100, "rig", Event.FAULT_STARTED, "0", "node-stall n1,n2", 0)
--- a/src/test/java/cacheproxy/faulttest/ScenariosGoldenTextTest.java
+++ b/src/test/java/cacheproxy/faulttest/ScenariosGoldenTextTest.java
@@ -28,6 +28,7 @@
                         "duties.toml",
                         "large.toml",
                         "limits.toml",
+                        "restarts.toml",
                         "small.toml");
     }
 
@@ -41,6 +42,7 @@
                 "duties",
                 "large",
                 "limits",
+                "restarts",
                 "small"
             })
     void scenarioLoadsToSameValuesAndIsWrittenOutTheSame(String name) throws Exception {
