Let the soak test restart groups of servers cold and clients retry at once, on demand

The soak's servers drained for good or joined new; none came back under its id, and no client tried again at once after a rejection. -Dsoak.releases=true does both; without it seeds draw the faults that they drew.

--- a/src/test/java/cacheproxy/soak/ProxyFaults.java
+++ b/src/test/java/cacheproxy/soak/ProxyFaults.java
@@ -77,7 +77,13 @@
         int lateMs = LATE_CONNECTION_FROM_MS + random.nextInt(LATE_CONNECTION_UNTIL_MS - LATE_CONNECTION_FROM_MS);
         LockSupport.parkNanos(requested + lateMs * 1_000_000L - System.nanoTime());
         SoakClient lateClient = new SoakClient(
-                "c" + proxy.number + "xe" + lateClients.incrementAndGet(), proxy.number, proxy.port, history, 0, 0);
+                "c" + proxy.number + "xe" + lateClients.incrementAndGet(),
+                proxy.number,
+                proxy.port,
+                history,
+                0,
+                0,
+                false);
         if (System.nanoTime() - requested < LATE_CONNECTION_UNTIL_MS * 1_000_000L) {
             lateClient.requestOnce("connection " + lateMs + " ms after SIGTERM");
         }
--- a/src/test/java/cacheproxy/soak/SoakClient.java
+++ b/src/test/java/cacheproxy/soak/SoakClient.java
@@ -35,11 +35,15 @@
     private final SoakHistory history;
     private final Random random;
     private final long endNanos;
+    private final boolean retriesAtOnce;
     private int requestCount;
+    /** Whether the last answer was a rejection. */
+    private boolean rejected;
     /** When the current connection had been established. */
     private long connectedNanos;
 
-    SoakClient(String name, int proxy, int port, SoakHistory history, long seed, long endNanos) {
+    SoakClient(String name, int proxy, int port, SoakHistory history, long seed, long endNanos, boolean retriesAtOnce) {
+        this.retriesAtOnce = retriesAtOnce;
         this.name = name;
         this.proxy = proxy;
         this.port = port;
@@ -101,7 +105,10 @@
                     return;
                 }
             }
-            pause(random.nextInt(25));
+            int pauseMs = random.nextInt(25);
+            if (!(retriesAtOnce && rejected)) {
+                pause(pauseMs);
+            }
         }
     }
 
@@ -176,6 +183,7 @@
                 in.skipNBytes(Integer.parseInt(line.split(" ", 0)[1]) + 2);
             }
             request.answeredNanos = System.nanoTime();
+            rejected = line.startsWith("SERVER_ERROR busy");
             boolean own = line.contains("O" + request.id) || line.startsWith("SERVER_ERROR");
             if (!own) {
                 history.errors.add("answer: '" + line + "' for " + request.id + " of n" + proxy);
--- a/src/test/java/cacheproxy/soak/SoakIT.java
+++ b/src/test/java/cacheproxy/soak/SoakIT.java
@@ -18,13 +18,18 @@
 /**
  * The soak test: applies random, overlapping faults to processes of the packaged program and checks the invariants from
  * outside of them. CI runs a short form with fixed seeds. The full form is {@code mvn failsafe:integration-test
- * -Dit.test=SoakIT -Dsoak.first=1 -Dsoak.rounds=40 -Dsoak.proxies=30 -Dsoak.seconds=60}.
+ * -Dit.test=SoakIT -Dsoak.first=1 -Dsoak.rounds=40 -Dsoak.proxies=30 -Dsoak.seconds=60}; with
+ * {@code -Dsoak.releases=true} groups of servers restart cold under their ids and clients retry at once.
  */
 class SoakIT {
     private static final int FIRST_SEED = Integer.getInteger("soak.first", 1);
     private static final int ROUNDS = Integer.getInteger("soak.rounds", 2);
-    private static final SoakRound.Size SIZE =
-            new SoakRound.Size(Integer.getInteger("soak.proxies", 6), 4, 8, Integer.getInteger("soak.seconds", 10));
+    private static final SoakRound.Size SIZE = new SoakRound.Size(
+            Integer.getInteger("soak.proxies", 6),
+            4,
+            8,
+            Integer.getInteger("soak.seconds", 10),
+            Boolean.getBoolean("soak.releases"));
 
     @TempDir
     private Path folder;
--- a/src/test/java/cacheproxy/soak/SoakRound.java
+++ b/src/test/java/cacheproxy/soak/SoakRound.java
@@ -10,10 +10,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReferenceArray;
 import java.util.concurrent.locks.LockSupport;
@@ -27,8 +29,13 @@
  * join. All faults overlap and are drawn from one seed; the timing of the machine is not reproducible.
  */
 final class SoakRound implements AutoCloseable {
-    /** The size of a round. */
-    record Size(int proxies, int clientsEach, int servers, double seconds) {}
+    /**
+     * The size of a round.
+     *
+     * @param releases whether groups of servers restart cold under their ids, and clients retry rejected requests at
+     *     once
+     */
+    record Size(int proxies, int clientsEach, int servers, double seconds, boolean releases) {}
 
     static final double DRAIN_GRACE_MS = 2000;
     private static final int LATENESS_CHECK_MS = 10;
@@ -37,6 +44,9 @@
     private static final long EXPLANATION_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private static final int WARM_UP_REQUESTS = 100;
+    /** From the beginning of a server's drain until its next process is ready. */
+    private static final long RESTART_MS = 2000;
+
     private static final Pattern REQUEST_ID = Pattern.compile("c\\d+xe?\\d+x\\d+");
     private static final String[] SETTINGS = {
         "locality=0",
@@ -95,6 +105,7 @@
     private final AtomicReferenceArray<Boolean> proxiesUnderFault;
     private final ProxyFaults proxyFaults;
     private final ExecutorService workers = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService restartTimer = Executors.newSingleThreadScheduledExecutor();
     private int lastServerNumber;
     private int faultCount;
 
@@ -171,7 +182,8 @@
                                 proxy.port,
                                 history,
                                 random.nextLong(),
-                                end),
+                                end,
+                                size.releases()),
                         "client");
                 thread.setDaemon(true);
                 thread.start();
@@ -223,7 +235,7 @@
     private void injectFault() throws Exception {
         faultCount++;
         SoakServer server = servers.get(random.nextInt(servers.size()));
-        switch (random.nextInt(14)) {
+        switch (random.nextInt(size.releases() ? 17 : 14)) {
             case 0, 1, 2 -> injectOnProxy(proxyFaults::pause);
             case 3 -> injectOnProxy(proxyFaults::kill);
             case 4 -> injectOnProxy(proxyFaults::terminate);
@@ -234,6 +246,7 @@
             case 10 -> drain();
             case 11 -> injectByClients(ClientFaults::flood);
             case 12 -> injectByClients(ClientFaults::crowd);
+            case 14, 15, 16 -> restartGroup();
             default -> injectOnProxy(proxyFaults::pause);
         }
     }
@@ -289,6 +302,25 @@
         putInDiscovery(server.name, server.dial(), "node", random.nextBoolean() ? "draining" : "removed", 0);
     }
 
+    /** Restarts a third of the servers that are not drained: they drain, lose their connections, and are back cold. */
+    @SuppressWarnings("FutureReturnValueIgnored") // the timer is never cancelled; what it runs handles its own errors
+    private void restartGroup() {
+        List<SoakServer> group = new ArrayList<>(servers.stream()
+                .filter(server -> !server.name.equals("origin") && !history.drainedNanos.containsKey(server.name))
+                .toList());
+        Collections.shuffle(group, random);
+        List<SoakServer> restarting = group.subList(0, group.size() / 3);
+        restarting.forEach(server -> putInDiscovery(server.name, server.dial(), "node", "draining", 0));
+        restartTimer.schedule(() -> restarting.forEach(this::startCold), RESTART_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void startCold(SoakServer server) {
+        server.resetAll();
+        if (!history.drainedNanos.containsKey(server.name)) {
+            putInDiscovery(server.name, server.dial(), "node", "up", (double) System.currentTimeMillis());
+        }
+    }
+
     private void collectProcessErrors() throws IOException {
         for (SoakProxy proxy : proxies) {
             if (!proxy.alive()) {
@@ -387,6 +419,7 @@
     @Override
     public void close() throws Exception {
         workers.shutdownNow();
+        restartTimer.shutdownNow();
         for (SoakProxy proxy : proxies) {
             proxy.close();
         }
