Keep a server in its slow start when a later list withdraws its start

What callers would see: a server that had just started counted as warm, and got its whole share, once a list said 0 (long ago) or an earlier time for it, or had removed it in between and then said 0; lists can be late or out of order. Cause: only the latest entry of a server was looked at; 0 meant warm at once.

--- a/src/main/java/cacheproxy/policy/RoutingPolicy.java
+++ b/src/main/java/cacheproxy/policy/RoutingPolicy.java
@@ -75,7 +75,7 @@
         if (kind == EndpointListKind.CACHED) {
             listWatch.cachedListReceived(actions); // even if the list is invalid: discovery's list may be valid
         }
-        slowStart.beforeListChange(nowMs);
+        slowStart.beforeListChange(nowMs, endpoints, kind != EndpointListKind.CHANGES);
         endpointList.update(nowMs, kind, endpoints); // throws for an invalid list, which is not an answer
         if (kind != EndpointListKind.CACHED) {
             listWatch.answered();
--- a/src/main/java/cacheproxy/policy/SlowStart.java
+++ b/src/main/java/cacheproxy/policy/SlowStart.java
@@ -1,7 +1,9 @@
 package cacheproxy.policy;
 
 import cacheproxy.placement.StartTimes;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Limits the requests to a server that is warming up after its start. With an empty cache it has only a fraction of its
@@ -30,19 +32,39 @@
     private final LoadEstimates estimates;
     private final ThroughputEstimate throughput;
     private final LearnedSlowStartBudget budget;
+    private final EndpointList endpoints;
     private final StartTimes startTimes = new StartTimes();
+    private final WithdrawnStarts withdrawnStarts;
 
     SlowStart(PolicyEnvironment environment, LoadEstimates estimates, EndpointList endpoints) {
         this.environment = environment;
         this.estimates = estimates;
+        this.endpoints = endpoints;
         settings = environment.settings();
+        withdrawnStarts = new WithdrawnStarts(settings.warmUpMs());
         throughput = new ThroughputEstimate(endpoints, settings.kindCount(), this::capacityFraction);
         budget = new LearnedSlowStartBudget(settings, throughput);
     }
 
-    /** Must be called before a list changes which servers there are. */
-    void beforeListChange(double nowMs) {
+    /**
+     * Must be called before a list changes which servers there are and when they started.
+     *
+     * @param listed the servers of the new list
+     * @param complete whether the list names all servers, so that others are removed
+     */
+    void beforeListChange(double nowMs, List<Endpoint> listed, boolean complete) {
         throughput.calculate(nowMs);
+        Map<Integer, Endpoint> changed = new HashMap<>();
+        listed.forEach(endpoint -> changed.put(endpoint.id(), endpoint));
+        for (ServerState server : endpoints.servers()) {
+            Endpoint next = changed.get(server.id());
+            boolean removed = next == null ? complete : next.state() == EndpointState.GONE;
+            boolean earlier =
+                    next != null && next.startedMs() < server.endpoint().startedMs();
+            if ((removed || earlier) && isWarmingUp(nowMs, server)) {
+                withdrawnStarts.add(nowMs, server.id(), startedMs(server));
+            }
+        }
     }
 
     /** Records the start times of a received list. */
@@ -52,7 +74,7 @@
 
     /** Whether a server is still in its slow start. */
     boolean isWarmingUp(double nowMs, ServerState server) {
-        return server.endpoint().startedMs() != 0 && nowMs - startedMs(server) < settings.warmUpMs();
+        return nowMs - startedMs(server) < settings.warmUpMs();
     }
 
     /**
@@ -211,9 +233,6 @@
 
     /** Returns the fraction of its capacity that a server has; 1 if it has warmed up. */
     private double capacityFraction(double nowMs, ServerState server) {
-        if (server.endpoint().startedMs() == 0) {
-            return 1;
-        }
         double ageMs = Math.max(0, nowMs - startedMs(server));
         double initial = settings.initialCapacityFraction();
         return ageMs < settings.warmUpMs() ? initial + (1 - initial) * ageMs / settings.warmUpMs() : 1;
@@ -236,7 +255,11 @@
         return Math.min(1, fairRequests / pending.recentKeyRequests());
     }
 
+    /** Returns when a server started, on the proxy's clock; negative infinity if that was long ago. */
     private double startedMs(ServerState server) {
-        return startTimes.startedMs(server.endpoint().startedMs(), server.restartSeenMs());
+        double listedMs = server.endpoint().startedMs();
+        return Math.max(
+                listedMs == 0 ? Double.NEGATIVE_INFINITY : startTimes.startedMs(listedMs, server.restartSeenMs()),
+                withdrawnStarts.startedMs(server.id()));
     }
 }
--- a/src/test/java/cacheproxy/policy/SlowStartTest.java
+++ b/src/test/java/cacheproxy/policy/SlowStartTest.java
@@ -125,4 +125,27 @@
             harness.end(harness.lastSent(), AttemptOutcome.OK);
         }
     }
+
+    /** Lists that are late or out of order, or a server that is removed and back, do not make it warm. */
+    @Test
+    void staysInSlowStartWhenAListWithdrawsItsStart() {
+        for (boolean removed : new boolean[] {false, true}) {
+            PolicyHarness harness = PolicyHarness.cacheAside().withFleet(3);
+            harness.changeEndpoints(PolicyHarness.endpoint(2, EndpointState.READY, harness.nowMs));
+            harness.nowMs += 1000;
+            EndpointState between = removed ? EndpointState.GONE : EndpointState.DRAINING;
+            harness.changeEndpoints(PolicyHarness.endpoint(2, between, 0));
+            harness.nowMs += 1000;
+            harness.changeEndpoints(PolicyHarness.endpoint(2, EndpointState.READY, 0));
+            assertThat(harness.policy.slowStart(harness.nowMs, 2))
+                    .matches(SlowStartStatus::warmingUp)
+                    .satisfies(status -> assertThat(status.ageMs()).isEqualTo(2000));
+            harness.nowMs += 5999;
+            assertThat(harness.policy.slowStarts(harness.nowMs)).hasSize(1);
+            harness.nowMs += 1;
+            assertThat(harness.policy.slowStarts(harness.nowMs))
+                    .as("warm in the end")
+                    .isEmpty();
+        }
+    }
 }
