--- a/src/main/java/cacheproxy/policy/RequestRouter.java
+++ b/src/main/java/cacheproxy/policy/RequestRouter.java
@@ -22,6 +22,7 @@
     private final HedgingPolicy hedging;
     private final LoadShedder shedder;
     private final FetchCoalescer coalescer = new FetchCoalescer();
+    private final FetchWaiters waiters;
     private final AttemptSender sender;
     private final OriginFetchPolicy originFetches;
     private final RequestConclusion conclusion;
@@ -46,6 +47,7 @@
         hedging = new HedgingPolicy(settings, estimates.latencies());
         shedder = new LoadShedder(settings, environment.random());
         sender = new AttemptSender(admission, endpoints, hedging);
+        waiters = new FetchWaiters(coalescer, endpoints, sender, this::advance);
         originFetches = new OriginFetchPolicy(environment.siblings(), estimates, coalescer, shedder, sender);
         conclusion = new RequestConclusion(settings, environment.random(), estimates.latencies(), requests);
         feedback = new AttemptFeedback(environment.siblings(), endpoints, estimates, ejection, hedging);
@@ -113,9 +115,9 @@
             requests.finish(pending);
         }
         if (pending.isLeading()) {
-            continueWaiters(nowMs, pending, server, result.outcome() == AttemptOutcome.OK, actions);
+            waiters.fetchEnded(nowMs, pending, server, result.outcome() == AttemptOutcome.OK, actions);
         }
-        releaseWaiters(nowMs, pending, actions);
+        waiters.release(nowMs, pending, actions);
         if (!wasConcluded && result.answered()) {
             conclusion.cancelInFlight(pending, actions);
         } else if (!pending.isConcluded()) {
@@ -190,7 +192,7 @@
         if (!pending.hasWaiters()) {
             conclusion.cancelInFlight(pending, actions);
         }
-        releaseWaiters(nowMs, pending, actions);
+        waiters.release(nowMs, pending, actions);
     }
 
     /**
@@ -286,53 +288,6 @@
 
     private void giveUp(double nowMs, PendingRequest pending, PolicyActions actions) {
         conclusion.giveUp(pending, actions);
-        releaseWaiters(nowMs, pending, actions);
-    }
-
-    /** Resumes the requests that wait for a leader, if the leader has ended and will not fetch. */
-    private void releaseWaiters(double nowMs, PendingRequest pending, PolicyActions actions) {
-        if (pending.isConcluded() && pending.isLeading() && !pending.isFetching() && pending.inFlightAttempts() == 0) {
-            resumeWaiters(nowMs, pending, false, actions);
-        }
-    }
-
-    /**
-     * Resumes the requests that wait for a leader, if the attempt of the leader that has ended was the fetch that they
-     * wait for.
-     */
-    private void continueWaiters(
-            double nowMs, PendingRequest leader, ServerState server, boolean succeeded, PolicyActions actions) {
-        if (endpoints.isOrigin(server)) {
-            resumeWaiters(nowMs, leader, succeeded, actions);
-        } else if (succeeded && endpoints.isSibling(server)) {
-            fetchFromSibling(nowMs, leader, server, actions);
-        }
-    }
-
-    /**
-     * Resumes waiting requests, which find a fetched object at the server that missed it; after a failed fetch the
-     * first of them fetches.
-     */
-    private void resumeWaiters(double nowMs, PendingRequest leader, boolean stored, PolicyActions actions) {
-        for (PendingRequest waiter : coalescer.removeLeader(leader)) {
-            if (!waiter.isConcluded() && waiter.isWaiting()) {
-                waiter.setOriginOnly(!stored || !waiter.leavesAttemptForOrigin());
-                advance(nowMs, waiter, actions);
-            }
-        }
-    }
-
-    /**
-     * Sends each waiting request to the sibling, because an object that a sibling served is not stored at this proxy's
-     * servers.
-     */
-    private void fetchFromSibling(double nowMs, PendingRequest leader, ServerState sibling, PolicyActions actions) {
-        for (PendingRequest waiter : coalescer.removeLeader(leader)) {
-            if (!waiter.isConcluded() && waiter.isWaiting() && waiter.attemptsLeft() > 0) {
-                waiter.setWaiting(false);
-                waiter.markSiblingsQueried();
-                sender.send(nowMs, waiter, sibling, actions);
-            }
-        }
+        waiters.release(nowMs, pending, actions);
     }
 }
--- a/src/main/java/cacheproxy/policy/package-info.java
+++ b/src/main/java/cacheproxy/policy/package-info.java
@@ -19,10 +19,13 @@
  *   <li>{@code ServerSelector}: the server of an attempt, among those ranked for the key.
  *   <li>{@code HotKeyTracker}: recent requests by key, and the number of servers that a hot key is spread over.
  *   <li>{@code OutlierEjection}: ejected servers and half-open probes; a server's health is in {@code ServerState}.
- *   <li>{@code SlowStart}: the limit on requests to a server that is warming up.
+ *   <li>{@code SlowStart}: the limit on requests to a server that is warming up. {@code LearnedSlowStartBudget} is the
+ *       formula of its budget, {@code ThroughputEstimate} what warm servers do, {@code SlowStartWindow} what counts
+ *       against a server's budget, {@code WithdrawnStarts} the starts that later lists have withdrawn.
  *   <li>{@code HedgingPolicy}: the hedging delay and the budget of hedged requests.
  *   <li>{@code RetryRules}: whether another attempt could take effect twice.
- *   <li>{@code FetchCoalescer}: one fetch from the origin for all requests that miss the same key.
+ *   <li>{@code FetchCoalescer}: one fetch from the origin for all requests that miss the same key; {@code FetchWaiters}
+ *       resumes those that wait for it.
  *   <li>{@code AdaptiveThrottle}: overload of the cache servers and of the origin; {@code LoadShedder} and
  *       {@code TenantShares} which requests to reject then.
  *   <li>{@code RequestConclusion}: the final response, with the time after which a rejected client should retry.
--- a/src/test/java/cacheproxy/ModuleSizeTest.java
+++ b/src/test/java/cacheproxy/ModuleSizeTest.java
@@ -28,6 +28,6 @@
                     .allSatisfy(line -> assertThat(line.length()).as(line).isLessThanOrEqualTo(120));
             files++;
         }
-        assertThat(files).isEqualTo(40);
+        assertThat(files).isEqualTo(41);
     }
 }
