List a soak seed on which a deadline did not count a pause as known red

By reading, each way that was looked at counts the pause (poll, busy turn, paused reading, accept queue); the turn that read the request is not known. Not caused by the budget as far as the record tells: it is about what a client has left.

--- a/src/test/java/cacheproxy/soak/SoakIT.java
+++ b/src/test/java/cacheproxy/soak/SoakIT.java
@@ -52,6 +52,16 @@
         assertThat(all).isEmpty();
     }
 
+    /** Seed 2026 of a long run: a deadline that was passed on did not count a pause of the process. */
+    @Test
+    @Timeout(120)
+    void deadlinesCountPausesInQuickSuccession() throws Exception {
+        SoakRound.Size size = new SoakRound.Size(5, 4, 8, 8, false);
+        try (SoakRound round = new SoakRound(2026, size, folder.resolve("seed-2026"))) {
+            assertThat(round.run()).isEmpty();
+        }
+    }
+
     /** Verifies that the judge finds each kind of violation in a history that has it, and none in a correct one. */
     @Test
     void judgeFindsEachKindOfViolation() {
