Review case 9: a load at which it shows in each run

Need: at 500 commands a second the case failed in some runs only. What was done: the client sends 1,000 a second.

--- a/review/standins-2/src/CommandsAtShutdown.java
+++ b/review/standins-2/src/CommandsAtShutdown.java
@@ -13,7 +13,7 @@
 /** A client sends many commands at once, again and again, while the proxy is restarted. Does each get its answer? */
 final class CommandsAtShutdown {
     private static final int NODES = 4;
-    private static final int BURST = 10;
+    private static final int BURST = 20;
     private static final double BURST_EVERY_MS = 20;
     private static final double NODE_MS = 150;
     private static final double QUIET_MS = 3000;
