--- a/review/standins-2/src/Rig.java
+++ b/review/standins-2/src/Rig.java
@@ -192,6 +192,7 @@
         int controlPort;
         int memoryMb = 192;
         int sockets = 1024;
+        String mode = "aside";
 
         Config() {
             caps.put("connect-timeout", "100.0");
@@ -255,7 +256,7 @@
                     + ",\"locality\":0,\"zones\":[\"tan-thuan\",\"quang-trung\",\"thu-duc\",\"binh-duong\"],"
                     + "\"kinds\":[\"node-fast\",\"node-slow\",\"origin\"],\"discovery\":\"ask\",\"value-by\":\"request\","
                     + "\"over-share-worth\":0.1,\"report\":{\"how\":\"silent\",\"names\":[]},\"caps\":{" + capsText + "},"
-                    + "\"extra\":{\"mode\":\"aside\",\"origin-kind\":2,\"origin-fall-multiple\":0.0,\"origin-fall\":3000.0},"
+                    + "\"extra\":{\"mode\":\"" + mode + "\",\"origin-kind\":" + (mode.equals("aside") ? 2 : -1) + ",\"origin-fall-multiple\":0.0,\"origin-fall\":3000.0},"
                     + "\"guarantees\":{\"drain-grace\":2000.0,\"grace-to-answer\":20.0,\"start-capacity\":0.3,"
                     + "\"warm-up\":9000.0,\"tip-multiple\":3.0,\"fall\":1500.0,\"ask-within\":10000.0},"
                     + "\"classes\":[" + String.join(",", classes) + "]}}";
