--- a/review/standins-2/src/CommandsAtShutdown.java
+++ b/review/standins-2/src/CommandsAtShutdown.java
@@ -8,26 +8,25 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.atomic.AtomicInteger;
 
-/** A client sends many commands at once, again and again, while the proxy is restarted. Does each get its answer? */
+/** Clients have many commands out on a connection, again and again, while the proxy is restarted. Is each answered? */
 final class CommandsAtShutdown {
     private static final int NODES = 4;
-    private static final int BURST = 20;
-    private static final double BURST_EVERY_MS = 20;
-    private static final double NODE_MS = 150;
+    private static final int CLIENTS = 4;
+    private static final int COMMANDS_OUT = 80;
+    private static final double MIN_NODE_MS = 100;
+    private static final double MAX_NODE_MS = 200;
     private static final double QUIET_MS = 3000;
     /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM. */
     private static final double KILL_AFTER_MS = 1000 + 700;
-
-    private final Rig rig;
-    /** What the proxy reads this shortly before the client sees the connection's end does not count as read. */
+    /** What the proxy reads this shortly before its end of the connection comes does not count as read. */
     private static final double END_SLACK_MS = 25;
 
-    private volatile long bytesSent;
-    private volatile double endMs = Double.POSITIVE_INFINITY;
-    /** When it was looked, and how many bytes the proxy had read by then. */
-    private final List<double[]> samples = new ArrayList<>();
+    private static final String ESTABLISHED = "01";
+    private static final long UNKNOWN = Long.MAX_VALUE / 2;
+
+    private final Rig rig;
+    private volatile boolean stop;
 
     private CommandsAtShutdown(Rig rig) {
         this.rig = rig;
@@ -51,89 +50,134 @@
         rig.new Discovery(config);
         config.listenPort = Rig.freePort();
         Rig.Proxy proxy = rig.start(config, "n0");
-        long[] endOf = new long[100_000]; // by the number of the command: how many bytes had been sent with it
-        AtomicInteger sent = new AtomicInteger();
-        AtomicInteger answered = new AtomicInteger();
-        AtomicInteger served = new AtomicInteger();
-        try (Rig.Client client = new Rig.Client(config.listenPort, 10_000)) {
-            Thread reader = Rig.daemon(() -> {
-                for (String line; (line = client.line()) != null; answered.incrementAndGet()) {
-                    if (line.startsWith("VA ")) {
-                        client.line();
-                        served.incrementAndGet();
-                    }
-                }
-                endMs = rig.nowMs();
-            });
-            double termMs = Double.POSITIVE_INFINITY;
-            Random random = new Random(1);
-            double quietUntilMs = rig.nowMs() + QUIET_MS;
-            for (double next = rig.nowMs(); reader.isAlive(); next += BURST_EVERY_MS) {
-                sample(config.listenPort, client.socket.getLocalPort());
-                if (rig.nowMs() >= quietUntilMs && termMs == Double.POSITIVE_INFINITY) {
-                    termMs = rig.nowMs();
-                    if (!rig.trouble) {
-                        break;
-                    }
-                    proxy.signal("TERM");
-                }
-                StringBuilder burst = new StringBuilder();
-                int first = sent.get();
-                for (int i = 0; i < BURST; i++) {
-                    burst.append("mg %016x v Oc%06d Pc=seg-text,d=800\r\n".formatted(random.nextLong(), first + i));
-                    endOf[first + i] = bytesSent + burst.length();
-                }
-                try {
-                    client.send(burst.toString());
-                } catch (IOException e) {
-                    break; // the proxy has ended the connection; what was sent now it has not read
-                }
-                bytesSent += burst.length();
-                sent.addAndGet(BURST);
-                rig.log("sent=" + sent + " bytes=" + bytesSent + " answered=" + answered);
-                for (double at; (at = next + BURST_EVERY_MS - rig.nowMs()) > 0 && reader.isAlive(); ) {
-                    Rig.sleep(Math.min(5, at));
-                    sample(config.listenPort, client.socket.getLocalPort());
-                }
-                if (rig.nowMs() > termMs + KILL_AFTER_MS) {
-                    break;
-                }
-            }
-            double waitUntilMs = rig.nowMs() + 3000;
-            while (reader.isAlive() && rig.nowMs() < waitUntilMs && (rig.trouble || answered.get() < sent.get())) {
-                Rig.sleep(5);
-            }
-            rig.log("the connection " + (reader.isAlive() ? "is open" : "ended at %.1f".formatted(endMs)));
+        List<Pipeline> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(new Pipeline(i, config.listenPort));
+        }
+        Rig.sleep(QUIET_MS);
+        if (rig.trouble) {
+            proxy.signal("TERM");
+        } else {
+            stop = true;
         }
-        long taken = 0;
-        for (double[] sample : samples) {
-            taken = sample[0] < endMs - END_SLACK_MS ? Math.max(taken, (long) sample[1]) : taken;
+        for (double end = rig.nowMs() + KILL_AFTER_MS; rig.nowMs() < end && clients.stream().anyMatch(Pipeline::isOwed); ) {
+            Rig.sleep(5);
         }
+        int sent = 0;
+        int answered = 0;
+        int served = 0;
         int lost = 0;
-        for (int i = answered.get(); i < sent.get() && endOf[i] <= taken; i++) {
-            lost++;
-            rig.log("LOST command " + i + ", whose last byte was number " + endOf[i] + " of " + taken
-                    + " that the proxy has read");
+        for (Pipeline client : clients) {
+            sent += client.endOf.size();
+            answered += client.answered;
+            served += client.served;
+            lost += client.judge();
+            client.client.close();
         }
-        String summary = "commands=" + sent + " answered=" + answered + " served=" + served + " bytes=" + bytesSent
-                + " read_by_proxy=" + taken + " read_and_never_answered=" + lost;
+        String summary = "commands=" + sent + " answered=" + answered + " served=" + served + " read_and_never_answered=" + lost;
         rig.log(summary);
         System.out.println(summary);
-        if (served.get() < 100) {
+        if (served < 1000) {
             throw new Rig.CannotRun("only " + served + " commands were served");
         }
         return lost == 0;
     }
 
-    private void sample(int proxyPort, int clientPort) throws IOException {
-        // Bytes may move from one queue to the other between two lines of the table, so the larger of two looks counts.
-        long unread = Math.max(unread(proxyPort, clientPort), unread(proxyPort, clientPort));
-        samples.add(new double[] {rig.nowMs(), bytesSent - unread});
+    /** A client that sends a further command for each answer. */
+    private final class Pipeline {
+        private final int number;
+        private final int proxyPort;
+        private final Rig.Client client;
+        private final Random random;
+        /** By the number of the command: how many bytes had been sent with it. */
+        private final List<Long> endOf = new ArrayList<>();
+        /** When it was looked while the connection was whole, and how many bytes the proxy had read by then. */
+        private final List<double[]> samples = new ArrayList<>();
+        private long bytesSent;
+        private volatile int answered;
+        private volatile int served;
+        private volatile double endMs = Double.POSITIVE_INFINITY;
+
+        Pipeline(int number, int proxyPort) throws IOException {
+            this.number = number;
+            this.proxyPort = proxyPort;
+            client = rig.owns(new Rig.Client(proxyPort, 10_000));
+            random = new Random(number);
+            send(COMMANDS_OUT);
+            Rig.daemon(this::read);
+            Rig.daemon(() -> {
+                while (endMs == Double.POSITIVE_INFINITY) {
+                    sample();
+                    Rig.sleep(4);
+                }
+            });
+        }
+
+        private synchronized void send(int count) throws IOException {
+            StringBuilder commands = new StringBuilder();
+            for (int i = 0; i < count; i++) {
+                commands.append("mg %016x v Oc%02x%06d Pc=seg-text,d=800\r\n".formatted(random.nextLong(), number, endOf.size()));
+                endOf.add(bytesSent + commands.length());
+            }
+            client.send(commands.toString());
+            bytesSent += commands.length();
+        }
+
+        private void read() {
+            try {
+                for (String line; (line = client.line()) != null; ) {
+                    if (line.startsWith("VA ")) {
+                        client.line();
+                        served++;
+                    }
+                    answered++;
+                    if (!stop) {
+                        send(1);
+                    }
+                }
+            } catch (IOException e) {
+                rig.log("client " + number + ": " + e);
+            }
+            endMs = rig.nowMs();
+            rig.log("client " + number + ": its connection has ended, answered=" + answered);
+        }
+
+        private synchronized void sample() throws IOException {
+            double nowMs = rig.nowMs();
+            // Bytes may move from one queue to the other between two lines of the table, so the larger of two looks counts.
+            long unread = Math.max(
+                    unread(proxyPort, client.socket.getLocalPort()), unread(proxyPort, client.socket.getLocalPort()));
+            if (unread < UNKNOWN) {
+                samples.add(new double[] {nowMs, bytesSent - unread});
+            }
+        }
+
+        boolean isOwed() {
+            return endMs == Double.POSITIVE_INFINITY && answered < endOf.size();
+        }
+
+        /** Returns how many commands the proxy has read and never answered. */
+        synchronized int judge() {
+            long read = 0;
+            double wholeUntilMs = samples.isEmpty() ? 0 : samples.get(samples.size() - 1)[0];
+            for (double[] sample : samples) {
+                read = sample[0] < wholeUntilMs - END_SLACK_MS ? Math.max(read, (long) sample[1]) : read;
+            }
+            int lost = 0;
+            for (int i = answered; i < endOf.size() && endOf.get(i) <= read; i++) {
+                lost++;
+                rig.log("LOST command " + i + " of client " + number + ": its last byte was number " + endOf.get(i) + " of " + read
+                        + " that the proxy had read");
+            }
+            rig.log("client " + number + ": commands=" + endOf.size() + " answered=" + answered + " bytes=" + bytesSent + " read=" + read);
+            return lost;
+        }
     }
 
     /**
      * How many bytes the system holds that the client has sent and the proxy has not read: in the receive queue of the
-     * proxy's socket and in the send queue of the client's; many if it can't be told.
+     * proxy's socket and in the send queue of the client's. {@link #UNKNOWN} if it can't be told, or if the proxy's end of
+     * the connection has come to the client's machine, whether or not the client has noticed.
      */
     private static long unread(int proxyPort, int clientPort) throws IOException {
         String proxy = "0100007F:%04X".formatted(proxyPort);
@@ -151,16 +195,17 @@
                 }
                 String[] queues = words[4].split(":");
                 if (words[1].endsWith(proxy) && words[2].endsWith(client)) {
-                    received = Long.parseLong(queues[1], 16);
+                    received = words[3].equals(ESTABLISHED) ? Long.parseLong(queues[1], 16) : -1;
                 } else if (words[1].endsWith(client) && words[2].endsWith(proxy)) {
-                    unsent = Long.parseLong(queues[0], 16);
+                    unsent = words[3].equals(ESTABLISHED) ? Long.parseLong(queues[0], 16) : -1;
                 }
             }
         }
-        return received < 0 || unsent < 0 ? Long.MAX_VALUE / 2 : received + unsent;
+        return received < 0 || unsent < 0 ? UNKNOWN : received + unsent;
     }
 
     private void node(Socket socket, InputStream in, OutputStream out) throws Exception {
+        Random random = new Random(socket.getPort());
         LinkedBlockingQueue<Object[]> answers = new LinkedBlockingQueue<>();
         Rig.daemon(() -> {
             while (true) {
@@ -174,8 +219,9 @@
         });
         for (String line; (line = Rig.line(in)) != null; ) {
             boolean probe = line.equals("mn");
+            double afterMs = probe ? 0 : MIN_NODE_MS + random.nextDouble() * (MAX_NODE_MS - MIN_NODE_MS);
             answers.add(new Object[] {
-                rig.nowMs() + (probe ? 0 : NODE_MS), probe ? "MN\r\n" : "VA 5 O" + Rig.flag(line, 'O') + " h1\r\nhello\r\n"
+                rig.nowMs() + afterMs, probe ? "MN\r\n" : "VA 5 O" + Rig.flag(line, 'O') + " h1\r\nhello\r\n"
             });
         }
     }
