--- a/review/standins-2/src/SecondRefusal.java
+++ b/review/standins-2/src/SecondRefusal.java
@@ -17,9 +17,9 @@
     private static final double RUN_MS = 30_000;
     private static final double WORK_MS = 10;
     private static final int QUEUE = 3;
-    private static final int COPY_AFTER_MS = 3;
+    private static final int COPY_AFTER_MS = 7;
     private static final double ONE_WAY_MS = 2;
-    private static final int ONE_IN = 10;
+    private static final int ONE_IN = 5;
 
     private final Rig rig;
     private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
@@ -146,7 +146,7 @@
                     write(out, "SERVER_ERROR busy\r\n");
                     if (rig.trouble && random.nextInt(ONE_IN) == 0) {
                         Rig.sleep(COPY_AFTER_MS);
-                        if (in.available() == 0) { // nothing else waits on the connection
+                        if (in.available() == 0) { // nothing else waits, and what was sent before the first answer came has arrived
                             rig.log(name + " refuses " + id + " a second time");
                             write(out, "SERVER_ERROR busy\r\n");
                             copies.incrementAndGet();
