--- a/review/standins-2/src/StandbyClient.java
+++ b/review/standins-2/src/StandbyClient.java
@@ -7,8 +7,8 @@
 /** A client sends a command every few milliseconds on one connection while the proxy is put into standby. */
 final class StandbyClient {
     private static final int NODES = 4;
-    private static final double NODE_MS = 60;
-    private static final double COMMAND_EVERY_MS = 20;
+    private static final double NODE_MS = 80;
+    private static final double COMMAND_EVERY_MS = 10;
     private static final double BEFORE_MS = 2000;
     /** After this time no connection may be held with a request from the last 2 s; 50 ms longer on sockets. */
     private static final double DRAINED_AFTER_MS = 4000 + 50;
