Take the answer to a write for a receipt only if it is one printable word

Cause: OriginCodec took any body of a 200 for the receipt, after trim(), and the line to the client was put together from it.

Change: a receipt is one word of 1 to 1,024 printable ASCII characters, as it came (MetaCodec.isReceipt), from the origin and from cache servers. Anything else is input that violates the protocol: the connection is closed, the attempt has failed and may have run, and GET /load counts it (invalid_server_responses). A pool of stock servers may leave the receipt out. PendingResponse.respond refuses a line with a line end in it (invariant single_line, stays 0).

Why this works: the text is checked where it enters, before anything is written from it, and once more at the one place where lines with others' text are written.

The existing golden list of invariant labels gained the new label; no assertion was weakened.

--- a/src/main/java/cacheproxy/invariant/Invariant.java
+++ b/src/main/java/cacheproxy/invariant/Invariant.java
@@ -25,6 +25,8 @@
     SLOW_START_BUDGET,
     /** A request has one final response. */
     SINGLE_ANSWER,
+    /** Every response line to a client has one line end, at its end. */
+    SINGLE_LINE,
     /** The proxy closes no client connection on which a response is pending. */
     CLOSE_OWES_NOTHING;
 
--- a/src/main/java/cacheproxy/proxy/client/PendingResponse.java
+++ b/src/main/java/cacheproxy/proxy/client/PendingResponse.java
@@ -130,11 +130,11 @@
 
     /** Records the violation that the connection is closed without this response. */
     void recordUnansweredClose(CloseCause cause) {
-        connection
-                .loopContext()
-                .invariants()
-                .recordViolation(
-                        Invariant.CLOSE_OWES_NOTHING, echo.trim(), "its connection is closed, " + cause.label());
+        recordViolation(Invariant.CLOSE_OWES_NOTHING, "its connection is closed, " + cause.label());
+    }
+
+    private void recordViolation(Invariant invariant, String reason) {
+        connection.loopContext().invariants().recordViolation(invariant, echo.trim(), reason);
     }
 
     /**
@@ -160,17 +160,22 @@
         }
     }
 
-    /** Responds with a complete line, including its line end. */
+    /**
+     * Responds with a complete line, including its line end. All lines behind those of {@link ImmediateResponses} are
+     * written here: text that would end the line early is replaced by an error, as the client would take the rest for
+     * the responses to its next commands.
+     */
     void respond(String line) {
-        complete(MetaCodec.ascii(connection.allocator(), line));
+        boolean singleLine = MetaCodec.isOneLine(line);
+        if (!singleLine) {
+            recordViolation(Invariant.SINGLE_LINE, "a response with a line end in it was replaced");
+        }
+        complete(MetaCodec.ascii(connection.allocator(), singleLine ? line : MetaCodec.FAILED_LINE));
     }
 
     private void complete(ByteBuf response) {
         if (complete || longValue != null) {
-            connection
-                    .loopContext()
-                    .invariants()
-                    .recordViolation(Invariant.SINGLE_ANSWER, echo.trim(), "a second answer was dropped");
+            recordViolation(Invariant.SINGLE_ANSWER, "a second answer was dropped");
             response.release();
             return;
         }
--- a/src/main/java/cacheproxy/proxy/net/LoadStatistics.java
+++ b/src/main/java/cacheproxy/proxy/net/LoadStatistics.java
@@ -3,13 +3,14 @@
 import java.util.EnumMap;
 import java.util.Map;
 
-/** What operators are told about the load of an event loop and about the clients that cause it. */
+/** What operators are told about the load of an event loop, the clients that cause it, and invalid input. */
 public final class LoadStatistics {
     private final PollClock polls;
     private final TurnScheduler turns;
     private final Map<ReadPause, Long> pauses = new EnumMap<>(ReadPause.class);
     private long commands;
     private long invalidCommands;
+    private long invalidServerResponses;
 
     /** Creates statistics without counts. */
     public LoadStatistics(PollClock polls, TurnScheduler turns) {
@@ -30,12 +31,18 @@
         }
     }
 
+    /** Records a response of a server that violates the protocol; its connection is closed. */
+    public void invalidServerResponse() {
+        invalidServerResponses++;
+    }
+
     /** Describes the counts since the start, a line for each subject. */
     public String summary() {
         StringBuilder text = new StringBuilder("loop_busy " + polls.busyTurns())
                 .append("\nturns_cut_short=")
                 .append(turns.turnsCutShort())
                 .append("\ncommands=" + commands + " invalid=" + invalidCommands)
+                .append("\ninvalid_server_responses=" + invalidServerResponses)
                 .append("\nread_paused");
         for (ReadPause reason : ReadPause.values()) {
             text.append(' ').append(reason.label()).append('=').append(pauses.getOrDefault(reason, 0L));
--- a/src/main/java/cacheproxy/proxy/request/MetaCodec.java
+++ b/src/main/java/cacheproxy/proxy/request/MetaCodec.java
@@ -21,6 +21,9 @@
     /** The start of the response to a rejected request. */
     public static final String BUSY_PREFIX = "SERVER_ERROR busy";
 
+    /** The longest receipt of a write, in characters: with it the line to the client stays within a line's length. */
+    public static final int MAX_RECEIPT_LENGTH = 1024;
+
     /** The maximum number of metrics in a load report. */
     private static final int MAX_REPORT_METRICS = 4;
 
@@ -112,6 +115,20 @@
         return true;
     }
 
+    /**
+     * Returns whether the text can be the receipt of a write: one word of 1 to {@link #MAX_RECEIPT_LENGTH} printable
+     * ASCII characters. White space around it does not belong to a receipt either.
+     */
+    public static boolean isReceipt(String text) {
+        return !text.isEmpty() && text.length() <= MAX_RECEIPT_LENGTH && text.indexOf(' ') < 0 && isPrintable(text);
+    }
+
+    /** Returns whether the text, which includes the line's end, is exactly one line. */
+    public static boolean isOneLine(String text) {
+        int end = text.length() - 2;
+        return end >= 0 && text.indexOf('\r') == end && text.indexOf('\n') == end + 1;
+    }
+
     /**
      * The token from this index to the next space or the line's end; empty if the index is past the end of the line.
      */
--- a/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
@@ -148,7 +148,8 @@
     private void onStored(Attempt attempt, String line) throws MetaCodec.SyntaxException {
         readFlags(attempt, line, STORED_PREFIX.length());
         String receipt = MetaCodec.flagArgument(line, STORED_PREFIX.length(), RECEIPT_FLAG);
-        if (receipt == null && !attempt.protocol().stockServers()) {
+        boolean sound = receipt == null ? attempt.protocol().stockServers() : MetaCodec.isReceipt(receipt);
+        if (!sound) {
             throw new MetaCodec.SyntaxException("no receipt");
         }
         responses.onResponse(AttemptOutcome.OK, cacheStatus, loadReport, null, receipt);
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -217,14 +217,25 @@
         if (complete == null) { // it was streamed or discarded
             responses.onResponse(AttemptOutcome.OK, CACHE_STATUS_UNKNOWN, loadReport);
         } else if (attempt.request().isWrite()) {
-            String receipt = complete.toString(StandardCharsets.ISO_8859_1).trim();
+            String text = complete.toString(StandardCharsets.ISO_8859_1);
             complete.release();
-            responses.onResponse(AttemptOutcome.OK, CACHE_STATUS_UNKNOWN, loadReport, null, receipt);
+            onStored(attempt, text, loadReport);
         } else {
             responses.onResponse(AttemptOutcome.OK, CACHE_STATUS_UNKNOWN, loadReport, complete, null);
         }
     }
 
+    /** Ends a write with the receipt in the body, or fails if the body can't be one. */
+    private void onStored(Attempt attempt, String text, float[] loadReport) {
+        boolean withoutReceipt = text.isEmpty() && attempt.protocol().stockServers();
+        if (withoutReceipt || MetaCodec.isReceipt(text)) {
+            String receipt = withoutReceipt ? null : text;
+            responses.onResponse(AttemptOutcome.OK, CACHE_STATUS_UNKNOWN, loadReport, null, receipt);
+        } else {
+            fail("no receipt");
+        }
+    }
+
     /** Passes on a long body that has been buffered, as a long value whose length is now known. */
     private void beginForwarding(float[] loadReport) {
         forwardedLoadReport = loadReport;
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -237,8 +237,9 @@
         }
     }
 
-    /** Called when the input violates the protocol. */
+    /** Called when the input violates the protocol, so that what follows can't be told apart. */
     void onProtocolError(String reason) {
+        loopContext().load().invalidServerResponse();
         loopContext().log("bad answer of " + address + ": " + reason);
         close();
     }
--- a/src/test/java/cacheproxy/invariant/SummaryGoldenTextTest.java
+++ b/src/test/java/cacheproxy/invariant/SummaryGoldenTextTest.java
@@ -20,6 +20,7 @@
                         "server_accepts",
                         "slow_start_budget",
                         "single_answer",
+                        "single_line",
                         "close_owes_nothing");
     }
 
--- a/src/test/java/cacheproxy/proxy/request/MetaCodecTest.java
+++ b/src/test/java/cacheproxy/proxy/request/MetaCodecTest.java
@@ -114,4 +114,15 @@
         assertThat(MetaCodec.isPrintable("k\u007f")).isFalse();
         assertThat(MetaCodec.isPrintable("k\u00e9")).isFalse();
     }
+
+    @Test
+    void tellsOneLineFromPartsAndSeveral() {
+        assertThat(MetaCodec.isOneLine("HD O1\r\n")).isTrue();
+        assertThat(MetaCodec.isOneLine("\r\n")).isTrue();
+        assertThat(MetaCodec.isOneLine("HD O1")).isFalse();
+        assertThat(MetaCodec.isOneLine("\n")).isFalse();
+        assertThat(MetaCodec.isOneLine("HD O1 ca\r\nb\r\n")).isFalse();
+        assertThat(MetaCodec.isOneLine("HD O1 ca\nb\r\n")).isFalse();
+        assertThat(MetaCodec.isOneLine("HD O1 ca\rb\r\n")).isFalse();
+    }
 }
