Answer every command that has been read when reading from a connection ends

Cause: stopTakingRequests marked the connection as closing, and ClientConnection.decode skipped all input that was left from then on. A connection whose whole commands waited for their turn of the loop could also be evicted, as if it held half a command.

Change: ClientConnection.endReading is one moment for the connection. Nothing is read after it but the client's close. Decoded requests are served; what was read and not decoded is decoded on in the turns of CommandTurns, each command is answered busy without having been sent, and the connection ends after the last response. Half a command is no request. A connection that may hold whole commands has no eviction rank.

Why this works: what has been read is known by the buffer, and the connection can't finish before that buffer has no whole command left (inputDecoded).

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -18,6 +19,9 @@
  * responses in the order of the requests.
  */
 final class ClientConnection extends ByteToMessageDecoder implements RequestDecoder.Output {
+    /** The response to a request that is not sent to any server, as reading has ended. */
+    private static final String BUSY_LINE = MetaCodec.BUSY_PREFIX + "\r\n";
+
     private final EventLoopContext loopContext;
     private final ConnectionOwner owner;
     private final double closingPosition;
@@ -35,6 +39,8 @@
     private final Runnable flush = this::flush;
     private ChannelHandlerContext ctx;
     private boolean flushScheduled;
+    /** Whether reading has ended and no complete command is left in what was read. */
+    private boolean inputDecoded;
 
     /**
      * Creates a connection that is not registered with a channel yet.
@@ -155,7 +161,7 @@
             responses.cancelHeldValues(); // they wait for the client to read
         }
         if (responses.hasUnanswered()) {
-            stopTakingRequests();
+            endReading();
         } else {
             close(CloseCause.STALLED);
         }
@@ -177,12 +183,45 @@
         return true;
     }
 
-    /** Accepts no further requests, and ends the connection after the responses to the requests accepted before. */
-    void stopTakingRequests() {
-        closer.stopTakingRequests();
+    /**
+     * Reads nothing more from the client, except to see it close its side. Requests that have been decoded by now are
+     * served, commands that have been read and not decoded are rejected when their turn comes, and the connection ends
+     * after the response to the last one. The rest of an incomplete command is no request: its client sends it again on
+     * another connection.
+     */
+    void endReading() {
+        if (closer.isClosing()) {
+            return;
+        }
+        closer.endReading();
+        readControl.end(ctx);
+        if (undecodedBytes() == 0) {
+            inputDecoded();
+        } else {
+            turns.resume();
+        }
+    }
+
+    /** Records that reading has ended and all complete commands that were read have been decoded. */
+    void inputDecoded() {
+        inputDecoded = true;
+        ByteBuf rest = internalBuffer();
+        rest.skipBytes(rest.readableBytes());
+        decoder.close();
+        admission.accountInput(0);
         writeResponses();
     }
 
+    /** Returns whether reading has ended, so that further commands are rejected. */
+    boolean hasReadingEnded() {
+        return closer.isClosing();
+    }
+
+    /** Returns whether reading has ended and no complete command is left in what was read. */
+    boolean isInputDecoded() {
+        return inputDecoded;
+    }
+
     /** Rejects the requests that wait for memory, so that nothing of them is sent to a server. */
     void rejectWaitingRequests() {
         submitter.rejectWaiting();
@@ -213,6 +252,10 @@
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         activity.active(loopContext.nowMs());
         boolean bytesRead = message != Unpooled.EMPTY_BUFFER;
+        if (bytesRead && closer.isClosing()) { // read only to see the client close its side
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (bytesRead) {
             readControl.bytesRead(context.channel());
             turns.readBegins();
@@ -231,7 +274,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) {
-        if (closer.isClosing()) {
+        if (closer.isFinished() || inputDecoded) {
             input.skipBytes(input.readableBytes());
             return;
         }
@@ -244,7 +287,8 @@
             turns.decoded(undecoded - input.readableBytes());
         } catch (MetaCodec.SyntaxException e) {
             respond("CLIENT_ERROR " + e.getMessage() + "\r\n", false);
-            stopTakingRequests();
+            input.skipBytes(input.readableBytes()); // no command can be told apart in it
+            endReading();
         }
     }
 
@@ -268,11 +312,16 @@
 
     /** Returns whether commands have been read behind the first one that has no complete response yet. */
     boolean hasCommandsBehindFirst() {
-        return responses.size() > 1 || (readControl.isPaused() && actualReadableBytes() > 0);
+        return responses.size() > 1 || status.mayHoldCommands();
     }
 
     @Override
     public void request(ClientRequest request, MetaProtocol protocol, String echo) {
+        if (closer.isClosing()) {
+            request.release(loopContext);
+            respond(BUSY_LINE, true);
+            return;
+        }
         commandReceived(true);
         request.setArrivedMs(readControl.unreadSinceMs());
         submitter.submitLater(addResponse(protocol, echo, request));
@@ -314,7 +363,8 @@
             flushWritten(wroteImmediate);
         }
         updateFlowControl();
-        if (responses.isEmpty() && (closer.isClosing() || (owner.closesWhenIdle(this) && status.isIdle()))) {
+        boolean ends = closer.isClosing() ? inputDecoded : owner.closesWhenIdle(this) && status.isIdle();
+        if (ends && responses.isEmpty()) {
             finish();
         } else if (wrote && responses.isEmpty()) {
             owner.connectionIdle(this);
@@ -323,7 +373,7 @@
 
     /** @param now whether to flush within the time that is counted as this connection's */
     private void flushWritten(boolean now) {
-        if (now || closer.isClosing() || owner.closesWhenIdle(this)) {
+        if (now || owner.closesWhenIdle(this)) {
             ctx.flush();
         } else if (!flushScheduled) {
             flushScheduled = true;
--- a/src/main/java/cacheproxy/proxy/client/CommandTurns.java
+++ b/src/main/java/cacheproxy/proxy/client/CommandTurns.java
@@ -152,10 +152,12 @@
         return queued;
     }
 
-    /** Reads on, unless a command was refused for a reason that no longer holds. */
+    /** Reads on if it may, unless a command was refused for a reason that no longer holds. */
     private void endPause() {
         if (refused) {
             queued = true;
+        } else if (connection.hasReadingEnded()) {
+            connection.inputDecoded();
         } else {
             readControl.resume(connection.context());
         }
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a client connection in steps: it accepts no further requests ({@link #isClosing}); it writes nothing more
+ * Closes a client connection in steps: it reads no further requests ({@link #isClosing}); it writes nothing more
  * ({@link #isFinished}), shuts down the proxy's output once the operating system has taken what was written, and
  * lingers until the client closes its side; and it is closed.
  */
@@ -30,7 +30,7 @@
         this.responses = responses;
     }
 
-    /** Returns whether no further requests are accepted; the connection ends after the last response. */
+    /** Returns whether no further requests are read; the connection ends after the last response. */
     boolean isClosing() {
         return closing;
     }
@@ -40,8 +40,8 @@
         return finished;
     }
 
-    /** Accepts no further requests from now on. */
-    void stopTakingRequests() {
+    /** Records that no further requests are read from now on. */
+    void endReading() {
         closing = true;
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
@@ -35,6 +35,11 @@
         return responses.isEmpty() && !decoder.isReadingValue() && connection.undecodedBytes() == 0;
     }
 
+    /** Returns whether complete commands may be in what has been read and not decoded. */
+    boolean mayHoldCommands() {
+        return readControl.isPaused() && connection.undecodedBytes() > 0;
+    }
+
     /** Returns whether the client has sent a complete command, or has had the time to send one. */
     boolean hasHadTimeToSendCommand(double nowMs) {
         return activity.hasHadTimeToSendCommand(nowMs);
@@ -49,7 +54,7 @@
                 : ConnectionEviction.rank(
                         isIdle(),
                         activity.hasSentCommand(),
-                        !responses.isEmpty() || hasUnwrittenBytes(),
+                        !responses.isEmpty() || mayHoldCommands() || hasUnwrittenBytes(),
                         activity.inactiveMs(nowMs));
     }
 
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -234,13 +234,13 @@
     }
 
     /**
-     * Accepts no further requests on any connection; each connection ends after its last response. Long values that
-     * have begun to arrive and of which nothing has been sent are cancelled, as the responses behind them wait;
-     * requests that wait for memory are rejected.
+     * Reads no further requests on any connection, and rejects those that have been read and not submitted; each
+     * connection ends after its last response. Long values that have begun to arrive and of which nothing has been sent
+     * are cancelled, as the responses behind them wait.
      */
-    public void stopTakingRequests() {
+    public void concludeConnections() {
         for (ClientConnection connection : new ArrayList<>(connections)) {
-            connection.stopTakingRequests();
+            connection.endReading();
             connection.rejectWaitingRequests();
             connection.cancelHeldValues();
         }
--- a/src/main/java/cacheproxy/proxy/client/ReadControl.java
+++ b/src/main/java/cacheproxy/proxy/client/ReadControl.java
@@ -13,6 +13,9 @@
 final class ReadControl {
     private final EventLoopContext loopContext;
     private boolean paused;
+    /** Whether no pause ends any more. */
+    private boolean ended;
+
     private boolean firstRead = true;
     /** The earliest time at which the bytes last read may have arrived. */
     private double unreadSinceMs;
@@ -70,12 +73,19 @@
         ctx.channel().config().setAutoRead(false);
     }
 
+    /** Stops reading from the socket for good. */
+    void end(ChannelHandlerContext ctx) {
+        ended = true;
+        paused = true;
+        ctx.channel().config().setAutoRead(false);
+    }
+
     /**
      * Reads from the socket again after a pause, once everything that was read before has been decoded; has no effect
-     * if reading is not paused.
+     * if reading is not paused or has ended.
      */
     void resume(ChannelHandlerContext ctx) {
-        if (!paused) {
+        if (!paused || ended) {
             return;
         }
         paused = false;
--- a/src/main/java/cacheproxy/proxy/client/RequestAdmission.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestAdmission.java
@@ -66,9 +66,9 @@
         return false;
     }
 
-    /** Resumes reading if it is paused and commands may be decoded again. */
+    /** Decodes what was read before a pause, and resumes reading, if commands may be decoded again. */
     void resumeReading() {
-        if (readControl.isPaused() && mayReadCommands()) {
+        if (readControl.isPaused() && !connection.isInputDecoded() && mayReadCommands()) {
             connection.turns().resume();
         }
     }
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -258,7 +258,7 @@
         double lastRequestMs = Math.max(timing.extraListenMs(), timing.shutdownDrainMs())
                 + Math.min(longestDeadlineMs, MAX_SHUTDOWN_DEADLINE_MS);
         loopContext.after(lastRequestMs, () -> {
-            listener.stopTakingRequests();
+            listener.concludeConnections();
             dispatcher.concludeAll();
         });
         return lastRequestMs;
