End connections in standby whose clients always have a request out

Cause: standby ends connections between requests alone, and had no last moment.

Change: Lifecycle.endsReading, 1.8 s after the call (LifecycleTiming.standbyReadMs); from then on OperatorActions ends reading on each connection that has had the time to send a command. What was read is served to its deadline, commands behind the 32 in flight are refused unsent, as at a shutdown. Standby taken back before leaves connections alone.

Why this works: at 4 s no connection may have a request from the last 2 s, and none is read later than 2 s after the call, with a poll of 20 ms and a pause of 0.15 s to spare.

--- a/src/main/java/cacheproxy/lifecycle/Lifecycle.java
+++ b/src/main/java/cacheproxy/lifecycle/Lifecycle.java
@@ -90,6 +90,14 @@
         };
     }
 
+    /**
+     * Returns whether requests are no longer read from connections that were open before the process entered standby.
+     * Those that always have a request in hand are never between requests, so they end by this.
+     */
+    public boolean endsReading(double nowMs) {
+        return state == LifecycleState.STANDBY && nowMs >= stateSinceMs + timing.standbyReadMs();
+    }
+
     private double shutdownFraction(double nowMs) {
         if (hasSuccessor) {
             return elapsedFraction(nowMs, timing.shutdownDrainMs());
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -233,6 +233,19 @@
         }
     }
 
+    /**
+     * Reads no further requests from clients that have had the time to send one; what they have sent and was read is
+     * served or rejected, and then their connections end. To be called repeatedly, because further clients may connect.
+     */
+    public void endReading() {
+        double nowMs = loopContext.nowMs();
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            if (connection.status().hasHadTimeToSendCommand(nowMs)) {
+                connection.endReading();
+            }
+        }
+    }
+
     /**
      * Reads no further requests on any connection, and rejects those that have been read and not submitted; each
      * connection ends after its last response. Long values that have begun to arrive and of which nothing has been sent
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -184,8 +184,12 @@
     }
 
     private void applyLifecycle() {
+        double nowMs = loopContext.nowMs();
         listener.setAcceptsClients(lifecycle.acceptsClients());
-        listener.closeIdle(lifecycle.closingFraction(loopContext.nowMs()));
+        listener.closeIdle(lifecycle.closingFraction(nowMs));
+        if (lifecycle.endsReading(nowMs)) {
+            listener.endReading();
+        }
         if (lifecycle.state() != LifecycleState.STANDBY && standbyPoll != null) {
             standbyPoll.cancel(false);
             standbyPoll = null;
--- a/src/test/java/cacheproxy/lifecycle/LifecycleTest.java
+++ b/src/test/java/cacheproxy/lifecycle/LifecycleTest.java
@@ -8,7 +8,7 @@
 
 /** Which connections {@link Lifecycle} accepts and closes in each state. */
 class LifecycleTest {
-    private static final LifecycleTiming TIMING = new LifecycleTiming(400, 1000, 500, 300);
+    private static final LifecycleTiming TIMING = new LifecycleTiming(400, 1000, 1600, 500, 300);
 
     @Test
     void standbyRejectsClientsAtOnceAndDrainsEvenlyAfterItsDelay() {
@@ -38,6 +38,30 @@
         assertThat(lifecycle.closingFraction(5900)).isEqualTo(0.5);
     }
 
+    /** Guards against a client that is served in standby for as long as it always has a request out. */
+    @Test
+    void standbyEndsReadingUnlessItIsLeftBefore() {
+        Lifecycle lifecycle = new Lifecycle(TIMING);
+        assertThat(lifecycle.endsReading(9000)).isFalse();
+        lifecycle.enterStandby(1000);
+        assertThat(lifecycle.endsReading(2599)).isFalse();
+        assertThat(lifecycle.endsReading(2600)).isTrue();
+        lifecycle.leaveStandby();
+        assertThat(lifecycle.endsReading(2600)).isFalse();
+        lifecycle.enterStandby(3000);
+        assertThat(lifecycle.endsReading(4599)).isFalse();
+        lifecycle.beginShutdown(4000, false);
+        assertThat(lifecycle.endsReading(9000))
+                .as("the shutdown has a moment of its own")
+                .isFalse();
+    }
+
+    @Test
+    void readingEndsEarlyEnoughForADrainedProxy() {
+        double pollAndPauseMs = 170;
+        assertThat(LifecycleTiming.DEFAULT.standbyReadMs()).isLessThanOrEqualTo(2000 - pollAndPauseMs);
+    }
+
     @Test
     void shutdownWithoutSuccessorListensOnThenClosesAll() {
         Lifecycle lifecycle = new Lifecycle(TIMING);
@@ -116,7 +140,8 @@
 
     @Test
     void rejectsNegativePeriods() {
-        assertThatThrownBy(() -> new LifecycleTiming(1, -1, 1, 1)).isInstanceOf(IllegalArgumentException.class);
-        assertThatThrownBy(() -> new LifecycleTiming(Double.NaN, 1, 1, 1)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new LifecycleTiming(1, -1, 1, 1, 1)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new LifecycleTiming(Double.NaN, 1, 1, 1, 1))
+                .isInstanceOf(IllegalArgumentException.class);
     }
 }
--- a/src/test/java/cacheproxy/proxy/process/OperatorActionsTest.java
+++ b/src/test/java/cacheproxy/proxy/process/OperatorActionsTest.java
@@ -126,4 +126,111 @@
             }
         }
     }
+
+    /** A node that answers each command when the next one has come, so that one is always out. */
+    private static ScriptedServer nodeThatIsOneAnswerBehind() throws IOException {
+        return new ScriptedServer(connection -> {
+            String before = null;
+            for (String line; (line = connection.readCommand()) != null; before = line) {
+                if (before != null) {
+                    connection.send("VA 5 O" + ScriptedServer.requestId(before) + " h1\r\nhello\r\n");
+                }
+            }
+        });
+    }
+
+    private static Fleet withShortDeadlines(Fleet fleet) {
+        return fleet.set("balancers", "60") // one connection to the node, so that answers come in order
+                .set("caps.second-copies", "false")
+                .set("caps.may-cancel", "false")
+                .set("classes.0.deadline", "1000.0");
+    }
+
+    private static String shortRead(int number) {
+        return "mg 7f3a9c21e0b4d655 v Oa" + number + " Pc=text,d=1000\r\n";
+    }
+
+    /** Guards against a client that always has a request out and is served in standby for as long as it likes. */
+    @Test
+    void standbyEndsConnectionThatAlwaysHasARequestOut() throws Exception {
+        try (Fleet fleet = withShortDeadlines(fleet())
+                        .node(nodeThatIsOneAnswerBehind())
+                        .start();
+                Fleet.Client client = fleet.client()) {
+            client.send(shortRead(0) + shortRead(1));
+            long standbyNanos = System.nanoTime();
+            assertThat(call(fleet, "POST /standby")).isEqualTo("200");
+            int served = 0;
+            for (String line; (line = client.line()) != null; ) {
+                // At 4 s no connection may be held with a request from the last 2 s.
+                assertThat((System.nanoTime() - standbyNanos) / 1_000_000L).isLessThan(4000);
+                if (line.startsWith("VA ")) {
+                    assertThat(line).isEqualTo("VA 5 Oa" + served);
+                    client.line();
+                    served++;
+                    client.send(shortRead(served + 1));
+                }
+            }
+            assertThat(served).isPositive();
+        }
+    }
+
+    /** Guards against the same with commands behind the requests in flight, which were lost when reading ended. */
+    @Test
+    void standbyAnswersCommandsBehindRequestsInFlight() throws Exception {
+        int inFlight = 32;
+        int behind = 8;
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (String line; (line = connection.readCommand()) != null; ) {
+                release.await();
+                connection.send("VA 5 O" + ScriptedServer.requestId(line) + " h1\r\nhello\r\n");
+            }
+        });
+        try (Fleet fleet = fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
+            StringBuilder commands = new StringBuilder();
+            for (int i = 0; i < inFlight + behind; i++) {
+                commands.append(Fleet.readCommand("a" + i));
+            }
+            client.send(commands.toString());
+            fleet.awaitPendingRequests(inFlight);
+            assertThat(call(fleet, "POST /standby")).isEqualTo("200");
+            fleet.proxy.runAfter(2000, release::countDown); // when reading has ended
+            for (int i = 0; i < inFlight; i++) {
+                assertThat(client.line()).isEqualTo("VA 5 Oa" + i);
+                assertThat(client.line()).isEqualTo("hello");
+            }
+            for (int i = 0; i < behind; i++) {
+                assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
+            }
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
+    /** A standby that is taken back ends no connection that was between its requests neither before nor after. */
+    @Test
+    void keepsBusyConnectionWhenStandbyIsTakenBack() throws Exception {
+        CountDownLatch drainWouldBeOver = new CountDownLatch(1);
+        try (Fleet fleet = withShortDeadlines(fleet())
+                        .node(nodeThatIsOneAnswerBehind())
+                        .start();
+                Fleet.Client client = fleet.client()) {
+            client.send(shortRead(0) + shortRead(1));
+            assertThat(call(fleet, "POST /standby")).isEqualTo("200");
+            assertThat(call(fleet, "POST /active")).isEqualTo("200");
+            fleet.proxy.runAfter(2500, drainWouldBeOver::countDown);
+            int served = 0;
+            while (drainWouldBeOver.getCount() > 0) {
+                assertThat(client.line()).isEqualTo("VA 5 Oa" + served);
+                client.line();
+                served++;
+                client.send(shortRead(served + 1));
+            }
+            assertThat(client.line()).isEqualTo("VA 5 Oa" + served);
+            try (Fleet.Client other = fleet.client()) {
+                assertThat(other.send("mn\r\n").line()).isEqualTo("MN");
+            }
+        }
+    }
 }
