Let the daemon answer what it has read when it ends or loses a listener

Callers would see: at SIGTERM the daemon read on from clients that always have a request out, and exited at its time with requests in hand and behind them unanswered. A listener that was taken out of the file kept such a client, and the old configuration, for ever.

Cause: the daemon ends connections between requests alone; the last moment at SIGTERM was in Proxy, for serve.

Change: GracefulShutdown has that moment for both: at the longest deadline reading ends, what is not sent is refused, and the pools of the current and of retired configurations conclude what is in hand, without trying a further pool.

--- a/src/main/java/cacheproxy/daemon/ConfigSnapshot.java
+++ b/src/main/java/cacheproxy/daemon/ConfigSnapshot.java
@@ -43,6 +43,7 @@
     public int pendingRequests;
 
     private final IdentityHashMap<Route, List<PoolRuntime>> chains = new IdentityHashMap<>();
+    private boolean concluding;
 
     ConfigSnapshot(
             DaemonConfig file, Map<String, PoolRuntime> pools, RequestValidator validator, Subsystems subsystems) {
@@ -82,6 +83,17 @@
         return chains.get(route);
     }
 
+    /** Concludes all pending requests of the pools, because the process is about to end; no further pool is tried. */
+    void concludeRequests() {
+        concluding = true;
+        pools.values().forEach(pool -> pool.dispatcher.concludeAll());
+    }
+
+    /** Returns whether requests of this configuration are concluded without trying a further pool. */
+    boolean isConcluding() {
+        return concluding;
+    }
+
     /** Stops the hooks of this configuration. Call it once no request uses the configuration any more. */
     void stopHooks() {
         executors.forEach(HookExecutor::stop);
--- a/src/main/java/cacheproxy/daemon/Daemon.java
+++ b/src/main/java/cacheproxy/daemon/Daemon.java
@@ -285,7 +285,7 @@
             draining = true;
             subsystems.drain();
         });
-        new GracefulShutdown(loop, core, ACCEPT_AFTER_SIGTERM_MS, this::drainListeners)
+        new GracefulShutdown(loop, core, ACCEPT_AFTER_SIGTERM_MS, this::drainListeners, this::concludeRequests)
                 .run(() -> router.configuration().file.classes().stream()
                         .mapToDouble(ServiceClass::deadlineMs)
                         .max()
@@ -299,6 +299,12 @@
         return drained;
     }
 
+    private void concludeRequests() {
+        listeners.concludeConnections();
+        router.configuration().concludeRequests();
+        retired.concludeRequests();
+    }
+
     /** Returns the learned state that is worth saving, with at most {@code maxKeys} hot keys per pool. */
     private StateSnapshot learnedState(int maxKeys) {
         return LearnedStates.export(router.configuration(), serverStarts, core.nowMs(), maxKeys);
--- a/src/main/java/cacheproxy/daemon/ListenerSet.java
+++ b/src/main/java/cacheproxy/daemon/ListenerSet.java
@@ -4,6 +4,7 @@
 import cacheproxy.config.ConfigException;
 import cacheproxy.config.DaemonConfig;
 import cacheproxy.config.ListenerConfig;
+import cacheproxy.lifecycle.LifecycleTiming;
 import cacheproxy.proxy.client.ClientRegistry;
 import cacheproxy.proxy.client.Listener;
 import cacheproxy.proxy.upstream.EventLoopContext;
@@ -29,6 +30,8 @@
     private static final double MAX_LIST_WAIT_MS = 3000;
 
     private static final double LIST_POLL_MS = 5;
+    /** Time from the removal of a listener to the end of reading from clients that always have a request pending. */
+    private static final double REMOVED_READ_MS = LifecycleTiming.DEFAULT.standbyReadMs();
 
     private final EventLoopContext core;
     private final ClientRegistry clients;
@@ -178,6 +181,7 @@
             configuredAddresses.remove(listener);
             draining.add(listener);
             listener.drain();
+            core.after(REMOVED_READ_MS, listener::endReading);
         }
     }
 
@@ -188,6 +192,12 @@
         return draining.isEmpty();
     }
 
+    /** Reads no further requests on any connection, and rejects those that have been read and not submitted. */
+    void concludeConnections() {
+        byName.values().forEach(Listener::concludeConnections);
+        draining.forEach(Listener::concludeConnections);
+    }
+
     /** Removes drained listeners that have no open connection. */
     void removeDrained() {
         draining.removeIf(listener -> {
--- a/src/main/java/cacheproxy/daemon/RetiredConfigs.java
+++ b/src/main/java/cacheproxy/daemon/RetiredConfigs.java
@@ -83,6 +83,11 @@
         return ready;
     }
 
+    /** Concludes all requests that still use a retired configuration, because the process is about to end. */
+    void concludeRequests() {
+        configs.forEach(ConfigSnapshot::concludeRequests);
+    }
+
     /** Returns the number of requests that still use a retired configuration. */
     int pendingRequests() {
         return configs.stream().mapToInt(config -> config.pendingRequests).sum();
--- a/src/main/java/cacheproxy/daemon/RoutedRequest.java
+++ b/src/main/java/cacheproxy/daemon/RoutedRequest.java
@@ -76,7 +76,7 @@
         if (poolIndex < 0 && !takeQuotas()) {
             return;
         }
-        while (++poolIndex < chain.size()) {
+        while (!config.isConcluding() && ++poolIndex < chain.size()) {
             PoolRuntime pool = chain.get(poolIndex);
             double nowMs = core.nowMs();
             if (!FallbackRules.mayTryNextPool(
--- a/src/main/java/cacheproxy/proxy/process/GracefulShutdown.java
+++ b/src/main/java/cacheproxy/proxy/process/GracefulShutdown.java
@@ -9,7 +9,8 @@
 
 /**
  * The graceful shutdown of a process. The process keeps listening for a grace period, as clients may not know of the
- * shutdown yet, and then responds to its pending requests, at most until the longest deadline.
+ * shutdown yet, and then responds to its pending requests, at most until the longest deadline. Clients that send
+ * requests on open connections all the while are read no further then, and what they have sent is concluded.
  */
 public final class GracefulShutdown {
     /** How long a response may take to reach its client after the last deadline. */
@@ -21,6 +22,7 @@
     private final EventLoopContext loopContext;
     private final double listenGraceMs;
     private final BooleanSupplier drained;
+    private final Runnable conclude;
     private final CountDownLatch ended = new CountDownLatch(1);
     private double listenEndsMs;
     private double drainEndsMs;
@@ -31,13 +33,20 @@
      * @param listenGraceMs how long connections are still accepted, in milliseconds
      * @param drained stops accepting requests, and returns whether all requests have their responses; called repeatedly
      *     on the event loop after the grace period
+     * @param conclude reads no further requests and responds to all that were read; called on the event loop at the
+     *     longest deadline
      */
     public GracefulShutdown(
-            EventLoop loop, EventLoopContext loopContext, double listenGraceMs, BooleanSupplier drained) {
+            EventLoop loop,
+            EventLoopContext loopContext,
+            double listenGraceMs,
+            BooleanSupplier drained,
+            Runnable conclude) {
         this.loop = loop;
         this.loopContext = loopContext;
         this.listenGraceMs = listenGraceMs;
         this.drained = drained;
+        this.conclude = conclude;
     }
 
     /**
@@ -48,8 +57,11 @@
      */
     public void run(DoubleSupplier longestDeadlineMs) {
         loop.execute(() -> {
-            listenEndsMs = loopContext.nowMs() + listenGraceMs;
-            drainEndsMs = listenEndsMs + longestDeadlineMs.getAsDouble() + LAST_RESPONSE_MS;
+            double nowMs = loopContext.nowMs();
+            listenEndsMs = nowMs + listenGraceMs;
+            double concludeMs = listenEndsMs + longestDeadlineMs.getAsDouble();
+            drainEndsMs = concludeMs + LAST_RESPONSE_MS;
+            loopContext.after(concludeMs - nowMs, conclude);
             poll();
         });
         try {
--- a/src/main/java/cacheproxy/proxy/process/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/process/Proxy.java
@@ -234,7 +234,7 @@
 
     /** Shuts down gracefully; returns when requests have their responses or the platform's time for that is over. */
     public void drain() {
-        new GracefulShutdown(loop, loopContext, 0, this::isDrained).run(this::beginDraining);
+        new GracefulShutdown(loop, loopContext, 0, this::isDrained, this::concludeRequests).run(this::beginDraining);
         closeOperatorActions();
         loopContext.events().close();
     }
@@ -255,13 +255,13 @@
                 .max()
                 .orElse(0);
         LifecycleTiming timing = LifecycleTiming.DEFAULT;
-        double lastRequestMs = Math.max(timing.extraListenMs(), timing.shutdownDrainMs())
+        return Math.max(timing.extraListenMs(), timing.shutdownDrainMs())
                 + Math.min(longestDeadlineMs, MAX_SHUTDOWN_DEADLINE_MS);
-        loopContext.after(lastRequestMs, () -> {
-            listener.concludeConnections();
-            dispatcher.concludeAll();
-        });
-        return lastRequestMs;
+    }
+
+    private void concludeRequests() {
+        listener.concludeConnections();
+        dispatcher.concludeAll();
     }
 
     private boolean isDrained() {
