Send the next attempt only once the earlier one is out no longer, where second copies are off

Cause: a cancelled attempt was reported as ended at once, though UpstreamConnection.abandon closes the connection only when all attempts on it are given up. SendGuard took the reported end for the end.

Change: a request counts its attempts that are out, in whatever pool, from the first byte until the response has come or the connection has closed; SendGuard goes by that. Where no second copies are allowed a cancelled attempt stays in flight until then. Its connection is closed for it (giveUp) if that cuts off only reads that were begun 25 ms ago at the least, within ten attempts a second; else a late response serves the request. An attempt after one that timed out waits in the same way, also in the next pool of the daemon. Cancelling an attempt that waits no longer leaves it behind when its client leaves.

--- a/src/main/java/cacheproxy/proxy/dispatch/HealthProbe.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/HealthProbe.java
@@ -44,6 +44,11 @@
         return prober.hedgingAllowed();
     }
 
+    @Override
+    public boolean mayBeCutOff(double nowMs) {
+        return true;
+    }
+
     @Override
     public boolean mayBegin() {
         return true;
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestAttempt.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestAttempt.java
@@ -9,14 +9,23 @@
 
 /** One attempt to have a server handle a client's request. */
 final class RequestAttempt extends PoolAttempt implements SendFacts {
+    /** After this time an attempt has come to its server, so that a repeat can't overtake it. */
+    private static final double MAX_TRANSIT_MS = 25;
+
     private final RequestAttempts owner;
     private final RequestContext context;
     /**
      * The latest time at which the attempt may begin: servers drop duplicates of an earlier attempt only until then.
      */
     private double beginByMs = Double.POSITIVE_INFINITY;
+    /** When its first byte was about to be written; valid once it has begun. */
+    private double begunMs;
     /** Whether it has ended with an outcome that leaves open whether the server processed it. */
     private boolean mayHaveRun;
+    /** Whether the policy has cancelled it while it was out; its end is reported when it is not any more. */
+    private boolean cancelled;
+    /** When it stopped waiting for the end of an earlier attempt; 0 if it did not wait. */
+    private double heldUntilMs;
     /** When the first bytes of a long value arrived; 0 if none have. */
     private double firstByteMs;
 
@@ -57,7 +66,17 @@
 
     /** How long its server has taken to respond, up to the first bytes of a long value. */
     double elapsedMs(double nowMs) {
-        return (isStreaming() ? firstByteMs : nowMs) - startedMs();
+        return (isStreaming() ? firstByteMs : nowMs) - Math.max(startedMs(), heldUntilMs);
+    }
+
+    /** Records that its first byte is about to be written. */
+    void begun(double nowMs) {
+        begunMs = nowMs;
+    }
+
+    /** Records that it has waited for the end of an earlier attempt until now. */
+    void heldUntil(double nowMs) {
+        heldUntilMs = nowMs;
     }
 
     /** Records its outcome. */
@@ -69,17 +88,29 @@
 
     /** Ends the attempt as not sent if it has not begun; an attempt that has begun continues. */
     void withdraw() {
-        if (!hasEnded() && !hasBegun() && connection() != null) {
+        if (hasEnded() || hasBegun()) {
+            return;
+        }
+        if (connection() != null) {
             connection().abandon(this);
-            onEnd(AttemptOutcome.NOT_SENT);
         }
+        onEnd(AttemptOutcome.NOT_SENT);
     }
 
-    /** Cancels the attempt unless it has ended or its value has begun. Its end is an event after the current one. */
+    /**
+     * Cancels the attempt unless it has ended or its value has begun. Its end is an event after the current one. Where
+     * a request may have one attempt in flight only, and may still get another one, the cancelled attempt stays in
+     * flight until its connection has closed; if its response arrives before, that counts.
+     */
     void cancel(PolicyEvents policy) {
         if (hasEnded() || isStreaming()) {
             return;
         }
+        if (hasBegun() && !hedgingAllowed() && context.isPending()) {
+            cancelled = true;
+            connection().giveUp(this);
+            return;
+        }
         if (connection() != null) {
             connection().abandon(this);
         }
@@ -108,6 +139,14 @@
         return owner.hedgingAllowed();
     }
 
+    @Override
+    public boolean mayBeCutOff(double nowMs) {
+        return hasEnded()
+                || (!isStreaming()
+                        && owner.idempotencyOf(context) == Idempotency.IDEMPOTENT
+                        && nowMs - begunMs >= MAX_TRANSIT_MS);
+    }
+
     @Override
     public boolean mayBegin() {
         return owner.mayBegin(this);
@@ -118,6 +157,11 @@
         owner.begun(this);
     }
 
+    @Override
+    public void onSettled() {
+        context.request().attemptSettled();
+    }
+
     @Override
     public boolean onShortValueBegin(int length) {
         return owner.results().shortValueBegun(this, length);
@@ -135,7 +179,9 @@
 
     @Override
     public void onEnd(AttemptOutcome outcome, int cacheStatus, float[] loadReport, ByteBuf value, String receipt) {
-        owner.results().ended(this, outcome, cacheStatus, loadReport, value, receipt);
+        boolean connectionClosed = outcome == AttemptOutcome.RESET || outcome == AttemptOutcome.CONNECT_FAILED;
+        AttemptOutcome reported = cancelled && connectionClosed ? AttemptOutcome.CANCELLED : outcome;
+        owner.results().ended(this, reported, cacheStatus, loadReport, value, receipt);
     }
 
     // ---- facts for the send guard
@@ -169,14 +215,7 @@
 
     @Override
     public boolean earlierAttemptInFlight() {
-        List<RequestAttempt> all = context.attempts();
-        for (int i = 0; i < all.size(); i++) {
-            RequestAttempt other = all.get(i);
-            if (other != this && other.hasBegun() && !other.hasEnded()) {
-                return true;
-            }
-        }
-        return false;
+        return context.request().hasOutstandingAttempt();
     }
 
     @Override
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestAttempts.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestAttempts.java
@@ -5,6 +5,7 @@
 import cacheproxy.policy.AttemptOutcome;
 import cacheproxy.policy.Idempotency;
 import cacheproxy.policy.ServiceClass;
+import cacheproxy.proxy.request.ClientRequest;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import cacheproxy.proxy.upstream.PoolProtocol;
 import cacheproxy.proxy.upstream.Upstream;
@@ -40,8 +41,7 @@
         double waitMs = timeoutMs == 0 ? leftMs : Math.min(timeoutMs, leftMs);
         RequestAttempt attempt = new RequestAttempt(this, context, server, nowMs, nowMs + waitMs);
         context.attemptStarted(attempt);
-        Upstream upstream = pool.servers().find(server);
-        if (upstream == null
+        if (pool.servers().find(server) == null
                 || waitMs <= 0
                 || attempt.index() >= pool.settings().maxAttempts()) {
             pool.policy().run(() -> attempt.onEnd(AttemptOutcome.NOT_SENT));
@@ -51,7 +51,34 @@
             attempt.expireAfter(loopContext, waitMs);
         }
         limitToDeduplicationWindow(context, attempt);
-        if (!upstream.send(attempt)) {
+        sendOnceAllowed(attempt);
+    }
+
+    /**
+     * Sends an attempt. Where a request may have one attempt in flight only, the attempt waits until an earlier one,
+     * also one in another pool, has been answered or its connection has closed.
+     */
+    private void sendOnceAllowed(RequestAttempt attempt) {
+        ClientRequest request = attempt.context().request();
+        if (hedgingAllowed() || !request.hasOutstandingAttempt()) {
+            sendNow(attempt);
+        } else {
+            request.whenNoneOutstanding(() -> pool.policy().run(() -> sendHeld(attempt)));
+        }
+    }
+
+    private void sendHeld(RequestAttempt attempt) {
+        if (!attempt.hasEnded()) {
+            attempt.heldUntil(loopContext.nowMs());
+            sendOnceAllowed(attempt);
+        }
+    }
+
+    private void sendNow(RequestAttempt attempt) {
+        Upstream upstream = pool.servers().find(attempt.server());
+        if (upstream == null) {
+            pool.policy().run(() -> attempt.onEnd(AttemptOutcome.NOT_SENT));
+        } else if (!upstream.send(attempt)) {
             // A shortage of connections in this process is no sign that the cache server is unhealthy.
             AttemptOutcome outcome = upstream.isOrigin() ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.NOT_SENT;
             pool.policy().run(() -> attempt.onEnd(outcome));
@@ -118,6 +145,8 @@
 
     /** Called when an attempt's first byte is about to be written. */
     void begun(RequestAttempt attempt) {
+        attempt.begun(loopContext.nowMs());
+        attempt.context().request().attemptBegan();
         if (!pool.policy().attemptBegan(attempt)) {
             loopContext
                     .invariants()
--- a/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
+++ b/src/main/java/cacheproxy/proxy/dispatch/RequestLifecycle.java
@@ -93,7 +93,7 @@
     }
 
     private void abandon(RequestAttempt attempt) {
-        if (attempt.hasEnded() || attempt.connection() == null) {
+        if (attempt.hasEnded()) {
             return;
         }
         if (!attempt.hasBegun()) {
--- a/src/main/java/cacheproxy/proxy/request/ClientRequest.java
+++ b/src/main/java/cacheproxy/proxy/request/ClientRequest.java
@@ -39,6 +39,10 @@
     private double workHintMs;
     private float sizeHintBytes;
     private boolean isRetry;
+    /** The attempts in any pool that have begun, and whose response or connection's end has not come. */
+    private int outstandingAttempts;
+    /** Runs once when no attempt is outstanding any more; null if nothing waits for that. */
+    private Runnable onNoneOutstanding;
 
     /**
      * Creates a request whose line for cache servers consists of the attributes and the text before and after them.
@@ -168,6 +172,33 @@
         return copy;
     }
 
+    // ---- attempts
+
+    /** Records that an attempt begins: its server may process it until {@link #attemptSettled}. */
+    public void attemptBegan() {
+        outstandingAttempts++;
+    }
+
+    /** Records that the response to an attempt has arrived, or that its connection has closed. */
+    public void attemptSettled() {
+        outstandingAttempts--;
+        if (outstandingAttempts == 0 && onNoneOutstanding != null) {
+            Runnable next = onNoneOutstanding;
+            onNoneOutstanding = null;
+            next.run();
+        }
+    }
+
+    /** Returns whether an attempt is out on an open connection, also one whose response is no longer needed. */
+    public boolean hasOutstandingAttempt() {
+        return outstandingAttempts > 0;
+    }
+
+    /** Runs the task once no attempt is outstanding; replaces an earlier task. There must be an attempt now. */
+    public void whenNoneOutstanding(Runnable task) {
+        onNoneOutstanding = task;
+    }
+
     /** The index of the class among the configured ones. */
     public int serviceClass() {
         return serviceClass;
--- a/src/main/java/cacheproxy/proxy/upstream/Attempt.java
+++ b/src/main/java/cacheproxy/proxy/upstream/Attempt.java
@@ -19,6 +19,7 @@
     private boolean begun;
     private boolean written;
     private boolean ended;
+    private boolean abandoned;
 
     /**
      * Creates an attempt that has no connection yet.
@@ -49,6 +50,13 @@
     /** Whether two attempts of a request of this pool may be in flight at once. */
     public abstract boolean hedgingAllowed();
 
+    /**
+     * Whether the attempt, which has begun, may be cut off by a close of its connection and repeated elsewhere: it has
+     * no effect, no part of its response has been used, and it has reached its server, so that the repeat is the later
+     * one.
+     */
+    public abstract boolean mayBeCutOff(double nowMs);
+
     /**
      * Returns whether the attempt may begin, checked right before its first byte is written. An attempt that may not
      * begin is ended by this call.
@@ -58,6 +66,12 @@
     /** Called when the first byte is about to be written to the {@linkplain #connection connection}. */
     public abstract void onBegin();
 
+    /**
+     * Called once for an attempt that has begun, before its end is reported: its response has arrived, or its
+     * connection has closed. Until then its server may process it, even if its response is no longer needed.
+     */
+    public void onSettled() {}
+
     /**
      * Called when a value begins that is passed to {@link #onEnd} once it is whole.
      *
@@ -129,6 +143,11 @@
         ended = true;
     }
 
+    /** Sets {@link #isAbandoned}. */
+    final void setAbandoned(boolean notNeeded) {
+        abandoned = notNeeded;
+    }
+
     /** Whether this is a health probe, which belongs to no client's request. */
     public final boolean isProbe() {
         return request == null;
@@ -178,4 +197,9 @@
     public final boolean hasEnded() {
         return ended;
     }
+
+    /** Whether its connection knows that its response is no longer needed. */
+    final boolean isAbandoned() {
+        return abandoned;
+    }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/AttemptQueue.java
+++ b/src/main/java/cacheproxy/proxy/upstream/AttemptQueue.java
@@ -35,7 +35,7 @@
     /** Removes and returns {@link #first}, whose response has arrived. The queue must not be empty. */
     Attempt removeResponded() {
         Attempt first = attempts.remove();
-        if (first.hasEnded()) {
+        if (first.isAbandoned()) {
             abandoned--;
         }
         return first;
@@ -85,6 +85,31 @@
      * all attempts in the queue.
      */
     boolean abandon(Attempt attempt) {
-        return attempts.contains(attempt) && ++abandoned == attempts.size();
+        if (!attempts.contains(attempt)) {
+            return false;
+        }
+        if (!attempt.isAbandoned()) {
+            attempt.setAbandoned(true);
+            abandoned++;
+        }
+        return abandoned == attempts.size();
+    }
+
+    /** Records that the response of an attempt, which may have been abandoned, is needed. */
+    void keep(Attempt attempt) {
+        if (attempt.isAbandoned()) {
+            attempt.setAbandoned(false);
+            abandoned--;
+        }
+    }
+
+    /** Returns whether the connection can be closed without harm to any attempt: each may be repeated elsewhere. */
+    boolean mayAllBeCutOff(double nowMs) {
+        for (Attempt attempt : attempts) {
+            if (attempt.hasBegun() && !attempt.mayBeCutOff(nowMs)) {
+                return false;
+            }
+        }
+        return true;
     }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/ConnectionCloseLimiter.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ConnectionCloseLimiter.java
@@ -19,12 +19,32 @@
      *     allowed, and the number of tokens can become negative
      */
     boolean mayClose(double nowMs, boolean hedgingAllowed) {
-        tokens = Math.min(MAX_TOKENS, tokens + (nowMs - refilledAtMs) / MS_PER_SECOND * CLOSES_PER_SECOND);
-        refilledAtMs = nowMs;
+        refill(nowMs);
         if (tokens < 1 && hedgingAllowed) {
             return false;
         }
         tokens--;
         return true;
     }
+
+    /**
+     * Returns whether a connection may be closed that cuts off attempts, and counts them if it may. Each of them costs
+     * as much as a close, as it is repeated elsewhere: where connections carry many, their servers have more to do than
+     * they can, and repeats would add to it.
+     *
+     * @param attempts how many attempts are on the connection, including the one to abandon
+     */
+    boolean mayCutOff(double nowMs, int attempts) {
+        refill(nowMs);
+        if (tokens < attempts) {
+            return false;
+        }
+        tokens -= attempts;
+        return true;
+    }
+
+    private void refill(double nowMs) {
+        tokens = Math.min(MAX_TOKENS, tokens + (nowMs - refilledAtMs) / MS_PER_SECOND * CLOSES_PER_SECOND);
+        refilledAtMs = nowMs;
+    }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -285,4 +285,9 @@
     boolean mayClose(boolean hedgingAllowed) {
         return closeLimiter.mayClose(nowMs(), hedgingAllowed);
     }
+
+    /** Whether a connection with so many attempts may be closed; see {@link ConnectionCloseLimiter#mayCutOff}. */
+    boolean mayCutOff(int attempts) {
+        return closeLimiter.mayCutOff(nowMs(), attempts);
+    }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/ResponseReceiver.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ResponseReceiver.java
@@ -115,7 +115,12 @@
         // Its head may have arrived in parts; the time limit for the rest of short responses no longer applies.
         progress.expectNothing();
         progress.recordProgress();
-        return attempts.first().onValueBegin(length);
+        Attempt attempt = attempts.first();
+        boolean needed = attempt.onValueBegin(length);
+        if (needed) {
+            attempts.keep(attempt); // it may have been abandoned before
+        }
+        return needed;
     }
 
     /** Called with a part of a long value, which the callee releases. */
@@ -137,6 +142,7 @@
      */
     void onResponse(AttemptOutcome outcome, int cacheStatus, float[] loadReport, ByteBuf value, String receipt) {
         Attempt attempt = attempts.removeResponded();
+        attempt.onSettled();
         receivingLongValue = false;
         progress.expectNothing();
         responded = true;
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -196,6 +196,20 @@
         return false;
     }
 
+    /**
+     * Abandons an attempt in favor of another one of its request, which must not begin before this connection has
+     * closed. Closes it, unless that would cut off an attempt that may not be repeated, or too many connections have
+     * been closed recently; the other attempts on it are then repeated elsewhere.
+     */
+    public void giveUp(Attempt attempt) {
+        abandon(attempt);
+        if (!closedByProxy
+                && attempts.mayAllBeCutOff(loopContext().nowMs())
+                && loopContext().mayCutOff(attempts.size())) {
+            close();
+        }
+    }
+
     @Override
     public void setPaused(boolean pause) {
         responses.setPaused(pause);
@@ -288,6 +302,9 @@
         upstream.onClosed(this);
         UpstreamEvents.logDisconnected(loopContext().events(), this);
         for (Attempt attempt; (attempt = attempts.removeFirst()) != null; ) {
+            if (attempt.hasBegun()) {
+                attempt.onSettled();
+            }
             if (!sendElsewhere(attempt)) {
                 attempt.onEnd(attempt.isWritten() ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED);
             }
--- a/src/test/java/cacheproxy/proxy/upstream/AttemptQueueTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/AttemptQueueTest.java
@@ -40,6 +40,11 @@
             return true;
         }
 
+        @Override
+        public boolean mayBeCutOff(double nowMs) {
+            return true;
+        }
+
         @Override
         public boolean mayBegin() {
             return true;
--- a/src/test/java/cacheproxy/proxy/upstream/ConnectionCloseLimiterTest.java
+++ b/src/test/java/cacheproxy/proxy/upstream/ConnectionCloseLimiterTest.java
@@ -50,6 +50,16 @@
         assertThat(limiter.mayClose(START_MS + 401, true)).isTrue();
     }
 
+    /** Guards against a wave of connects and repeats where connections carry many attempts. */
+    @Test
+    void countsEachAttemptThatACloseCutsOff() {
+        assertThat(limiter.mayCutOff(START_MS, 11)).isFalse();
+        assertThat(limiter.mayCutOff(START_MS, 7)).isTrue();
+        assertThat(limiter.mayCutOff(START_MS, 4)).isFalse();
+        assertThat(limiter.mayCutOff(START_MS + 100, 4)).isTrue();
+        assertThat(limiter.mayClose(START_MS + 100, true)).isFalse();
+    }
+
     @Test
     void neverAllowsMoreThanTheRateAndLittleLess() {
         Random random = new Random(23);
