--- a/src/test/java/cacheproxy/soak/SoakRound.java
+++ b/src/test/java/cacheproxy/soak/SoakRound.java
@@ -124,14 +124,20 @@
         for (int i = 0; i < size.servers(); i++) {
             addServer(0);
         }
+        JsonObject settings = settings(size.proxies());
+        for (int i = 0; i < size.proxies(); i++) {
+            proxies.add(new SoakProxy(i, folder, settings, random));
+        }
+    }
+
+    /** Returns the settings of a proxy that is one of so many, without its number. */
+    static JsonObject settings(int proxies) {
         JsonObject settings = new JsonObject();
         for (String line : SETTINGS) {
             settings.addProperty(line.substring(0, line.indexOf('=')), line.substring(line.indexOf('=') + 1));
         }
-        settings.addProperty("balancers", size.proxies());
-        for (int i = 0; i < size.proxies(); i++) {
-            proxies.add(new SoakProxy(i, folder, settings, random));
-        }
+        settings.addProperty("balancers", proxies);
+        return settings;
     }
 
     private void putInDiscovery(String name, String dial, String kind, String health, double startMs) {
