Answer the commands of a read that was under way when reading ended

Cause: when reading resumes, the channel can queue a read on the loop. If reading ends before that runs, the read happens all the same, and ClientConnection.channelRead dropped what it brought.

Change: only a finished connection, or one where the next command can't be told, drops what is read. Anything else is decoded on and refused, together with a command whose first half was there. Half a command stays in the buffer until the connection is closed, so that its rest can complete it.

Measured: UndecodedCommandsTest.answersCommandsOfAReadThatWasUnderWayWhenReadingEnded and the tests of client connections, long values and drains pass. The channel with an output that can be shut moved to a file of its own, as two tests use it.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -41,6 +41,8 @@
     private boolean flushScheduled;
     /** Whether reading has ended and no complete command is left in what was read. */
     private boolean inputDecoded;
+    /** Whether it is unknown where the next command begins in what is read. */
+    private boolean framingLost;
 
     /**
      * Creates a connection that is not registered with a channel yet.
@@ -205,10 +207,6 @@
     /** Records that reading has ended and all complete commands that were read have been decoded. */
     void inputDecoded() {
         inputDecoded = true;
-        ByteBuf rest = internalBuffer();
-        rest.skipBytes(rest.readableBytes());
-        decoder.close();
-        admission.accountInput(0);
         writeResponses();
     }
 
@@ -252,7 +250,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         activity.active(loopContext.nowMs());
         boolean bytesRead = message != Unpooled.EMPTY_BUFFER;
-        if (bytesRead && closer.isClosing()) { // read only to see the client close its side
+        if (bytesRead && (closer.isFinished() || framingLost)) { // read only to see the client close its side
             ReferenceCountUtil.release(message);
             return;
         }
@@ -260,7 +258,14 @@
             readControl.bytesRead(context.channel());
             turns.readBegins();
         }
+        boolean readAfterEnd = bytesRead && closer.isClosing(); // a read that was under way when reading ended
+        if (readAfterEnd) {
+            inputDecoded = false;
+        }
         super.channelRead(context, message);
+        if (readAfterEnd) {
+            turns.resume();
+        }
         if (!bytesRead || !immediateResponses.isEmpty()) {
             writeResponses(); // after a pause it is now known which commands wait behind a long value
         }
@@ -274,7 +279,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) {
-        if (closer.isFinished() || inputDecoded) {
+        if (closer.isFinished() || framingLost) {
             input.skipBytes(input.readableBytes());
             return;
         }
@@ -287,7 +292,8 @@
             turns.decoded(undecoded - input.readableBytes());
         } catch (MetaCodec.SyntaxException e) {
             respond("CLIENT_ERROR " + e.getMessage() + "\r\n", false);
-            input.skipBytes(input.readableBytes()); // no command can be told apart in it
+            framingLost = true;
+            input.skipBytes(input.readableBytes());
             endReading();
         }
     }
--- a/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
@@ -37,7 +37,7 @@
 
     /** Returns whether complete commands may be in what has been read and not decoded. */
     boolean mayHoldCommands() {
-        return readControl.isPaused() && connection.undecodedBytes() > 0;
+        return readControl.isPaused() && !connection.isInputDecoded() && connection.undecodedBytes() > 0;
     }
 
     /** Returns whether the client has sent a complete command, or has had the time to send one. */
--- a/src/test/java/cacheproxy/proxy/client/ClientConnectionEndTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ClientConnectionEndTest.java
@@ -7,12 +7,10 @@
 import cacheproxy.proxy.upstream.EventLoopContext;
 import cacheproxy.proxy.upstream.EventLoopLimits;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import org.junit.jupiter.api.AfterEach;
@@ -54,66 +52,6 @@
         }
     }
 
-    /** An embedded channel whose output can be shut down. */
-    private static final class HalfClosableChannel extends EmbeddedChannel implements DuplexChannel {
-        private boolean outputShutdown;
-
-        HalfClosableChannel(SystemBuffer system, ClientConnection connection) {
-            super(system, connection);
-        }
-
-        void setWritable(boolean writable) {
-            unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
-            runPendingTasks();
-        }
-
-        @Override
-        public boolean isInputShutdown() {
-            return false;
-        }
-
-        @Override
-        public ChannelFuture shutdownInput() {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ChannelFuture shutdownInput(ChannelPromise promise) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public boolean isOutputShutdown() {
-            return outputShutdown;
-        }
-
-        @Override
-        public ChannelFuture shutdownOutput() {
-            return shutdownOutput(newPromise());
-        }
-
-        @Override
-        public ChannelFuture shutdownOutput(ChannelPromise promise) {
-            outputShutdown = true;
-            return promise.setSuccess();
-        }
-
-        @Override
-        public boolean isShutdown() {
-            return false;
-        }
-
-        @Override
-        public ChannelFuture shutdown() {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ChannelFuture shutdown(ChannelPromise promise) {
-            throw new UnsupportedOperationException();
-        }
-    }
-
     @AfterEach
     void releaseBuffers() {
         channel.finishAndReleaseAll();
