Log what the system holds unread when the proxy ends a client connection

Change: client_ended, at the moment of the end, with the cause, the answers owed and the bytes unread in the system (tcpi_bytes_received less what was read); client_closed has the bytes that came after the end and were dropped; state_changed state=not_listening with the connections accepted and open. One system call for each end, only where the log is on.

Result: EventLinesGoldenTextTest and EventNamesGoldenTextTest hold with the new field and event.

--- a/src/main/java/cacheproxy/eventlog/ProxyEvent.java
+++ b/src/main/java/cacheproxy/eventlog/ProxyEvent.java
@@ -16,6 +16,8 @@
     ATTEMPT_STARTED,
     /** An attempt has ended, with its outcome. */
     ATTEMPT_ENDED,
+    /** The proxy ends a client connection, with the reason, what it owes, and what it and the system hold unread. */
+    CLIENT_ENDED,
     /** A client connection has ended, with the side that closed it and the reason. */
     CLIENT_CLOSED,
     /** A connection to a server has been opened, or could not be opened. */
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -250,6 +250,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         activity.active(loopContext.nowMs());
         boolean bytesRead = message != Unpooled.EMPTY_BUFFER;
+        closer.bytesRead(((ByteBuf) message).readableBytes());
         if (bytesRead && (closer.isFinished() || framingLost)) { // read only to see the client close its side
             ReferenceCountUtil.release(message);
             return;
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -1,6 +1,7 @@
 package cacheproxy.proxy.client;
 
 import cacheproxy.eventlog.ProxyEvent;
+import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,6 +25,10 @@
     private boolean finished;
     /** Why the proxy has closed the connection, or the error that ended it; null if there is neither. */
     private String cause;
+    /** How many bytes have been read from the connection. */
+    private long readBytes;
+    /** Bytes that were read after the proxy had ended its side, and dropped. */
+    private long droppedBytes;
 
     ConnectionCloser(EventLoopContext loopContext, ResponseQueue responses) {
         this.loopContext = loopContext;
@@ -40,6 +45,14 @@
         return finished;
     }
 
+    /** Records that bytes have been read from the connection. */
+    void bytesRead(int bytes) {
+        readBytes += bytes;
+        if (finished) {
+            droppedBytes += bytes;
+        }
+    }
+
     /** Records that no further requests are read from now on. */
     void endReading() {
         closing = true;
@@ -72,14 +85,15 @@
         // What the client sends until the output is shut down stays unread, so that it can send it again elsewhere.
         ctx.channel().config().setAutoRead(false);
         // Shutting down the output discards what the operating system has not taken yet, so it must come after that.
-        ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> shutDownOutput(ctx));
+        ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> shutDownOutput(ctx, closeCause));
     }
 
     @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
-    private void shutDownOutput(ChannelHandlerContext ctx) {
+    private void shutDownOutput(ChannelHandlerContext ctx, CloseCause closeCause) {
         if (!ctx.channel().isActive()) {
             return;
         }
+        recordEnd(ctx, closeCause);
         ctx.channel().config().setAutoRead(true);
         ((DuplexChannel) ctx.channel()).shutdownOutput();
         ctx.executor().schedule(() -> close(ctx, CloseCause.LINGERED), LINGER_MS, TimeUnit.MILLISECONDS);
@@ -92,10 +106,27 @@
         if (cause == null) {
             cause = closeCause.label();
         }
+        if (!finished) {
+            recordEnd(ctx, closeCause);
+        }
         ctx.flush(); // otherwise a response that is written but not flushed would be lost
         ctx.close();
     }
 
+    private void recordEnd(ChannelHandlerContext ctx, CloseCause closeCause) {
+        if (loopContext.events().isEnabled()) {
+            loopContext
+                    .events()
+                    .line(ProxyEvent.CLIENT_ENDED)
+                    .with("client", ctx.channel().remoteAddress())
+                    .with("by", "proxy")
+                    .with("cause", closeCause.label())
+                    .with("owed", responses.size())
+                    .with("in_system", SocketState.unreadBytes(ctx.channel(), readBytes))
+                    .write();
+        }
+    }
+
     /** Closes the connection after an I/O error or a fault of the proxy. */
     @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
     void closeAfter(Throwable error, ChannelHandlerContext ctx) {
@@ -119,6 +150,7 @@
                     .with("cause", cause == null ? "end" : cause)
                     .with("owed", responses.size())
                     .with("unread", unreadBytes)
+                    .with("dropped", droppedBytes)
                     .write();
         }
         closing = true;
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -1,5 +1,6 @@
 package cacheproxy.proxy.client;
 
+import cacheproxy.eventlog.ProxyEvent;
 import cacheproxy.lifecycle.Lifecycle;
 import cacheproxy.proxy.request.RequestHandler;
 import cacheproxy.proxy.upstream.EventLoopContext;
@@ -200,6 +201,7 @@
             return;
         }
         draining = true;
+        recordEndOfListening();
         if (channel == null) {
             releaseAddress();
             return;
@@ -210,6 +212,18 @@
         clients.remove(this);
     }
 
+    private void recordEndOfListening() {
+        if (loopContext.events().isEnabled()) {
+            loopContext
+                    .events()
+                    .line(ProxyEvent.STATE_CHANGED)
+                    .with("state", "not_listening")
+                    .with("accepted", acceptedCount)
+                    .with("open", connections.size())
+                    .write();
+        }
+    }
+
     /** Sets whether the response to {@code mn} says that the proxy accepts requests. */
     public void setAcceptsClients(boolean newAcceptsClients) {
         acceptsClients = newAcceptsClients;
--- a/src/test/java/cacheproxy/eventlog/EventNamesGoldenTextTest.java
+++ b/src/test/java/cacheproxy/eventlog/EventNamesGoldenTextTest.java
@@ -16,6 +16,7 @@
                         "request_abandoned",
                         "attempt_started",
                         "attempt_ended",
+                        "client_ended",
                         "client_closed",
                         "server_connected",
                         "server_disconnected",
--- a/src/test/java/cacheproxy/proxy/EventLinesGoldenTextTest.java
+++ b/src/test/java/cacheproxy/proxy/EventLinesGoldenTextTest.java
@@ -116,7 +116,7 @@
                                 + " retired=false out=0");
             }
             assertThat(next("client_closed"))
-                    .isEqualTo("client_closed t=TIME client=/ADDRESS by=client cause=end owed=0 unread=0");
+                    .isEqualTo("client_closed t=TIME client=/ADDRESS by=client cause=end owed=0 unread=0 dropped=0");
         }
     }
 
