--- a/src/test/java/cacheproxy/soak/SoakProxy.java
+++ b/src/test/java/cacheproxy/soak/SoakProxy.java
@@ -20,7 +20,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 /** A process of the {@code serve} command, started as the platform starts it. */
-final class SoakProxy implements AutoCloseable {
+final class SoakProxy implements SignalTarget, AutoCloseable {
     /** Below the ephemeral ports, so that no outgoing connection takes a proxy's port during its restart. */
     private static final int MIN_PORT = 12_000;
 
@@ -54,7 +54,7 @@
         config.add("settings", ownSettings);
     }
 
-    private static int freePort(Random random) throws IOException {
+    static int freePort(Random random) throws IOException {
         while (true) {
             int port = MIN_PORT + random.nextInt(PORT_COUNT);
             if (!USED_PORTS.add(port)) {
@@ -68,6 +68,13 @@
         }
     }
 
+    /** Sets the file descriptors that the process may use, from its next start on. */
+    void setSockets(int count) {
+        JsonObject limits = new JsonObject();
+        limits.addProperty("sockets", count);
+        config.add("limits", limits);
+    }
+
     /** Writes the configuration; a running process reads it on SIGHUP. */
     void configure(String discovery, JsonArray knownHosts) throws IOException {
         config.addProperty("discovery", discovery);
@@ -142,8 +149,14 @@
         return process.isAlive();
     }
 
+    @Override
+    public int port() {
+        return port;
+    }
+
     /** Sends a signal, unless the process has exited: its process id may have been reused. */
-    void signal(String name) throws IOException, InterruptedException {
+    @Override
+    public void signal(String name) throws IOException, InterruptedException {
         if (process.isAlive()) {
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                     .start()
