Look for unread requests right before a client connection is ended

Callers saw a connection end 50 ms after they had sent a request on it, with no answer.

Cause: a connection was ended by what had been read at the last poll. After a stop, or behind other ends in one turn, the system held requests that no poll had told of; they were dropped. Evidence: client_ended with owed=0 in_system=30 to 33 in each lost case.

Change: ConnectionEnd ends a connection only when all that was written has been taken by the system, and a read of the receive queue right before the shutdown finds nothing; what it finds is served. Ends of many connections run as backlog slices of TurnScheduler. The same look comes before an eviction, which then takes the next candidate, and before a stalled connection is closed.

Why it works: between the look and the shutdown there are two native calls and nothing else.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -22,6 +22,9 @@
     /** The response to a request that is not sent to any server, as reading has ended. */
     private static final String BUSY_LINE = MetaCodec.BUSY_PREFIX + "\r\n";
 
+    /** How often what has arrived is read in a row before a stalled connection is closed nevertheless. */
+    private static final int MAX_LOOKS = 4;
+
     private final EventLoopContext loopContext;
     private final ConnectionOwner owner;
     private final double closingPosition;
@@ -36,9 +39,12 @@
     private final CommandCounts counts = new CommandCounts();
     private final RequestAdmission admission;
     private final ConnectionStatus status;
+    private final ConnectionEnd end;
     private final Runnable flush = this::flush;
     private ChannelHandlerContext ctx;
     private boolean flushScheduled;
+    /** Whether what was read is being decoded. */
+    private boolean handlingInput;
     /** Whether reading has ended and no complete command is left in what was read. */
     private boolean inputDecoded;
     /** Whether it is unknown where the next command begins in what is read. */
@@ -59,6 +65,7 @@
         submitter = new RequestSubmitter(this, owner);
         turns = new CommandTurns(this, readControl);
         admission = new RequestAdmission(this, responses, readControl, closer, submitter::resume);
+        end = new ConnectionEnd(this, closer);
         status = new ConnectionStatus(this, responses, decoder, readControl, closer, activity);
     }
 
@@ -157,28 +164,56 @@
         return left;
     }
 
-    /** Closes a stalled connection, after the responses to its complete requests. */
-    void closeStalled() {
-        if (status.hasUnwrittenBytes()) {
+    /** Closes a stalled connection, after the responses to its complete requests, unless more has arrived by now. */
+    void closeStalled(double nowMs) {
+        boolean clientReads = !status.hasUnwrittenBytes();
+        if (!clientReads) {
             responses.cancelHeldValues(); // they wait for the client to read
         }
         if (responses.hasUnanswered()) {
             endReading();
-        } else {
+        } else if (!clientReads || isFinished() || endUnlessResumed(nowMs)) {
             close(CloseCause.STALLED);
         }
     }
 
+    /** Ends the connection unless what has arrived by now shows that it is no longer stalled. */
+    private boolean endUnlessResumed(double nowMs) {
+        for (int i = 0; i < MAX_LOOKS; i++) {
+            if (isHandlingInput()) {
+                return false;
+            }
+            ByteBuf received = closer.endUnlessUnread(ctx, CloseCause.STALLED);
+            if (received == null) {
+                return true;
+            }
+            receive(received);
+            if (!status.isStalled(nowMs) || status.mayHoldCommands() || !responses.isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /**
      * Closes the connection to make room for another one. If the client may not have received the last response yet,
      * only the proxy's output is shut down: a close with unread input would send a reset, which would discard that
      * response.
      *
-     * @return whether the connection is closed now; otherwise it is closed after it has lingered
+     * <p>Has no effect if the client has sent anything that had not been read.
+     *
+     * @return whether the connection is closed now; otherwise it is closed after it has lingered, or stays open
      */
     boolean evict(double nowMs) {
+        if (isHandlingInput()) {
+            return false;
+        }
+        ByteBuf received = closer.endUnlessUnread(ctx, CloseCause.EVICTED);
+        if (received != null) {
+            receive(received);
+            return false;
+        }
         if (activity.mayNotHaveLastResponse(nowMs)) {
-            finish();
             return false;
         }
         close(CloseCause.EVICTED);
@@ -230,9 +265,20 @@
         responses.cancelHeldValues();
     }
 
-    /** Shuts down the proxy's output and waits for the client to close its side. */
-    void finish() {
-        closer.finish(ctx);
+    /**
+     * Returns whether the connection is to be ended: everything that was read has its response, and it is being closed
+     * or its owner wants it closed between requests.
+     */
+    boolean isEndDue() {
+        if (closer.isFinished() || !responses.isEmpty() || !immediateResponses.isEmpty()) {
+            return false;
+        }
+        return closer.isClosing() ? inputDecoded : owner.closesWhenIdle(this) && status.isIdle();
+    }
+
+    /** Ends the connection soon, if {@linkplain #isEndDue it is due to end} and nothing is unread by then. */
+    void scheduleEnd() {
+        end.schedule();
     }
 
     /** Ends the connection within the first response, whose rest will not arrive. */
@@ -246,8 +292,30 @@
 
     // ---- requests
 
+    /** Returns whether an event of the connection's own input is being handled. */
+    boolean isHandlingInput() {
+        return handlingInput;
+    }
+
+    /** Handles what has been read from the socket in addition to what the event loop reads. */
+    void receive(ByteBuf received) {
+        readControl.readBesidesPoll();
+        ctx.pipeline().fireChannelRead(received);
+        ctx.pipeline().fireChannelReadComplete();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        boolean nested = handlingInput;
+        handlingInput = true;
+        try {
+            handleInput(context, message);
+        } finally {
+            handlingInput = nested;
+        }
+    }
+
+    private void handleInput(ChannelHandlerContext context, Object message) throws Exception {
         activity.active(loopContext.nowMs());
         boolean bytesRead = message != Unpooled.EMPTY_BUFFER;
         closer.bytesRead(((ByteBuf) message).readableBytes());
@@ -370,9 +438,8 @@
             flushWritten(wroteImmediate);
         }
         updateFlowControl();
-        boolean ends = closer.isClosing() ? inputDecoded : owner.closesWhenIdle(this) && status.isIdle();
-        if (ends && responses.isEmpty()) {
-            finish();
+        if (isEndDue()) {
+            end.attempt();
         } else if (wrote && responses.isEmpty()) {
             owner.connectionIdle(this);
         }
--- a/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
@@ -13,6 +13,8 @@
  */
 public final class ClientRegistry {
     private static final int MAX_LISTED_CONNECTIONS = 8;
+    /** Candidates that are tried, each of which may turn out to be in use. */
+    private static final int MAX_EVICTION_ATTEMPTS = 3;
 
     private final EventLoopContext loopContext;
     private final int maxConnections;
@@ -50,12 +52,29 @@
     }
 
     /**
-     * Evicts the connection with the highest rank.
+     * Evicts the connection with the highest rank; if its client has just sent something, the next one.
      *
      * @param excluded a connection that must not be evicted; may be null
      * @return whether a connection was evicted and its descriptor is free immediately
      */
     private boolean evictOne(ClientConnection excluded) {
+        for (int i = 0; i < MAX_EVICTION_ATTEMPTS; i++) {
+            ClientConnection candidate = evictionCandidate(excluded);
+            if (candidate == null) {
+                return false;
+            }
+            if (candidate.evict(loopContext.nowMs())) {
+                return true;
+            }
+            if (candidate.isFinished()) {
+                return false; // it is about to close
+            }
+        }
+        return false;
+    }
+
+    /** Returns the connection to evict; null if none can be, or enough are about to close. */
+    private ClientConnection evictionCandidate(ClientConnection excluded) {
         ClientConnection candidate = null;
         double highestRank = 0;
         double nowMs = loopContext.nowMs();
@@ -68,10 +87,7 @@
                 highestRank = rank;
             }
         }
-        if (connections.size() - lingering <= maxConnections) {
-            return false; // enough connections are about to close
-        }
-        return candidate != null && candidate.evict(nowMs);
+        return connections.size() - lingering <= maxConnections ? null : candidate;
     }
 
     /** Removes a closed connection, and resumes accepting if there are no longer too many connections. */
@@ -87,7 +103,7 @@
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : List.copyOf(connections)) {
             if (connection.status().isStalled(nowMs)) {
-                connection.closeStalled();
+                connection.closeStalled(nowMs);
             }
         }
         evictIfTooManyConnections();
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -1,8 +1,8 @@
 package cacheproxy.proxy.client;
 
 import cacheproxy.eventlog.ProxyEvent;
-import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.upstream.EventLoopContext;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
@@ -75,6 +75,24 @@
         finish(ctx, CloseCause.RESPONSE_ABORTED);
     }
 
+    /**
+     * Shuts down the proxy's output unless the client has sent anything that has not been read, and lingers. To be
+     * called once everything that was written has been taken by the operating system.
+     *
+     * @return what the client has sent, in which case nothing has been shut down; null otherwise
+     */
+    ByteBuf endUnlessUnread(ChannelHandlerContext ctx, CloseCause closeCause) {
+        ByteBuf received = loopContext.receiveQueue().readOrShutDownOutput(ctx.channel());
+        if (received != null) {
+            return received;
+        }
+        responses.checkAnswered(closeCause);
+        finished = true;
+        closing = true;
+        shutDownOutput(ctx, closeCause);
+        return null;
+    }
+
     private void finish(ChannelHandlerContext ctx, CloseCause closeCause) {
         if (finished) {
             return;
@@ -122,7 +140,7 @@
                     .with("by", "proxy")
                     .with("cause", closeCause.label())
                     .with("owed", responses.size())
-                    .with("in_system", SocketState.unreadBytes(ctx.channel(), readBytes))
+                    .with("in_system", loopContext.receiveQueue().unreadBytes(ctx.channel(), readBytes))
                     .write();
         }
     }
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionEnd.java
@@ -0,0 +1,82 @@
+package cacheproxy.proxy.client;
+
+import cacheproxy.proxy.net.TurnScheduler;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * Ends a client connection by the proxy's own choice, once nothing is owed to the client: no response, and nothing that
+ * the operating system has received and the proxy has not read. Whether that holds is looked up right before the end;
+ * the last poll of the event loop says only what held then. The ends of many connections are spread over turns of the
+ * event loop.
+ */
+final class ConnectionEnd implements TurnScheduler.Work {
+    private final ClientConnection connection;
+    private final ConnectionCloser closer;
+    private boolean scheduled;
+    private boolean awaitsFlush;
+
+    ConnectionEnd(ClientConnection connection, ConnectionCloser closer) {
+        this.connection = connection;
+        this.closer = closer;
+    }
+
+    /** Ends the connection in this turn of the event loop or in a later one, if it is due to end by then. */
+    void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            connection.loopContext().turns().scheduleBacklog(this);
+        }
+    }
+
+    /** Ends the connection now if it is due to end; while its own input is being handled, later. */
+    void attempt() {
+        if (connection.isHandlingInput()) {
+            schedule();
+        } else {
+            endIfDue();
+        }
+    }
+
+    @Override
+    public boolean runSlice() {
+        scheduled = false;
+        endIfDue();
+        return false;
+    }
+
+    private void endIfDue() {
+        if (!connection.isEndDue()) {
+            return;
+        }
+        if (connection.hasReadingEnded()) {
+            closer.finish(connection.context());
+        } else if (connection.status().hasUnwrittenBytes()) {
+            scheduleOnceFlushed();
+        } else {
+            endUnlessUnread();
+        }
+    }
+
+    /** Shutting down the output would discard what the operating system has not taken yet. */
+    private void scheduleOnceFlushed() {
+        if (!awaitsFlush) {
+            awaitsFlush = true;
+            connection.context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> {
+                awaitsFlush = false;
+                schedule(); // the written bytes are still counted within this call
+            });
+        }
+    }
+
+    private void endUnlessUnread() {
+        ByteBuf received = closer.endUnlessUnread(connection.context(), CloseCause.FINISHED);
+        if (received == null) {
+            return;
+        }
+        connection.receive(received);
+        if (connection.isEndDue()) {
+            schedule();
+        }
+    }
+}
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -230,19 +230,18 @@
     }
 
     /**
-     * Closes connections once they are idle, in the order of their closing positions. To be called repeatedly, because
-     * further connections become idle and further clients have had the time to send their first request.
+     * Closes connections once they are idle and nothing is unread, in the order of their closing positions. To be
+     * called repeatedly, because further connections become idle and further clients have had the time to send their
+     * first request.
      *
      * @param fraction the share of the connections to close, from 0 to 1
      */
     public void closeIdle(double fraction) {
         closingFraction = fraction;
         double nowMs = loopContext.nowMs();
-        for (ClientConnection connection : new ArrayList<>(connections)) {
-            if (closesWhenIdle(connection)
-                    && connection.status().isIdle()
-                    && (draining || connection.status().hasHadTimeToSendCommand(nowMs))) {
-                connection.finish();
+        for (ClientConnection connection : connections) {
+            if (connection.isEndDue() && (draining || connection.status().hasHadTimeToSendCommand(nowMs))) {
+                connection.scheduleEnd();
             }
         }
     }
--- a/src/main/java/cacheproxy/proxy/client/ReadControl.java
+++ b/src/main/java/cacheproxy/proxy/client/ReadControl.java
@@ -16,7 +16,8 @@
     /** Whether no pause ends any more. */
     private boolean ended;
 
-    private boolean firstRead = true;
+    /** Whether the next bytes may have arrived before the poll; the system is asked then. */
+    private boolean askArrivalTime = true;
     /** The earliest time at which the bytes last read may have arrived. */
     private double unreadSinceMs;
     /**
@@ -41,11 +42,16 @@
         unreadSinceMs = queuedSinceMs;
     }
 
+    /** Records that the next bytes are read without a poll, which would tell since when they may have been there. */
+    void readBesidesPoll() {
+        askArrivalTime = true;
+    }
+
     /** Records that bytes have been read from the socket of this channel. */
     void bytesRead(Channel channel) {
         unreadSinceMs = loopContext.unreadSinceMs();
-        if (firstRead) { // the connection may have been in the accept queue for many turns of the loop
-            firstRead = false;
+        if (askArrivalTime) { // the connection may have been in the accept queue for many turns of the loop
+            askArrivalTime = false;
             unreadSinceMs = Math.min(unreadSinceMs, loopContext.nowMs() - SocketState.lastReceivedAgoMs(channel));
         }
         if (loopContext.isTurnOrNext(resumeTurn)) {
--- a/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/EventLoopContext.java
@@ -10,6 +10,7 @@
 import cacheproxy.proxy.net.FlushBatcher;
 import cacheproxy.proxy.net.LoadStatistics;
 import cacheproxy.proxy.net.PollClock;
+import cacheproxy.proxy.net.ReceiveQueue;
 import cacheproxy.proxy.net.StandardErrorLog;
 import cacheproxy.proxy.net.TimerWheel;
 import cacheproxy.proxy.net.TimerWheel.Timer;
@@ -40,6 +41,7 @@
     private final TimerWheel timers;
     private final FlushBatcher flushBatcher;
     private final TurnScheduler turns;
+    private final ReceiveQueue receiveQueue = new ReceiveQueue();
     private final LoadStatistics load;
     private final RequestIds requestIds = new RequestIds();
 
@@ -149,6 +151,11 @@
         return turns;
     }
 
+    /** Reads from connections right before they are ended. */
+    public ReceiveQueue receiveQueue() {
+        return receiveQueue;
+    }
+
     /** What operators are told about the load of the loop. */
     public LoadStatistics load() {
         return load;
--- a/src/test/java/cacheproxy/proxy/client/FakeConnectionOwner.java
+++ b/src/test/java/cacheproxy/proxy/client/FakeConnectionOwner.java
@@ -5,6 +5,7 @@
 /** A listener that accepts clients and hands their requests to a handler of the test. */
 final class FakeConnectionOwner implements ConnectionOwner {
     private final RequestHandler handler;
+    private boolean closesWhenIdle;
 
     /** Creates a listener without requests. */
     FakeConnectionOwner() {
@@ -29,7 +30,12 @@
 
     @Override
     public boolean closesWhenIdle(ClientConnection idle) {
-        return false;
+        return closesWhenIdle;
+    }
+
+    /** Closes all connections between requests from now on. */
+    void closeWhenIdle() {
+        closesWhenIdle = true;
     }
 
     @Override
--- a/src/test/java/cacheproxy/proxy/client/HalfClosableChannel.java
+++ b/src/test/java/cacheproxy/proxy/client/HalfClosableChannel.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.DuplexChannel;
@@ -9,11 +10,24 @@
 /** An embedded channel whose output can be shut down. */
 final class HalfClosableChannel extends EmbeddedChannel implements DuplexChannel {
     private boolean outputShutdown;
+    private boolean systemFull;
 
     HalfClosableChannel(ChannelHandler... handlers) {
         super(handlers);
     }
 
+    /** Sets whether the operating system takes nothing that is written. */
+    void setSystemFull(boolean full) {
+        systemFull = full;
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
+        if (!systemFull) {
+            super.doWrite(buffer);
+        }
+    }
+
     void setWritable(boolean writable) {
         unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
         runPendingTasks();
