Serve the connections in the accept queue before listening ends

Callers saw connections that the system had accepted reset, with their requests, when the proxy stopped listening.

Cause: the listening socket was closed by a timer with no look at its accept queue; after a stop it held all that came meanwhile. Evidence: state=not_listening accepted=66 where 120 had connected.

Change: ListenerClose accepts in slices until accept finds none, and closes the socket right behind that; 150 ms later at the latest, with one last go at the whole backlog. A drain is over only once the socket is closed.

Why it works: between the accept that finds none and the close there is no other step.

--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -194,8 +194,7 @@
         closeIdle(1);
     }
 
-    /** Accepts no further connections; open connections continue. */
-    @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
+    /** Accepts no further connections but those that wait to be accepted; open connections continue. */
     public void stopListening() {
         if (draining) {
             return;
@@ -208,7 +207,7 @@
         }
         // Another process may share the socket; closing our descriptor would then not remove the socket from our
         // selector.
-        channel.deregister().addListener(deregistered -> channel.close());
+        channel.deregister().addListener(deregistered -> new ListenerClose(loopContext, channel).start());
         clients.remove(this);
     }
 
@@ -272,9 +271,9 @@
         }
     }
 
-    /** Returns whether no connection is open. */
+    /** Returns whether no connection is open, and none can come. */
     public boolean isEmpty() {
-        return connections.isEmpty();
+        return connections.isEmpty() && (channel == null || !channel.isOpen());
     }
 
     /** The number of open connections. */
--- a/src/main/java/cacheproxy/proxy/client/ListenerBootstrap.java
+++ b/src/main/java/cacheproxy/proxy/client/ListenerBootstrap.java
@@ -16,7 +16,7 @@
 
 /** Opens one listening socket and configures the sockets that it accepts. */
 final class ListenerBootstrap {
-    private static final int BACKLOG = 512;
+    static final int BACKLOG = 512;
     /** Connections that are accepted before others have their turn. */
     private static final int MAX_ACCEPTS_PER_TURN = 16;
 
