Reject what the system holds when a busy connection ends, in place of dropping it

Callers saw a command behind 32 in flight get no answer when their connection ended, at SIGTERM and in standby, though it was sent 80 ms before.

Cause: at the end of reading the socket was not read any more, and what the system had received by then, or received until the last answer, was dropped.

Change: from that moment requests are rejected, and read on, until all have their responses and a look finds nothing unread. A client that does nothing but send for 50 ms then is read for the last time, and ends as before. GracefulShutdown no longer ends before the conclusion has run, and leaves 40 ms after it, as a process that was held up at that moment skipped it.

Why it works: rejections are in order and cost no server, so the connection ends in the first gap of a client; one that leaves none is ended by time.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -19,7 +19,7 @@
  * responses in the order of the requests.
  */
 final class ClientConnection extends ByteToMessageDecoder implements RequestDecoder.Output {
-    /** The response to a request that is not sent to any server, as reading has ended. */
+    /** The response to a request that is not sent to any server, as the connection is about to end. */
     private static final String BUSY_LINE = MetaCodec.BUSY_PREFIX + "\r\n";
 
     /** How often what has arrived is read in a row before a stalled connection is closed nevertheless. */
@@ -171,7 +171,7 @@
             responses.cancelHeldValues(); // they wait for the client to read
         }
         if (responses.hasUnanswered()) {
-            endReading();
+            refuseRequests();
         } else if (!clientReads || isFinished() || endUnlessResumed(nowMs)) {
             close(CloseCause.STALLED);
         }
@@ -221,16 +221,27 @@
     }
 
     /**
-     * Reads nothing more from the client, except to see it close its side. Requests that have been decoded by now are
-     * served, commands that have been read and not decoded are rejected when their turn comes, and the connection ends
-     * after the response to the last one. The rest of an incomplete command is no request: its client sends it again on
-     * another connection.
+     * Rejects the requests that come from now on; those that have been decoded by now are served. The connection ends
+     * once all have their responses and nothing is unread. The rest of an incomplete command is no request: its client
+     * sends it again on another connection.
+     */
+    void refuseRequests() {
+        if (!closer.isClosing()) {
+            closer.refuseRequests();
+            writeResponses();
+        }
+    }
+
+    /**
+     * Rejects requests as {@link #refuseRequests} does, and reads nothing more from the client, except to see it close
+     * its side. Commands that have been read and not decoded are rejected when their turn comes, and the connection
+     * ends after the response to the last one.
      */
     void endReading() {
-        if (closer.isClosing()) {
+        if (readControl.hasEnded() || closer.isFinished()) {
             return;
         }
-        closer.endReading();
+        closer.refuseRequests();
         readControl.end(ctx);
         if (undecodedBytes() == 0) {
             inputDecoded();
@@ -245,9 +256,9 @@
         writeResponses();
     }
 
-    /** Returns whether reading has ended, so that further commands are rejected. */
+    /** Returns whether reading has ended for good. */
     boolean hasReadingEnded() {
-        return closer.isClosing();
+        return readControl.hasEnded();
     }
 
     /** Returns whether reading has ended and no complete command is left in what was read. */
@@ -273,7 +284,15 @@
         if (closer.isFinished() || !responses.isEmpty() || !immediateResponses.isEmpty()) {
             return false;
         }
-        return closer.isClosing() ? inputDecoded : owner.closesWhenIdle(this) && status.isIdle();
+        if (closer.isClosing()) {
+            return hasReadingEnded() ? inputDecoded : !status.mayHoldCommands();
+        }
+        return owner.closesWhenIdle(this) && status.isIdle();
+    }
+
+    /** Returns whether the client has all its responses and does nothing but send requests that are rejected. */
+    boolean onlyRefuses() {
+        return closer.isClosing() && !closer.isFinished() && !hasReadingEnded() && responses.isEmpty();
     }
 
     /** Ends the connection soon, if {@linkplain #isEndDue it is due to end} and nothing is unread by then. */
@@ -327,7 +346,7 @@
             readControl.bytesRead(context.channel());
             turns.readBegins();
         }
-        boolean readAfterEnd = bytesRead && closer.isClosing(); // a read that was under way when reading ended
+        boolean readAfterEnd = bytesRead && hasReadingEnded(); // a read that was under way when reading ended
         if (readAfterEnd) {
             inputDecoded = false;
         }
@@ -438,7 +457,7 @@
             flushWritten(wroteImmediate);
         }
         updateFlowControl();
-        if (isEndDue()) {
+        if (isEndDue() || onlyRefuses()) {
             end.attempt();
         } else if (wrote && responses.isEmpty()) {
             owner.connectionIdle(this);
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes a client connection in steps: it reads no further requests ({@link #isClosing}); it writes nothing more
+ * Closes a client connection in steps: further requests are rejected ({@link #isClosing}); it writes nothing more
  * ({@link #isFinished}), shuts down the proxy's output once the operating system has taken what was written, and
  * lingers until the client closes its side; and it is closed.
  */
@@ -35,7 +35,7 @@
         this.responses = responses;
     }
 
-    /** Returns whether no further requests are read; the connection ends after the last response. */
+    /** Returns whether further requests are rejected; the connection ends after the last response. */
     boolean isClosing() {
         return closing;
     }
@@ -53,8 +53,8 @@
         }
     }
 
-    /** Records that no further requests are read from now on. */
-    void endReading() {
+    /** Records that further requests are rejected from now on. */
+    void refuseRequests() {
         closing = true;
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ConnectionEnd.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionEnd.java
@@ -11,10 +11,15 @@
  * event loop.
  */
 final class ConnectionEnd implements TurnScheduler.Work {
+    /** How long a client that never stops sending is answered by rejections before its connection ends. */
+    private static final double MAX_REFUSING_MS = 50;
+
     private final ClientConnection connection;
     private final ConnectionCloser closer;
     private boolean scheduled;
     private boolean awaitsFlush;
+    /** Since when the client does nothing but send requests that are rejected; not a number if it does not. */
+    private double refusingSinceMs = Double.NaN;
 
     ConnectionEnd(ClientConnection connection, ConnectionCloser closer) {
         this.connection = connection;
@@ -46,6 +51,9 @@
     }
 
     private void endIfDue() {
+        if (connection.onlyRefuses() && hasRefusedForLong()) {
+            readForTheLastTime();
+        }
         if (!connection.isEndDue()) {
             return;
         }
@@ -58,6 +66,26 @@
         }
     }
 
+    private boolean hasRefusedForLong() {
+        double nowMs = connection.loopContext().nowMs();
+        if (Double.isNaN(refusingSinceMs)) {
+            refusingSinceMs = nowMs;
+        }
+        return nowMs - refusingSinceMs > MAX_REFUSING_MS;
+    }
+
+    /** Ends the reading from a client that never stops sending: what it sends after this look stays unread. */
+    private void readForTheLastTime() {
+        ByteBuf received = connection
+                .loopContext()
+                .receiveQueue()
+                .read(connection.context().channel());
+        if (received != null) {
+            connection.receive(received);
+        }
+        connection.endReading();
+    }
+
     /** Shutting down the output would discard what the operating system has not taken yet. */
     private void scheduleOnceFlushed() {
         if (!awaitsFlush) {
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -246,26 +246,26 @@
     }
 
     /**
-     * Reads no further requests from clients that have had the time to send one; what they have sent and was read is
-     * served or rejected, and then their connections end. To be called repeatedly, because further clients may connect.
+     * Rejects further requests of clients that have had the time to send one; their connections end after the last
+     * response. To be called repeatedly, because further clients may connect.
      */
-    public void endReading() {
+    public void refuseRequests() {
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.status().hasHadTimeToSendCommand(nowMs)) {
-                connection.endReading();
+                connection.refuseRequests();
             }
         }
     }
 
     /**
-     * Reads no further requests on any connection, and rejects those that have been read and not submitted; each
-     * connection ends after its last response. Long values that have begun to arrive and of which nothing has been sent
-     * are cancelled, as the responses behind them wait.
+     * Rejects further requests on all connections, and those that have been read and not submitted; each connection
+     * ends after its last response. Long values that have begun to arrive and of which nothing has been sent are
+     * cancelled, as the responses behind them wait.
      */
     public void concludeConnections() {
         for (ClientConnection connection : new ArrayList<>(connections)) {
-            connection.endReading();
+            connection.refuseRequests();
             connection.rejectWaitingRequests();
             connection.cancelHeldValues();
         }
--- a/src/main/java/cacheproxy/proxy/client/ReadControl.java
+++ b/src/main/java/cacheproxy/proxy/client/ReadControl.java
@@ -79,6 +79,11 @@
         ctx.channel().config().setAutoRead(false);
     }
 
+    /** Returns whether reading has stopped for good. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     /** Stops reading from the socket for good. */
     void end(ChannelHandlerContext ctx) {
         ended = true;
--- a/src/main/java/cacheproxy/proxy/process/GracefulShutdown.java
+++ b/src/main/java/cacheproxy/proxy/process/GracefulShutdown.java
@@ -16,6 +16,9 @@
     /** How long a response may take to reach its client after the last deadline. */
     private static final double LAST_RESPONSE_MS = 150;
 
+    /** How long the last responses have at least, if the process was held up at the longest deadline. */
+    private static final double MIN_CONCLUSION_MS = 40;
+
     private static final int POLL_INTERVAL_MS = 20;
 
     private final EventLoop loop;
@@ -26,6 +29,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private double listenEndsMs;
     private double drainEndsMs;
+    private boolean concluded;
 
     /**
      * Creates a shutdown that has not begun.
@@ -61,7 +65,7 @@
             listenEndsMs = nowMs + listenGraceMs;
             double concludeMs = listenEndsMs + longestDeadlineMs.getAsDouble();
             drainEndsMs = concludeMs + LAST_RESPONSE_MS;
-            loopContext.after(concludeMs - nowMs, conclude);
+            loopContext.after(concludeMs - nowMs, this::conclude);
             poll();
         });
         try {
@@ -71,10 +75,17 @@
         }
     }
 
+    /** A process that is late still has the time to tell its clients. */
+    private void conclude() {
+        conclude.run();
+        concluded = true;
+        drainEndsMs = Math.max(drainEndsMs, loopContext.nowMs() + MIN_CONCLUSION_MS);
+    }
+
     @SuppressWarnings("FutureReturnValueIgnored") // the timer is never cancelled; what it runs handles its own errors
     private void poll() {
         double nowMs = loopContext.nowMs();
-        if (nowMs >= listenEndsMs && (drained.getAsBoolean() || nowMs >= drainEndsMs)) {
+        if (nowMs >= listenEndsMs && (drained.getAsBoolean() || (concluded && nowMs >= drainEndsMs))) {
             ended.countDown();
             return;
         }
