Load the end of a connection in the warm-up of serve

Change: the warm-up ends its client's connection as a drain does, so that this path is loaded before clients are accepted. run has no warm-up and still loads it at its first end.

Result: WarmUpTest, JarIT and RestingClientsIT pass. The time of the first end was not measured.

--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -139,9 +139,11 @@
         clients.connectionAccepted(connection);
     }
 
-    /** Creates the handler for a connection that this listener has not accepted and does not count as its own. */
-    public ChannelHandler newUncountedConnection() {
-        return new ClientConnection(loopContext, this, 0);
+    /** Creates the handler for a connection that this listener has not accepted itself. */
+    public ChannelHandler newConnection() {
+        ClientConnection connection = new ClientConnection(loopContext, this, 0);
+        connections.add(connection);
+        return connection;
     }
 
     /**
--- a/src/main/java/cacheproxy/proxy/process/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/process/WarmUp.java
@@ -43,6 +43,9 @@
  */
 final class WarmUp {
     private static final int MAX_CONNECTIONS = 16;
+    /** How long the proxy may take to end the connection at the end. */
+    private static final long MAX_CLOSE_MS = 100;
+
     private static final int CACHE_SERVER_ID = 1;
     private static final int ORIGIN_ID = 2;
 
@@ -138,7 +141,7 @@
             throws InterruptedException {
         SocketAddress cacheServer = listen("n", CacheServer::new);
         SocketAddress origin = listen("o", Origin::new);
-        SocketAddress proxy = listen("p", listener::newUncountedConnection);
+        SocketAddress proxy = listen("p", listener::newConnection);
         int originKind = config.settings().originKind();
         int cacheServerKind = originKind == 0 ? 1 : 0;
         List<ListedServer> listedServers = List.of(
@@ -146,14 +149,17 @@
                 listedServer(ORIGIN_ID, Math.max(0, originKind), origin));
         loop.submit(() -> dispatcher.endpointListReceived(EndpointListKind.CACHED, listedServers))
                 .sync();
-        channels.add(new Bootstrap()
+        Channel client = new Bootstrap()
                 .group(loop)
                 .channel(Transport.BEST.localSocket())
                 .handler(new HandlerInitializer(new Client()))
                 .connect(toConnectAddress.apply(proxy))
                 .sync()
-                .channel());
+                .channel();
+        channels.add(client);
         done.await((long) plan.timeLimitMs(), TimeUnit.MILLISECONDS);
+        loop.submit(() -> listener.closeIdle(1)).sync(); // so that the end of a connection is loaded, too
+        client.closeFuture().await(MAX_CLOSE_MS);
     }
 
     private SocketAddress listen(String name, Supplier<ChannelHandler> handler) throws InterruptedException {
