Count client connections that end with bytes unread in the system

Change: ended_with_unread in GET /load counts ends with anything unread at that moment, by tcpi_bytes_received. close_leaves_nothing_unread in GET /invariants is violated if that had waited for over 20 ms, which is the bound for requests that cross an end.

--- a/src/main/java/cacheproxy/invariant/Invariant.java
+++ b/src/main/java/cacheproxy/invariant/Invariant.java
@@ -28,7 +28,9 @@
     /** Every response line to a client has one line end, at its end. */
     SINGLE_LINE,
     /** The proxy closes no client connection on which a response is pending. */
-    CLOSE_OWES_NOTHING;
+    CLOSE_OWES_NOTHING,
+    /** The proxy ends no client connection while the operating system holds requests that have waited on it. */
+    CLOSE_LEAVES_NOTHING_UNREAD;
 
     private final String label = name().toLowerCase(Locale.ROOT);
 
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -1,6 +1,8 @@
 package cacheproxy.proxy.client;
 
 import cacheproxy.eventlog.ProxyEvent;
+import cacheproxy.invariant.Invariant;
+import cacheproxy.proxy.net.SocketState;
 import cacheproxy.proxy.upstream.EventLoopContext;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -16,6 +18,8 @@
  */
 final class ConnectionCloser {
     private static final long LINGER_MS = 300;
+    /** What has been in the system for less may have come in the moment of the end. */
+    private static final double MAX_CROSSING_MS = 20;
     /** The cause that is logged if the operating system reports an error of the connection. */
     private static final String RESET = "reset";
 
@@ -89,10 +93,21 @@
         responses.checkAnswered(closeCause);
         finished = true;
         closing = true;
+        checkNothingHasWaited(ctx, closeCause);
         shutDownOutput(ctx, closeCause);
         return null;
     }
 
+    /** What comes in the moment of the end crosses it; what has waited for longer shows that the look was too early. */
+    private void checkNothingHasWaited(ChannelHandlerContext ctx, CloseCause closeCause) {
+        long unreadBytes = loopContext.receiveQueue().unreadBytes(ctx.channel(), readBytes);
+        double waitedMs = unreadBytes == 0 ? 0 : SocketState.lastReceivedAgoMs(ctx.channel());
+        if (waitedMs > MAX_CROSSING_MS) {
+            String reason = unreadBytes + " bytes had waited for " + waitedMs + " ms, " + closeCause.label();
+            loopContext.invariants().recordViolation(Invariant.CLOSE_LEAVES_NOTHING_UNREAD, null, reason);
+        }
+    }
+
     private void finish(ChannelHandlerContext ctx, CloseCause closeCause) {
         if (finished) {
             return;
@@ -132,6 +147,10 @@
     }
 
     private void recordEnd(ChannelHandlerContext ctx, CloseCause closeCause) {
+        long unreadBytes = loopContext.receiveQueue().unreadBytes(ctx.channel(), readBytes);
+        if (unreadBytes > 0) {
+            loopContext.load().endedWithUnread();
+        }
         if (loopContext.events().isEnabled()) {
             loopContext
                     .events()
@@ -140,7 +159,7 @@
                     .with("by", "proxy")
                     .with("cause", closeCause.label())
                     .with("owed", responses.size())
-                    .with("in_system", loopContext.receiveQueue().unreadBytes(ctx.channel(), readBytes))
+                    .with("in_system", unreadBytes)
                     .write();
         }
     }
--- a/src/main/java/cacheproxy/proxy/net/LoadStatistics.java
+++ b/src/main/java/cacheproxy/proxy/net/LoadStatistics.java
@@ -11,6 +11,7 @@
     private long commands;
     private long invalidCommands;
     private long invalidServerResponses;
+    private long endedWithUnread;
 
     /** Creates statistics without counts. */
     public LoadStatistics(PollClock polls, TurnScheduler turns) {
@@ -36,6 +37,11 @@
         invalidServerResponses++;
     }
 
+    /** Records that the proxy has ended a client connection while the operating system held unread bytes of it. */
+    public void endedWithUnread() {
+        endedWithUnread++;
+    }
+
     /** Describes the counts since the start, a line for each subject. */
     public String summary() {
         StringBuilder text = new StringBuilder("loop_busy " + polls.busyTurns())
@@ -43,6 +49,7 @@
                 .append(turns.turnsCutShort())
                 .append("\ncommands=" + commands + " invalid=" + invalidCommands)
                 .append("\ninvalid_server_responses=" + invalidServerResponses)
+                .append("\nended_with_unread=" + endedWithUnread)
                 .append("\nread_paused");
         for (ReadPause reason : ReadPause.values()) {
             text.append(' ').append(reason.label()).append('=').append(pauses.getOrDefault(reason, 0L));
--- a/src/main/java/cacheproxy/proxy/net/ReceiveQueue.java
+++ b/src/main/java/cacheproxy/proxy/net/ReceiveQueue.java
@@ -25,6 +25,8 @@
     private static final int TCP_INFO = 11;
     /** Where {@code tcpi_bytes_received}, of 64 bits, is in that structure. */
     private static final int BYTES_RECEIVED_OFFSET = 128;
+    /** What the peer's end adds to that count. */
+    private static final int END_BYTES = 1;
 
     private final ByteBuffer input = ByteBuffer.allocateDirect(MAX_READ_BYTES);
     private final ByteBuffer tcpInfo =
@@ -54,7 +56,7 @@
 
     /**
      * Returns how many bytes the operating system has received on the connection and has not handed over; 0 if it does
-     * not report that.
+     * not report that, or for a single byte, which no command is.
      *
      * @param readBytes how many bytes have been read from the connection
      */
@@ -68,10 +70,12 @@
         } catch (IOException e) {
             return 0;
         }
-        // The peer's end of the connection counts as a byte.
-        boolean endReceived = SocketState.isEndReceived(tcpInfo.get(0));
-        long endBytes = endReceived ? 1 : 0;
-        return Math.max(0, tcpInfo.getLong(BYTES_RECEIVED_OFFSET) - endBytes - readBytes);
+        long unread = tcpInfo.getLong(BYTES_RECEIVED_OFFSET) - readBytes;
+        // The peer's end counts as a byte, and the state that tells of it may have been taken before the count.
+        if (unread <= END_BYTES) {
+            return 0;
+        }
+        return SocketState.isEndReceived(tcpInfo.get(0)) ? unread - END_BYTES : unread;
     }
 
     /** Returns the number of bytes that are read; 0 or less if there are none. */
--- a/src/test/java/cacheproxy/invariant/SummaryGoldenTextTest.java
+++ b/src/test/java/cacheproxy/invariant/SummaryGoldenTextTest.java
@@ -21,7 +21,8 @@
                         "slow_start_budget",
                         "single_answer",
                         "single_line",
-                        "close_owes_nothing");
+                        "close_owes_nothing",
+                        "close_leaves_nothing_unread");
     }
 
     @Test
--- a/src/test/java/cacheproxy/soak/RestingClientsIT.java
+++ b/src/test/java/cacheproxy/soak/RestingClientsIT.java
@@ -138,6 +138,10 @@
                 report(scenario + ", seed " + seed, clients, ages);
                 assertThat(clients.sentCommands()).isPositive();
                 assertThat(clients.pendingCommands()).as("on open connections").isZero();
+                if (scenario.isStandby()) {
+                    assertThat(((SoakProxy) proxy).callControl("GET /invariants"))
+                            .contains("violations=0 ");
+                }
             }
             double limitMs = scenario.stopMs == 0 ? LIMIT_MS : LIMIT_WITH_STOP_MS;
             assertThat(ages.stream().filter(age -> age > limitMs))
