Tolerate a client's reset at the look before the end of its connection

Cause: a connection that the client has reset can't be shut down, and Netty tells ENOTCONN as an exception that is no IOException. It passed through ReceiveQueue; a slice recorded it as a fault, and from an eviction it would have closed the connection that was just accepted.

Change: the look takes it for a broken connection, as it does other errors; the next poll closes it.

--- a/src/main/java/cacheproxy/proxy/net/ReceiveQueue.java
+++ b/src/main/java/cacheproxy/proxy/net/ReceiveQueue.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.nio.channels.NotYetConnectedException;
 import java.nio.channels.SocketChannel;
 
 /**
@@ -89,7 +90,7 @@
                             && nio.ch() instanceof SocketChannel socket
                     ? socket.read(input)
                     : 0;
-        } catch (IOException e) {
+        } catch (IOException | NotYetConnectedException e) {
             return 0; // the connection is broken, which the next poll tells
         }
     }
@@ -110,7 +111,7 @@
                     && nio.ch() instanceof SocketChannel socket) {
                 socket.shutdownOutput();
             }
-        } catch (IOException e) {
+        } catch (IOException | NotYetConnectedException e) { // the latter after a reset
             // the connection is broken, which the next poll tells
         }
     }
