--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -22,9 +22,6 @@
     /** The response to a request that is not sent to any server, as the connection is about to end. */
     private static final String BUSY_LINE = MetaCodec.BUSY_PREFIX + "\r\n";
 
-    /** How often what has arrived is read in a row before a stalled connection is closed nevertheless. */
-    private static final int MAX_LOOKS = 4;
-
     private final EventLoopContext loopContext;
     private final ConnectionOwner owner;
     private final double closingPosition;
@@ -172,29 +169,11 @@
         }
         if (responses.hasUnanswered()) {
             refuseRequests();
-        } else if (!clientReads || isFinished() || endUnlessResumed(nowMs)) {
+        } else if (!clientReads || isFinished() || end.endUnlessResumed(nowMs)) {
             close(CloseCause.STALLED);
         }
     }
 
-    /** Ends the connection unless what has arrived by now shows that it is no longer stalled. */
-    private boolean endUnlessResumed(double nowMs) {
-        for (int i = 0; i < MAX_LOOKS; i++) {
-            if (isHandlingInput()) {
-                return false;
-            }
-            ByteBuf received = closer.endUnlessUnread(ctx, CloseCause.STALLED);
-            if (received == null) {
-                return true;
-            }
-            receive(received);
-            if (!status.isStalled(nowMs) || status.mayHoldCommands() || !responses.isEmpty()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /**
      * Closes the connection to make room for another one. If the client may not have received the last response yet,
      * only the proxy's output is shut down: a close with unread input would send a reset, which would discard that
--- a/src/main/java/cacheproxy/proxy/client/ConnectionEnd.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionEnd.java
@@ -13,6 +13,8 @@
 final class ConnectionEnd implements TurnScheduler.Work {
     /** How long a client that never stops sending is answered by rejections before its connection ends. */
     private static final double MAX_REFUSING_MS = 50;
+    /** How often what has arrived is read in a row before a stalled connection is closed nevertheless. */
+    private static final int MAX_LOOKS = 4;
 
     private final ClientConnection connection;
     private final ConnectionCloser closer;
@@ -107,4 +109,23 @@
             schedule();
         }
     }
+
+    /** Ends a stalled connection; returns false if what has arrived by now shows that it is no longer stalled. */
+    boolean endUnlessResumed(double nowMs) {
+        for (int i = 0; i < MAX_LOOKS; i++) {
+            if (connection.isHandlingInput()) {
+                return false;
+            }
+            ByteBuf received = closer.endUnlessUnread(connection.context(), CloseCause.STALLED);
+            if (received == null) {
+                return true;
+            }
+            connection.receive(received);
+            ConnectionStatus status = connection.status();
+            if (!status.isStalled(nowMs) || status.mayHoldCommands() || status.hasResponses()) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
