Let DrainTest ask for each request at the node once and in order

Need: let one rejected request be missing at the node by its number alone.

Change: the ids at the node have to be the first that were sent, each once and in order, so that only the newest rejected one can be missing.

--- a/src/test/java/cacheproxy/proxy/DrainTest.java
+++ b/src/test/java/cacheproxy/proxy/DrainTest.java
@@ -7,9 +7,11 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.SocketTimeoutException;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -187,9 +189,14 @@
             drain.join();
             assertThat(rejected).isBetween(1, 2);
             // One is out at the node at the end; another that the system held by then is rejected unsent.
-            assertThat(node.commands)
-                    .as("requests that reached the node")
-                    .hasSizeBetween(answers + 1, answers + rejected);
+            List<String> ids =
+                    node.commands.stream().map(ScriptedServer::requestId).toList();
+            assertThat(ids).hasSizeBetween(answers + 1, answers + rejected);
+            assertThat(ids)
+                    .as("requests that reached the node, each once and in order")
+                    .isEqualTo(IntStream.range(0, ids.size())
+                            .mapToObj(number -> "a" + number)
+                            .toList());
         }
     }
 
