Read a connection's unread bytes once at its end

Need: the guard and the event log each asked the system at every end.

Change: the end is recorded first, and the guard goes by what that read.

Result: ReceiveQueueTest, ClientConnectionEndTest and RestingClientsIT pass.

--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -93,14 +93,15 @@
         responses.checkAnswered(closeCause);
         finished = true;
         closing = true;
-        checkNothingHasWaited(ctx, closeCause);
-        shutDownOutput(ctx, closeCause);
+        if (ctx.channel().isActive()) {
+            checkNothingHasWaited(ctx, recordEnd(ctx, closeCause), closeCause);
+            linger(ctx);
+        }
         return null;
     }
 
     /** What comes in the moment of the end crosses it; what has waited for longer shows that the look was too early. */
-    private void checkNothingHasWaited(ChannelHandlerContext ctx, CloseCause closeCause) {
-        long unreadBytes = loopContext.receiveQueue().unreadBytes(ctx.channel(), readBytes);
+    private void checkNothingHasWaited(ChannelHandlerContext ctx, long unreadBytes, CloseCause closeCause) {
         double waitedMs = unreadBytes == 0 ? 0 : SocketState.lastReceivedAgoMs(ctx.channel());
         if (waitedMs > MAX_CROSSING_MS) {
             String reason = unreadBytes + " bytes had waited for " + waitedMs + " ms, " + closeCause.label();
@@ -121,12 +122,15 @@
         ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> shutDownOutput(ctx, closeCause));
     }
 
-    @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
     private void shutDownOutput(ChannelHandlerContext ctx, CloseCause closeCause) {
-        if (!ctx.channel().isActive()) {
-            return;
+        if (ctx.channel().isActive()) {
+            recordEnd(ctx, closeCause);
+            linger(ctx);
         }
-        recordEnd(ctx, closeCause);
+    }
+
+    @SuppressWarnings("FutureReturnValueIgnored") // the close is observed where the channel becomes inactive
+    private void linger(ChannelHandlerContext ctx) {
         ctx.channel().config().setAutoRead(true);
         ((DuplexChannel) ctx.channel()).shutdownOutput();
         ctx.executor().schedule(() -> close(ctx, CloseCause.LINGERED), LINGER_MS, TimeUnit.MILLISECONDS);
@@ -146,7 +150,8 @@
         ctx.close();
     }
 
-    private void recordEnd(ChannelHandlerContext ctx, CloseCause closeCause) {
+    /** Records that the proxy ends the connection now; returns how many bytes the system holds unread. */
+    private long recordEnd(ChannelHandlerContext ctx, CloseCause closeCause) {
         long unreadBytes = loopContext.receiveQueue().unreadBytes(ctx.channel(), readBytes);
         if (unreadBytes > 0) {
             loopContext.load().endedWithUnread();
@@ -162,6 +167,7 @@
                     .with("in_system", unreadBytes)
                     .write();
         }
+        return unreadBytes;
     }
 
     /** Closes the connection after an I/O error or a fault of the proxy. */
