Play evictions, removed listeners and signals in series in the soak of resting clients

Need: these were read or covered without a stop; the guard was asked in standby alone; DaemonProcess had SoakProxy's signals once more.

Change: three scenarios; after each play the process's log must show no violation and no fault; signals and the kill in SignalTarget.

--- a/src/test/java/cacheproxy/soak/DaemonProcess.java
+++ b/src/test/java/cacheproxy/soak/DaemonProcess.java
@@ -5,11 +5,12 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
 /** A process of the {@code run} command with one listener and one pool of one node. */
-final class DaemonProcess implements SignalTarget, AutoCloseable {
+final class DaemonProcess implements SignalTarget {
     private static final long READY_MS = 30_000;
     private static final String CONFIG = """
             [limits]
@@ -34,13 +35,15 @@
 
     private final int port;
     private final Path folder;
+    private final String nodeAddress;
     private final Process process;
 
     /** Starts the process and waits until it accepts clients. */
     DaemonProcess(int port, Path folder, String nodeAddress) throws IOException {
         this.port = port;
+        this.nodeAddress = nodeAddress;
         this.folder = Files.createDirectories(folder);
-        Path config = Files.writeString(folder.resolve("coralbay.toml"), CONFIG.formatted(port, nodeAddress));
+        Files.writeString(config(), CONFIG.formatted(port, nodeAddress));
         process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-XX:+UseSerialGC",
@@ -48,14 +51,19 @@
                         "-jar",
                         "target/cache-proxy.jar",
                         "run",
-                        config.toString())
+                        config().toString())
                 .redirectErrorStream(true)
                 .redirectOutput(log().toFile())
                 .start();
         awaitReady();
     }
 
-    private Path log() {
+    private Path config() {
+        return folder.resolve("coralbay.toml");
+    }
+
+    @Override
+    public Path log() {
         return folder.resolve("log");
     }
 
@@ -82,17 +90,14 @@
     }
 
     @Override
-    public void signal(String name) throws IOException, InterruptedException {
-        if (process.isAlive()) {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
-                    .start()
-                    .waitFor();
-        }
+    public Process process() {
+        return process;
     }
 
-    @Override
-    public void close() throws Exception {
-        signal("CONT");
-        process.destroyForcibly().waitFor();
+    /** Takes the listener out of the file, for one at another port, and has the process read the file. */
+    void replaceListener(int newPort) throws IOException, InterruptedException {
+        Path next = Files.writeString(folder.resolve("coralbay.new"), CONFIG.formatted(newPort, nodeAddress));
+        Files.move(next, config(), StandardCopyOption.ATOMIC_MOVE);
+        signal("HUP");
     }
 }
--- a/src/test/java/cacheproxy/soak/RestingClientsIT.java
+++ b/src/test/java/cacheproxy/soak/RestingClientsIT.java
@@ -8,6 +8,7 @@
 import com.google.gson.JsonObject;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,10 +54,17 @@
     /** So many that a process has room for the crowd. */
     private static final int SOCKETS = 8192;
 
+    /** Between two stops of a series. */
+    private static final int SERIES_PAUSE_MS = 40;
+
     private static final int DRAINED_AFTER_MS = 4050;
     /** From SIGTERM to the earliest SIGKILL: the longest deadline of the classes, and 0.7 s. */
     private static final int EARLIEST_KILL_MS = 1600;
 
+    private static final int NEWCOMERS = 120;
+    /** So few that newcomers are accepted only if others make room. */
+    private static final int FEW_SOCKETS = 300;
+
     private static final int BUSY_CONNECTIONS = 4;
     /** Enough for all requests of the busy connections at once. */
     private static final int NODES = 24;
@@ -70,6 +78,9 @@
         RUN_STOPPED(50, 490, 640, 490),
         RUN_CROWD(1600, 450, 800, 0),
         STANDBY_STOPPED(240, 980, 1150, 1000),
+        REMOVED_STOPPED(120, 0, 250, 60),
+        EVICTED_STOPPED(150, 300, 500, 380),
+        SIGTERM_SERIES(120, 440, 700, 470),
         NEWCOMERS_STOPPED(0, 300, 400, 380);
 
         final int resting;
@@ -85,12 +96,16 @@
             this.stopMs = stopMs;
         }
 
+        int sockets() {
+            return this == EVICTED_STOPPED ? FEW_SOCKETS : SOCKETS;
+        }
+
         boolean isStandby() {
             return this == STANDBY_STOPPED;
         }
 
         boolean isDaemon() {
-            return this == RUN_STOPPED || this == RUN_CROWD;
+            return this == RUN_STOPPED || this == RUN_CROWD || this == REMOVED_STOPPED;
         }
 
         int stopLengthMs(Random random) {
@@ -130,7 +145,8 @@
     private void playAll(Scenario scenario) throws Exception {
         for (int seed = FIRST_SEED; seed < FIRST_SEED + ROUNDS; seed++) {
             Random random = new Random(seed * 31L + scenario.name().hashCode());
-            SignalTarget proxy = scenario.isDaemon() ? daemon(seed, random) : serve(seed, random, 0);
+            SignalTarget proxy =
+                    scenario.isDaemon() ? daemon(seed, random) : serve(seed, random, 0, scenario.sockets());
             List<Double> ages;
             try (RestingClients clients = new RestingClients(proxy.port())) {
                 play(scenario, proxy, clients, random);
@@ -143,6 +159,8 @@
                             .contains("violations=0 ");
                 }
             }
+            assertThat(Files.readAllLines(proxy.log()))
+                    .noneMatch(line -> line.startsWith("invariant violated") || line.startsWith("fault:"));
             double limitMs = scenario.stopMs == 0 ? LIMIT_MS : LIMIT_WITH_STOP_MS;
             assertThat(ages.stream().filter(age -> age > limitMs))
                     .as("seed %d: requests sent over %.0f ms before their connection ended", seed, limitMs)
@@ -159,7 +177,7 @@
     void answersCommandBehindThoseInFlightThatWasNotRead(Scenario scenario) throws Exception {
         int readingEndsMs = scenario.isStandby() ? 1800 : 1400;
         Random random = new Random(FIRST_SEED);
-        SignalTarget proxy = serve(FIRST_SEED, random, WORK_PAST_THE_END_MS);
+        SignalTarget proxy = serve(FIRST_SEED, random, WORK_PAST_THE_END_MS, SOCKETS);
         try (RestingClients clients = new RestingClients(proxy.port())) {
             clients.connect(BUSY_CONNECTIONS);
             long beginNanos = System.nanoTime();
@@ -174,7 +192,7 @@
                 }
                 clients.sendAt(beginNanos + millis(readingEndsMs - 80), connection, read(++number));
             }
-            end(scenario, proxy);
+            end(scenario, proxy, random);
             clients.play(beginNanos + millis(DRAINED_AFTER_MS));
             report("behind " + MAX_PIPELINED + ", " + scenario, clients, clients.unansweredAgesMs());
             assertThat(clients.sentCommands()).isGreaterThan((MAX_PIPELINED + 1L) * BUSY_CONNECTIONS);
@@ -197,37 +215,40 @@
                     connection,
                     read(connection.number));
         }
-        if (scenario == Scenario.NEWCOMERS_STOPPED) {
-            for (int i = 0; i < 120; i++) {
+        if (scenario == Scenario.NEWCOMERS_STOPPED || scenario == Scenario.EVICTED_STOPPED) {
+            for (int i = 0; i < NEWCOMERS; i++) {
                 clients.connectAt(
                         beginNanos + millis(scenario.sendFromMs) + micros(random.nextInt(spanMicros)),
                         clients.add(),
                         read(i));
             }
         }
-        end(scenario, proxy);
-        Thread stops = stopOnce(scenario, proxy, beginNanos, random);
+        end(scenario, proxy, random);
+        Thread stops = startStops(scenario, proxy, beginNanos, random);
         clients.play(beginNanos + millis(scenario.isStandby() ? DRAINED_AFTER_MS : EARLIEST_KILL_MS));
         stops.join();
     }
 
-    private static void end(Scenario scenario, SignalTarget proxy) throws Exception {
-        if (scenario.isStandby()) {
-            ((SoakProxy) proxy).callControl("POST /standby");
-        } else {
-            proxy.signal("TERM");
+    private static void end(Scenario scenario, SignalTarget proxy, Random random) throws Exception {
+        switch (scenario) {
+            case STANDBY_STOPPED -> ((SoakProxy) proxy).callControl("POST /standby");
+            case REMOVED_STOPPED -> ((DaemonProcess) proxy).replaceListener(SoakProxy.freePort(random));
+            case EVICTED_STOPPED -> {}
+            default -> proxy.signal("TERM");
         }
     }
 
-    private static Thread stopOnce(Scenario scenario, SignalTarget proxy, long beginNanos, Random random) {
+    private static Thread startStops(Scenario scenario, SignalTarget proxy, long beginNanos, Random random) {
         int atMs = scenario.stopMs;
         int lengthMs = scenario.stopLengthMs(random);
         Thread thread = new Thread(() -> {
             if (scenario.stopMs > 0) {
-                parkUntil(beginNanos + millis(atMs));
-                signal(proxy, "STOP");
-                parkUntil(beginNanos + millis(atMs + lengthMs));
-                signal(proxy, "CONT");
+                stop(proxy, beginNanos + millis(atMs), lengthMs);
+            }
+            if (scenario == Scenario.SIGTERM_SERIES) {
+                signal(proxy, "TERM");
+                signal(proxy, "HUP");
+                stop(proxy, beginNanos + millis(atMs + lengthMs + SERIES_PAUSE_MS), lengthMs);
             }
         });
         thread.setDaemon(true);
@@ -235,6 +256,13 @@
         return thread;
     }
 
+    private static void stop(SignalTarget proxy, long atNanos, int lengthMs) {
+        parkUntil(atNanos);
+        signal(proxy, "STOP");
+        parkUntil(atNanos + millis(lengthMs));
+        signal(proxy, "CONT");
+    }
+
     private static void signal(SignalTarget proxy, String name) {
         try {
             proxy.signal(name);
@@ -274,7 +302,7 @@
 
     // ---- processes
 
-    private SignalTarget serve(int seed, Random random, int workMs) throws Exception {
+    private SignalTarget serve(int seed, Random random, int workMs, int sockets) throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
         closeables.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly());
         FakeDiscovery discovery = FakeDiscovery.start(group.next());
@@ -290,7 +318,7 @@
         JsonObject settings = SoakRound.settings(1);
         SoakProxy proxy = new SoakProxy(0, folder.resolve("seed-" + seed + "-" + random.nextInt()), settings, random);
         closeables.add(proxy);
-        proxy.setSockets(SOCKETS);
+        proxy.setSockets(sockets);
         proxy.configure(discovery.dial(), discovery.fullList().getAsJsonArray("hosts"));
         proxy.start();
         proxy.awaitReady();
--- a/src/test/java/cacheproxy/soak/SoakProxy.java
+++ b/src/test/java/cacheproxy/soak/SoakProxy.java
@@ -20,7 +20,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 /** A process of the {@code serve} command, started as the platform starts it. */
-final class SoakProxy implements SignalTarget, AutoCloseable {
+final class SoakProxy implements SignalTarget {
     /** Below the ephemeral ports, so that no outgoing connection takes a proxy's port during its restart. */
     private static final int MIN_PORT = 12_000;
 
@@ -141,7 +141,8 @@
         }
     }
 
-    Path log() {
+    @Override
+    public Path log() {
         return folder.resolve("log");
     }
 
@@ -154,14 +155,9 @@
         return port;
     }
 
-    /** Sends a signal, unless the process has exited: its process id may have been reused. */
     @Override
-    public void signal(String name) throws IOException, InterruptedException {
-        if (process.isAlive()) {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
-                    .start()
-                    .waitFor();
-        }
+    public Process process() {
+        return process;
     }
 
     /** Waits for the process to exit until this time of {@link System#nanoTime}, and then kills it. */
@@ -186,12 +182,4 @@
     void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
     }
-
-    @Override
-    public void close() throws Exception {
-        if (process != null && process.isAlive()) {
-            signal("CONT");
-            kill();
-        }
-    }
 }
