--- a/src/main/java/cacheproxy/daemon/ListenerSet.java
+++ b/src/main/java/cacheproxy/daemon/ListenerSet.java
@@ -181,7 +181,7 @@
             configuredAddresses.remove(listener);
             draining.add(listener);
             listener.drain();
-            core.after(REMOVED_READ_MS, listener::refuseRequests);
+            core.after(REMOVED_READ_MS, listener::rejectRequests);
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -42,8 +42,6 @@
     private boolean flushScheduled;
     /** Whether what was read is being decoded. */
     private boolean handlingInput;
-    /** Whether reading has ended and no complete command is left in what was read. */
-    private boolean inputDecoded;
     /** Whether it is unknown where the next command begins in what is read. */
     private boolean framingLost;
 
@@ -62,7 +60,7 @@
         submitter = new RequestSubmitter(this, owner);
         turns = new CommandTurns(this, readControl);
         admission = new RequestAdmission(this, responses, readControl, closer, submitter::resume);
-        end = new ConnectionEnd(this, closer);
+        end = new ConnectionEnd(this, owner, responses, readControl, closer, activity);
         status = new ConnectionStatus(this, responses, decoder, readControl, closer, activity);
     }
 
@@ -148,6 +146,11 @@
 
     // ---- closing
 
+    /** Decides when the proxy ends the connection by its own choice. */
+    ConnectionEnd end() {
+        return end;
+    }
+
     /**
      * Closes the connection if the client has closed it, without a regard to what it has sent and was not read; returns
      * whether it has.
@@ -161,90 +164,6 @@
         return left;
     }
 
-    /** Closes a stalled connection, after the responses to its complete requests, unless more has arrived by now. */
-    void closeStalled(double nowMs) {
-        boolean clientReads = !status.hasUnwrittenBytes();
-        if (!clientReads) {
-            responses.cancelHeldValues(); // they wait for the client to read
-        }
-        if (responses.hasUnanswered()) {
-            refuseRequests();
-        } else if (!clientReads || isFinished() || end.endUnlessResumed(nowMs)) {
-            close(CloseCause.STALLED);
-        }
-    }
-
-    /**
-     * Closes the connection to make room for another one. If the client may not have received the last response yet,
-     * only the proxy's output is shut down: a close with unread input would send a reset, which would discard that
-     * response.
-     *
-     * <p>Has no effect if the client has sent anything that had not been read.
-     *
-     * @return whether the connection is closed now; otherwise it is closed after it has lingered, or stays open
-     */
-    boolean evict(double nowMs) {
-        if (isHandlingInput()) {
-            return false;
-        }
-        ByteBuf received = closer.endUnlessUnread(ctx, CloseCause.EVICTED);
-        if (received != null) {
-            receive(received);
-            return false;
-        }
-        if (activity.mayNotHaveLastResponse(nowMs)) {
-            return false;
-        }
-        close(CloseCause.EVICTED);
-        return true;
-    }
-
-    /**
-     * Rejects the requests that come from now on; those that have been decoded by now are served. The connection ends
-     * once all have their responses and nothing is unread. The rest of an incomplete command is no request: its client
-     * sends it again on another connection.
-     */
-    void refuseRequests() {
-        if (!closer.isClosing()) {
-            closer.refuseRequests();
-            writeResponses();
-        }
-    }
-
-    /**
-     * Rejects requests as {@link #refuseRequests} does, and reads nothing more from the client, except to see it close
-     * its side. Commands that have been read and not decoded are rejected when their turn comes, and the connection
-     * ends after the response to the last one.
-     */
-    void endReading() {
-        if (readControl.hasEnded() || closer.isFinished()) {
-            return;
-        }
-        closer.refuseRequests();
-        readControl.end(ctx);
-        if (undecodedBytes() == 0) {
-            inputDecoded();
-        } else {
-            turns.resume();
-        }
-    }
-
-    /** Records that reading has ended and all complete commands that were read have been decoded. */
-    void inputDecoded() {
-        inputDecoded = true;
-        writeResponses();
-    }
-
-    /** Returns whether reading has ended for good. */
-    boolean hasReadingEnded() {
-        return readControl.hasEnded();
-    }
-
-    /** Returns whether reading has ended and no complete command is left in what was read. */
-    boolean isInputDecoded() {
-        return inputDecoded;
-    }
-
     /** Rejects the requests that wait for memory, so that nothing of them is sent to a server. */
     void rejectWaitingRequests() {
         submitter.rejectWaiting();
@@ -255,39 +174,11 @@
         responses.cancelHeldValues();
     }
 
-    /**
-     * Returns whether the connection is to be ended: everything that was read has its response, and it is being closed
-     * or its owner wants it closed between requests.
-     */
-    boolean isEndDue() {
-        if (closer.isFinished() || !responses.isEmpty() || !immediateResponses.isEmpty()) {
-            return false;
-        }
-        if (closer.isClosing()) {
-            return hasReadingEnded() ? inputDecoded : !status.mayHoldCommands();
-        }
-        return owner.closesWhenIdle(this) && status.isIdle();
-    }
-
-    /** Returns whether the client has all its responses and does nothing but send requests that are rejected. */
-    boolean onlyRefuses() {
-        return closer.isClosing() && !closer.isFinished() && !hasReadingEnded() && responses.isEmpty();
-    }
-
-    /** Ends the connection soon, if {@linkplain #isEndDue it is due to end} and nothing is unread by then. */
-    void scheduleEnd() {
-        end.schedule();
-    }
-
     /** Ends the connection within the first response, whose rest will not arrive. */
     void abortResponse() {
         closer.abortResponse(ctx);
     }
 
-    private void close(CloseCause cause) {
-        closer.close(ctx, cause);
-    }
-
     // ---- requests
 
     /** Returns whether an event of the connection's own input is being handled. */
@@ -325,9 +216,9 @@
             readControl.bytesRead(context.channel());
             turns.readBegins();
         }
-        boolean readAfterEnd = bytesRead && hasReadingEnded(); // a read that was under way when reading ended
+        boolean readAfterEnd = bytesRead && end.hasReadingEnded(); // a read that was under way when reading ended
         if (readAfterEnd) {
-            inputDecoded = false;
+            end.commandsRead();
         }
         super.channelRead(context, message);
         if (readAfterEnd) {
@@ -361,7 +252,7 @@
             respond("CLIENT_ERROR " + e.getMessage() + "\r\n", false);
             framingLost = true;
             input.skipBytes(input.readableBytes());
-            endReading();
+            end.endReading();
         }
     }
 
@@ -436,7 +327,7 @@
             flushWritten(wroteImmediate);
         }
         updateFlowControl();
-        if (isEndDue() || onlyRefuses()) {
+        if (end.isDue() || end.onlyRejects()) {
             end.attempt();
         } else if (wrote && responses.isEmpty()) {
             owner.connectionIdle(this);
--- a/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRegistry.java
@@ -63,7 +63,7 @@
             if (candidate == null) {
                 return false;
             }
-            if (candidate.evict(loopContext.nowMs())) {
+            if (candidate.end().evict(loopContext.nowMs())) {
                 return true;
             }
             if (candidate.isFinished()) {
@@ -103,7 +103,7 @@
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : List.copyOf(connections)) {
             if (connection.status().isStalled(nowMs)) {
-                connection.closeStalled(nowMs);
+                connection.end().closeStalled(nowMs);
             }
         }
         evictIfTooManyConnections();
--- a/src/main/java/cacheproxy/proxy/client/CommandTurns.java
+++ b/src/main/java/cacheproxy/proxy/client/CommandTurns.java
@@ -156,8 +156,8 @@
     private void endPause() {
         if (refused) {
             queued = true;
-        } else if (connection.hasReadingEnded()) {
-            connection.inputDecoded();
+        } else if (connection.end().hasReadingEnded()) {
+            connection.end().inputDecoded();
         } else {
             readControl.resume(connection.context());
         }
--- a/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionCloser.java
@@ -58,7 +58,7 @@
     }
 
     /** Records that further requests are rejected from now on. */
-    void refuseRequests() {
+    void rejectRequests() {
         closing = true;
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
+++ b/src/main/java/cacheproxy/proxy/client/ConnectionStatus.java
@@ -35,14 +35,9 @@
         return responses.isEmpty() && !decoder.isReadingValue() && connection.undecodedBytes() == 0;
     }
 
-    /** Returns whether a response is pending. */
-    boolean hasResponses() {
-        return !responses.isEmpty();
-    }
-
     /** Returns whether complete commands may be in what has been read and not decoded. */
     boolean mayHoldCommands() {
-        return readControl.isPaused() && !connection.isInputDecoded() && connection.undecodedBytes() > 0;
+        return readControl.isPaused() && !connection.end().isInputDecoded() && connection.undecodedBytes() > 0;
     }
 
     /** Returns whether the client has sent a complete command, or has had the time to send one. */
--- a/src/main/java/cacheproxy/proxy/client/Listener.java
+++ b/src/main/java/cacheproxy/proxy/client/Listener.java
@@ -241,8 +241,8 @@
         closingFraction = fraction;
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : connections) {
-            if (connection.isEndDue() && (draining || connection.status().hasHadTimeToSendCommand(nowMs))) {
-                connection.scheduleEnd();
+            if (connection.end().isDue() && (draining || connection.status().hasHadTimeToSendCommand(nowMs))) {
+                connection.end().schedule();
             }
         }
     }
@@ -251,11 +251,11 @@
      * Rejects further requests of clients that have had the time to send one; their connections end after the last
      * response. To be called repeatedly, because further clients may connect.
      */
-    public void refuseRequests() {
+    public void rejectRequests() {
         double nowMs = loopContext.nowMs();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.status().hasHadTimeToSendCommand(nowMs)) {
-                connection.refuseRequests();
+                connection.end().rejectRequests();
             }
         }
     }
@@ -267,7 +267,7 @@
      */
     public void concludeConnections() {
         for (ClientConnection connection : new ArrayList<>(connections)) {
-            connection.refuseRequests();
+            connection.end().rejectRequests();
             connection.rejectWaitingRequests();
             connection.cancelHeldValues();
         }
--- a/src/main/java/cacheproxy/proxy/client/RequestAdmission.java
+++ b/src/main/java/cacheproxy/proxy/client/RequestAdmission.java
@@ -68,7 +68,7 @@
 
     /** Decodes what was read before a pause, and resumes reading, if commands may be decoded again. */
     void resumeReading() {
-        if (readControl.isPaused() && !connection.isInputDecoded() && mayReadCommands()) {
+        if (readControl.isPaused() && !connection.end().isInputDecoded() && mayReadCommands()) {
             connection.turns().resume();
         }
     }
--- a/src/main/java/cacheproxy/proxy/process/OperatorActions.java
+++ b/src/main/java/cacheproxy/proxy/process/OperatorActions.java
@@ -188,7 +188,7 @@
         listener.setAcceptsClients(lifecycle.acceptsClients());
         listener.closeIdle(lifecycle.closingFraction(nowMs));
         if (lifecycle.endsReading(nowMs)) {
-            listener.refuseRequests();
+            listener.rejectRequests();
         }
         if (lifecycle.state() != LifecycleState.STANDBY && standbyPoll != null) {
             standbyPoll.cancel(false);
--- a/src/test/java/cacheproxy/proxy/client/ClientConnectionEndTest.java
+++ b/src/test/java/cacheproxy/proxy/client/ClientConnectionEndTest.java
@@ -83,7 +83,7 @@
         slow.setSystemFull(true);
         slow.writeInbound(Unpooled.copiedBuffer("mn\r\n", StandardCharsets.US_ASCII));
         owner.closeWhenIdle();
-        slowConnection.scheduleEnd();
+        slowConnection.end().schedule();
         runTasks(slow);
         assertThat(slow.isOutputShutdown()).isFalse();
         slow.writeInbound(Unpooled.copiedBuffer("mn\r\n", StandardCharsets.US_ASCII));
--- a/src/test/java/cacheproxy/proxy/client/UndecodedCommandsTest.java
+++ b/src/test/java/cacheproxy/proxy/client/UndecodedCommandsTest.java
@@ -54,7 +54,7 @@
                 0);
         HalfClosableChannel channel = new HalfClosableChannel(connection);
         read(channel, "mg 7f3a v O1 Pc=text,d=9\r\nmg 7f3b v O2 Pc=te");
-        connection.endReading();
+        connection.end().endReading();
         read(channel, "xt,d=9\r\nmn\r\nmg 7f");
         assertThat(responders).as("requests that are sent on").hasSize(1);
         responders.get(0).miss();
