Test that a client that never stops sending is ended at the last moment

Need: the bound of 50 ms on rejections had no test of its own.

Change: a client that sends mn without a pause through a shutdown sees the end of its connection.

--- a/src/test/java/cacheproxy/proxy/EndOfReadingTest.java
+++ b/src/test/java/cacheproxy/proxy/EndOfReadingTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.fakes.ScriptedServer;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -151,4 +152,28 @@
             drain.join();
         }
     }
+
+    /** Guards against a client that is answered by rejections for as long as it sends, and is never ended. */
+    @Test
+    void endsConnectionOfClientThatNeverStopsSending() throws Exception {
+        try (Fleet fleet = fleetWithShortDeadlines().start();
+                Fleet.Client client = fleet.client()) {
+            client.send(reads("r", 1));
+            fleet.awaitPendingRequests(1);
+            Thread flood = new Thread(() -> {
+                try {
+                    while (true) {
+                        client.send("mn\r\n".repeat(MAX_IN_FLIGHT));
+                    }
+                } catch (IOException e) {
+                    // the proxy has closed the connection
+                }
+            });
+            flood.start();
+            Thread drain = shutDown(fleet);
+            assertThat(linesUntilEnd(client)).startsWith("SERVER_ERROR busy").contains("MN");
+            flood.join();
+            drain.join();
+        }
+    }
 }
